--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PY = .venv/bin/python
+
+.PHONY: setup demo test lint bench soak slopes mutants messages
+
+setup: .venv/installed
+
+.venv/installed: pyproject.toml
+	python3 -m venv .venv
+	.venv/bin/pip install --quiet -e '.[dev]'
+	touch .venv/installed
+
+demo: setup
+	$(PY) -m primrosehitch_lab.cli demo
+
+test: setup
+	$(PY) -m pytest
+
+lint: setup
+	.venv/bin/ruff format --check .
+	.venv/bin/ruff check --quiet .
+	.venv/bin/flake8 .
+
+bench: setup
+	$(PY) -m primrosehitch_lab.cli bench
+
+soak: setup
+	$(PY) -m primrosehitch_lab.cli soak --seed $(or $(SEED),1)
+
+slopes: setup
+	$(PY) -m primrosehitch_lab.cli slopes
+
+mutants: setup
+	$(PY) tools/mutants.py
+
+messages: setup
+	$(PY) tools/generate_messages.py
+	$(PY) tools/generate_types.py
+	$(PY) tools/generate_events.py
--- /dev/null
+++ b/primrosehitch/burn.py
@@ -0,0 +1,273 @@
+"""Service-level accounting: attainment, burn, goodput, wasted work.
+
+Pure. Each gateway counts in buckets of ten seconds; reports of several
+gateways merge by adding. A request attains its level when its first
+token and its mean gap between tokens meet the class's targets; one that
+the system refused or broke does not. A refusal of the customer's own
+limit and bad input do not count.
+"""
+
+from typing import Iterable
+from typing import TypedDict
+
+from primrosehitch import catalog
+
+BUCKET_S = 10
+BUCKETS_KEPT = 400
+SHORT_S = 300
+LONG_S = 3600
+TIME_BOUNDS_MS = (10, 25, 50, 100, 200, 400, 700, 980, 1500, 3000, 6000, 15000)
+
+
+class Counts(TypedDict):
+    """What happened in one bucket to one customer in one class."""
+
+    customer: str
+    class_name: str
+    requests: int
+    attained: int
+    refused: int
+    incomplete: int
+    output_tokens: int
+    good_tokens: int
+    wasted_tokens: int
+    first_token_ms: list[int]
+
+
+class Bucket(TypedDict):
+    """The counts that began at a time in seconds since the epoch."""
+
+    start: int
+    counts: list[Counts]
+
+
+class Ended(TypedDict):
+    """How one request ended; times in ms, -1 where there was none."""
+
+    customer: str
+    class_name: str
+    outcome: str
+    first_token_ms: float
+    token_gap_ms: float
+    output_tokens: int
+    wasted_tokens: int
+
+
+def new_counts(customer: str, class_name: str) -> Counts:
+    """Return counts of nothing."""
+    return Counts(
+        customer=customer,
+        class_name=class_name,
+        requests=0,
+        attained=0,
+        refused=0,
+        incomplete=0,
+        output_tokens=0,
+        good_tokens=0,
+        wasted_tokens=0,
+        first_token_ms=[0] * (len(TIME_BOUNDS_MS) + 1),
+    )
+
+
+class Burn:
+    """The buckets of one gateway."""
+
+    def __init__(self) -> None:
+        self.buckets: dict[int, dict[tuple[str, str], Counts]] = {}
+
+    def note(
+        self, ended: Ended, spec: catalog.ServiceClass, wall_s: float
+    ) -> bool:
+        """Count one request and return whether it attained its level."""
+        start = int(wall_s) // BUCKET_S * BUCKET_S
+        bucket = self.buckets.get(start)
+        if bucket is None:
+            bucket = self.buckets[start] = {}
+            while len(self.buckets) > BUCKETS_KEPT:
+                del self.buckets[min(self.buckets)]
+        key = (ended["customer"], ended["class_name"])
+        counts = bucket.get(key)
+        if counts is None:
+            counts = bucket[key] = new_counts(*key)
+        attained = attains(ended, spec)
+        _add_ended(counts, ended, attained)
+        return attained
+
+    def export(self, since: float) -> list[Bucket]:
+        """Return the buckets that began after a time."""
+        return [
+            Bucket(start=start, counts=list(counts.values()))
+            for start, counts in sorted(self.buckets.items())
+            if start >= since
+        ]
+
+
+def attains(ended: Ended, spec: catalog.ServiceClass) -> bool:
+    """Return whether a request met its class's targets."""
+    if ended["outcome"] != "ok":
+        return False
+    if ended["first_token_ms"] > spec.first_token_ms:
+        return False
+    return not spec.token_gap_ms or ended["token_gap_ms"] <= spec.token_gap_ms
+
+
+def _add_ended(counts: Counts, ended: Ended, attained: bool) -> None:
+    counts["requests"] += 1
+    counts["attained"] += attained
+    counts["refused"] += ended["outcome"] == "not-run"
+    counts["incomplete"] += ended["outcome"] in ("incomplete", "unknown")
+    counts["output_tokens"] += ended["output_tokens"]
+    counts["wasted_tokens"] += ended["wasted_tokens"]
+    if attained:
+        counts["good_tokens"] += ended["output_tokens"]
+    if ended["first_token_ms"] >= 0:
+        counts["first_token_ms"][_slot(ended["first_token_ms"])] += 1
+
+
+def _slot(value_ms: float) -> int:
+    for i, bound in enumerate(TIME_BOUNDS_MS):
+        if value_ms <= bound:
+            return i
+    return len(TIME_BOUNDS_MS)
+
+
+def merge(reports: Iterable[list[Bucket]]) -> list[Bucket]:
+    """Return the buckets of several gateways as one list."""
+    merged: dict[int, dict[tuple[str, str], Counts]] = {}
+    for report in reports:
+        for bucket in report:
+            into = merged.setdefault(bucket["start"], {})
+            for counts in bucket["counts"]:
+                key = (counts["customer"], counts["class_name"])
+                into[key] = add(into.get(key, new_counts(*key)), counts)
+    return [
+        Bucket(start=start, counts=list(counts.values()))
+        for start, counts in sorted(merged.items())
+    ]
+
+
+def add(a: Counts, b: Counts) -> Counts:
+    """Return the sum of two counts of one customer and class."""
+    total = dict(a)
+    for name, value in b.items():
+        if isinstance(value, int):
+            total[name] = a[name] + value
+    total["first_token_ms"] = [
+        x + y for x, y in zip(a["first_token_ms"], b["first_token_ms"])
+    ]
+    return Counts(**total)
+
+
+class ClassReport(TypedDict):
+    """A class's figures over two windows.
+
+    Burn is the share of missed requests over the share that the
+    objective allows: above 1, the error budget shrinks too fast.
+    """
+
+    class_name: str
+    tier: int
+    objective: float
+    requests: int
+    refused: int
+    incomplete: int
+    attainment: float
+    burn_short: float
+    burn_long: float
+    goodput_tokens_s: float
+    wasted_tokens: int
+    first_token_p95_ms: float
+    worst_customer: str
+    worst_attainment: float
+
+
+def report(
+    buckets: list[Bucket],
+    classes: dict[str, catalog.ServiceClass],
+    now_s: float,
+) -> list[ClassReport]:
+    """Return the burn report by class.
+
+    Args:
+        buckets: merged buckets.
+        classes: the classes in force.
+        now_s: seconds since the epoch.
+    """
+    rows = []
+    for spec in sorted(classes.values(), key=lambda c: (c.tier, c.name)):
+        short = _collect(buckets, spec.name, now_s - SHORT_S)
+        long = _collect(buckets, spec.name, now_s - LONG_S)
+        rows.append(_class_report(spec, short, long))
+    return rows
+
+
+def _collect(
+    buckets: list[Bucket], class_name: str, since: float
+) -> dict[str, Counts]:
+    found: dict[str, Counts] = {}
+    for bucket in buckets:
+        if bucket["start"] < since - BUCKET_S:
+            continue
+        for counts in bucket["counts"]:
+            if counts["class_name"] == class_name:
+                name = counts["customer"]
+                known = found.get(name, new_counts(name, class_name))
+                found[name] = add(known, counts)
+    return found
+
+
+def _class_report(
+    spec: catalog.ServiceClass,
+    short: dict[str, Counts],
+    long: dict[str, Counts],
+) -> ClassReport:
+    total = _total(spec.name, long)
+    worst = min(
+        long.values(), key=_attainment, default=new_counts("", spec.name)
+    )
+    return ClassReport(
+        class_name=spec.name,
+        tier=spec.tier,
+        objective=spec.objective,
+        requests=total["requests"],
+        refused=total["refused"],
+        incomplete=total["incomplete"],
+        attainment=_attainment(total),
+        burn_short=_burn(_total(spec.name, short), spec.objective),
+        burn_long=_burn(total, spec.objective),
+        goodput_tokens_s=total["good_tokens"] / LONG_S,
+        wasted_tokens=total["wasted_tokens"],
+        first_token_p95_ms=_quantile(total["first_token_ms"], 0.95),
+        worst_customer=worst["customer"],
+        worst_attainment=_attainment(worst),
+    )
+
+
+def _total(class_name: str, by_customer: dict[str, Counts]) -> Counts:
+    total = new_counts("", class_name)
+    for counts in by_customer.values():
+        total = add(total, counts)
+    return total
+
+
+def _attainment(counts: Counts) -> float:
+    if not counts["requests"]:
+        return 1.0
+    return counts["attained"] / counts["requests"]
+
+
+def _burn(counts: Counts, objective: float) -> float:
+    return (1 - _attainment(counts)) / (1 - objective)
+
+
+def _quantile(slots: list[int], part: float) -> float:
+    wanted = part * sum(slots)
+    seen = 0
+    for bound, count in zip((*TIME_BOUNDS_MS, float("inf")), slots):
+        seen += count
+        if seen >= wanted and seen:
+            return float(bound)
+    return 0.0
+
+
+__all__ = ["Bucket", "Burn", "ClassReport", "Ended", "merge", "report"]
--- /dev/null
+++ b/primrosehitch/cli.py
@@ -0,0 +1,201 @@
+"""The operators' command line: thin on top of ``porcelain``."""
+
+import json
+import os
+import pathlib
+import sys
+from typing import Any
+
+import fire
+
+from primrosehitch import declaration as declaration_module
+from primrosehitch import errors
+from primrosehitch import jsonc
+from primrosehitch import porcelain
+from primrosehitch import settings as settings_module
+
+ADDRESS_VARIABLE = "PRIMROSEHITCH_GATEWAY"
+KEY_VARIABLE = "PRIMROSEHITCH_KEY"
+GRANTS = (
+    "customer",
+    "class",
+    "weight",
+    "requests_per_s",
+    "concurrency",
+    "tokens_per_min",
+)
+BURN = (
+    "class_name",
+    "tier",
+    "objective",
+    "requests",
+    "refused",
+    "incomplete",
+    "attainment",
+    "burn_short",
+    "burn_long",
+    "goodput_tokens_s",
+    "wasted_tokens",
+    "first_token_p95_ms",
+    "worst_customer",
+    "worst_attainment",
+)
+CHANGES = ("table", "key", "from", "to")
+
+
+def _target(gateway: str) -> porcelain.Target:
+    address = gateway or os.environ.get(ADDRESS_VARIABLE, "")
+    if not address:
+        raise errors.PrimrosehitchError(
+            f"name a gateway: --gateway IP:PORT or {ADDRESS_VARIABLE}", "cli"
+        )
+    return porcelain.Target(address, os.environ.get(KEY_VARIABLE, ""))
+
+
+def _text(value: Any) -> str:
+    return json.dumps(value, indent=2)
+
+
+class Keys:
+    """Create, list and withdraw callers' keys."""
+
+    def create(self, customer: str, gateway: str = "") -> str:
+        """Grant CUSTOMER a new key; it is shown this once."""
+        answer = porcelain.create_key(_target(gateway), str(customer))
+        return _text(answer)
+
+    def list(self, gateway: str = "") -> str:
+        """Show all keys by identifier."""
+        rows = porcelain.list_keys(_target(gateway))
+        return porcelain.table(rows, ("key_id", "customer", "withdrawn"))
+
+    def withdraw(self, key_id: str, gateway: str = "") -> str:
+        """Withdraw a key by its identifier or hash."""
+        return _text(porcelain.withdraw_key(_target(gateway), str(key_id)))
+
+
+class Report:
+    """Reports on service and usage."""
+
+    def burn(
+        self, gateway: str = "", as_json: bool = False, plot: str = ""
+    ) -> str:
+        """Show service-level burn; --plot FILE.png draws it too."""
+        rows = porcelain.burn(_target(gateway))
+        if plot:
+            from primrosehitch import plots
+
+            plots.draw_burn(rows, pathlib.Path(plot))
+        return _text(rows) if as_json else porcelain.table(rows, BURN)
+
+    def usage(self, gateway: str = "") -> str:
+        """Show the usage windows in a replica's state."""
+        return _text(porcelain.usage(_target(gateway)))
+
+
+class Table:
+    """The grants table as CSV."""
+
+    def show(self, gateway: str = "") -> str:
+        """Show the table in force."""
+        document = porcelain.current(_target(gateway))["declaration"]
+        return porcelain.table(document["grants"], GRANTS)
+
+    def export(self, file: str) -> str:
+        """Print the grants of a declaration FILE as CSV."""
+        document = porcelain.read_declaration(pathlib.Path(file))
+        return declaration_module.grants_to_csv(document).rstrip()
+
+    def load(self, file: str, csv: str) -> str:
+        """Print the declaration FILE with its grants from CSV."""
+        document = jsonc.read(pathlib.Path(file))
+        text = pathlib.Path(csv).read_text()
+        document["grants"] = declaration_module.grants_from_csv(text, csv)
+        return _text(declaration_module.check(document, csv))
+
+
+class Commands:
+    """Operate a primrosehitch deployment.
+
+    The gateway comes from --gateway or PRIMROSEHITCH_GATEWAY, the
+    operator's key from PRIMROSEHITCH_KEY.
+    """
+
+    def __init__(self) -> None:
+        self.keys = Keys()
+        self.report = Report()
+        self.table = Table()
+
+    def init(self, gateway: str = "", force: bool = False) -> str:
+        """Start a new cluster at a replica, once per deployment."""
+        return _text(porcelain.init(_target(gateway), force))
+
+    def status(self, gateway: str = "") -> str:
+        """Show what an instance knows of itself and the others."""
+        return _text(porcelain.status(_target(gateway)))
+
+    def endpoints(self, gateway: str = "") -> str:
+        """Show the endpoints."""
+        rows = porcelain.endpoints(_target(gateway))
+        fields = ("name", "domain", "kind", "cheap", "slots", "status")
+        return porcelain.table(rows, fields)
+
+    def orders(self, gateway: str = "") -> str:
+        """Show the orders to the platform."""
+        rows = porcelain.orders(_target(gateway))
+        fields = ("order_id", "verb", "domain", "kind", "cheap", "state")
+        return porcelain.table(rows, fields)
+
+    def plan(self, file: str, gateway: str = "") -> str:
+        """Show what applying the declaration FILE would change."""
+        document = porcelain.read_declaration(pathlib.Path(file))
+        found = porcelain.plan(_target(gateway), document)
+        head = f"base version {found['base_version']}\n"
+        return head + porcelain.table(found["changes"], CHANGES)
+
+    def apply(
+        self,
+        file: str,
+        gateway: str = "",
+        base_version: int | None = None,
+        edit_id: str = "",
+    ) -> str:
+        """Apply the declaration FILE.
+
+        With --base_version it is refused if another edit came since;
+        a resend after a lost answer repeats --edit_id.
+        """
+        document = porcelain.read_declaration(pathlib.Path(file))
+        answer = porcelain.apply(
+            _target(gateway), document, base_version, str(edit_id)
+        )
+        return _text(answer)
+
+    def check(self, file: str) -> str:
+        """Check a declaration or a settings FILE."""
+        path = pathlib.Path(file)
+        document = jsonc.read(path)
+        if isinstance(document, dict) and "classes" in document:
+            declaration_module.check(document, file)
+        else:
+            settings_module.parse(document, file)
+        return f"{file}: ok"
+
+    def hash_key(self, key: str) -> str:
+        """Print the hash of an operator's key for a settings file."""
+        return settings_module.hash_key(str(key))
+
+
+def main() -> None:
+    """Run the command line."""
+    try:
+        fire.Fire(Commands, name="primrosehitch")
+    except errors.RequestError as exc:
+        print(_text(exc.body), file=sys.stderr)
+        sys.exit(1)
+    except errors.PrimrosehitchError as exc:
+        sys.exit(f"primrosehitch: {exc}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/primrosehitch/daemon.py
@@ -0,0 +1,327 @@
+"""primrosehitchd: one instance, from settings to a clean stop."""
+
+import contextlib
+import pathlib
+import random
+import signal
+import sys
+import time
+from typing import Any
+from typing import Iterator
+
+import anyio
+import anyio.abc
+import uvicorn
+
+from primrosehitch import catalog as catalog_module
+from primrosehitch import claims as claims_module
+from primrosehitch import clock
+from primrosehitch import controller as controller_module
+from primrosehitch import directory as directory_module
+from primrosehitch import dispatcher as dispatcher_module
+from primrosehitch import errors
+from primrosehitch import events
+from primrosehitch import gateway as gateway_module
+from primrosehitch import limits as limits_module
+from primrosehitch import links as links_module
+from primrosehitch import log as log_module
+from primrosehitch import membership as membership_module
+from primrosehitch import metrics
+from primrosehitch import operators as operators_module
+from primrosehitch import readiness as readiness_module
+from primrosehitch import replicator as replicator_module
+from primrosehitch import routing
+from primrosehitch import settings as settings_module
+from primrosehitch import spread as spread_module
+from primrosehitch import timers
+from primrosehitch import usage as usage_module
+from primrosehitch import web
+
+INBOX_MESSAGES = 4096
+FLUSH_LIMIT_S = 5.0
+POLL_S = 0.05
+CLAIMS_FLUSH_MS = 1000
+KEEP_ALIVE_S = 30
+
+
+class Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Take no signals."""
+        yield
+
+
+class Daemon:
+    """All parts of one instance.
+
+    Args:
+        settings: the instance's settings.
+    """
+
+    def __init__(self, settings: settings_module.Settings):
+        self.settings = settings
+        now = clock.now_ms()
+        rng = random.Random()
+        self.incarnation = time.time_ns() // 1000
+        self.timers = timers.TimerService()
+        send, self.inbox = anyio.create_memory_object_stream[
+            links_module.Received
+        ](INBOX_MESSAGES)
+        self.links = links_module.Links(settings, self.incarnation, send)
+        self.catalog = catalog_module.Catalog()
+        self.directory = directory_module.Directory()
+        self.readiness = readiness_module.Readiness(
+            bool(settings.peers), int(settings.key_freshness_s * 1000), now
+        )
+        router = routing.Router(settings.domain, self.directory, rng)
+        limits = limits_module.Limits(1 + len(settings.peers))
+        self.dispatcher = dispatcher_module.Dispatcher(
+            router, limits, settings.max_waiting
+        )
+        self.meter = usage_module.Meter(settings.name, self.incarnation)
+        self.replicator = self._open_replica(rng)
+        members = membership_module.Members(
+            {p.name: p.domain for p in settings.peers}
+        )
+        self.spread = spread_module.Spread(
+            settings.name,
+            self.incarnation,
+            self.links,
+            members,
+            self.catalog,
+            self.directory,
+            self.dispatcher,
+            self.readiness,
+            self.replicator,
+        )
+        self.claims = claims_module.Claims(
+            settings.name,
+            self.incarnation,
+            self.spread.proposer,
+            self._holder_alive,
+        )
+        self.gateway = gateway_module.Gateway(
+            settings,
+            self.catalog,
+            self.directory,
+            self.dispatcher,
+            self.readiness,
+            self.claims,
+            self.meter,
+        )
+        self.operators = operators_module.Operators(
+            settings, self.catalog, self.spread, self.gateway, self.replicator
+        )
+        self.spread.on_withdrawn = self.gateway.cut
+        if self.replicator is not None:
+            self.replicator.on_change = self.spread.publish
+
+    def _open_replica(
+        self, rng: random.Random
+    ) -> replicator_module.Replicator | None:
+        folder = self.settings.data_folder
+        if folder is None:
+            return None
+        log = log_module.open_disk_log(folder)
+        replicator = replicator_module.Replicator(
+            self.settings.name,
+            log,
+            self.links.send,
+            rng,
+            lambda: self.spread.present_replicas(),
+            self.settings.replicas_wanted,
+        )
+        if self.settings.bootstrap and replicator.empty:
+            replicator.offer(replicator_module.Bootstrap(self.settings.name))
+        return replicator
+
+    def _holder_alive(self, gateway: str, incarnation: int) -> bool:
+        if gateway == self.settings.name:
+            return incarnation == self.incarnation
+        member = self.spread.members.members.get(gateway)
+        if member is None or not self.spread.members.is_alive(gateway):
+            return False
+        return member.heartbeat.incarnation == incarnation
+
+    # -- HTTP --------------------------------------------------------------
+
+    async def app(
+        self, scope: dict[str, Any], receive: web.Receive, send: web.Send
+    ) -> None:
+        """The ASGI application."""
+        if scope["type"] != "http":
+            return
+        request_id = gateway_module.request_id_of(scope["headers"])
+        call = web.make_call(scope, receive, send, request_id)
+        path = call.path
+        if path.startswith(("/admin/", "/endpoints/")):
+            await self.operators.serve(call)
+        elif path == "/v1/models":
+            await self.gateway.list_models(call)
+        elif path in ("/healthz", "/readyz", "/metrics"):
+            await self._serve_probe(call)
+        else:
+            await self.gateway.serve(call)
+
+    async def _serve_probe(self, call: web.Call) -> None:
+        if call.path == "/metrics":
+            self._set_gauges()
+            kind = [(b"content-type", metrics.CONTENT_TYPE)]
+            await web.answer(call, 200, metrics.exposition(), kind)
+            return
+        good = call.path == "/healthz"
+        good = good or self.readiness.ready(clock.now_ms())
+        status = 200 if good else 503
+        await web.answer_json(call, status, {"ok": good})
+
+    def _set_gauges(self) -> None:
+        metrics.VERSION.set(self.catalog.version)
+        leads = self.replicator is not None and self.replicator.leads()
+        metrics.LEADS.set(int(leads))
+        metrics.ENDPOINTS.set(len(self.directory.endpoints))
+        metrics.LINK_BYTES.set(self.links.sent_bytes)
+        metrics.LINK_MESSAGES.set(self.links.sent_messages)
+
+    # -- life --------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain."""
+        server = self._make_server()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._serve_forever, server, group.cancel_scope)
+            group.start_soon(self.timers.run)
+            group.start_soon(self.links.run)
+            group.start_soon(self.spread.run, self.timers, self.inbox)
+            group.start_soon(self.dispatcher.run, self.timers)
+            group.start_soon(self._flush_usage)
+            group.start_soon(self._flush_claims)
+            if self.replicator is not None:
+                group.start_soon(self.replicator.run, self.timers)
+                controller = controller_module.Controller(
+                    self.settings,
+                    self.replicator,
+                    self.spread.proposer,
+                    self.catalog,
+                    self.directory,
+                    self.dispatcher,
+                )
+                group.start_soon(controller.run, self.timers)
+                self.spread.publish()
+            events.emit(events.STARTED, instance=self.settings.name)
+            await self._wait_for_signal()
+            await self._drain(server)
+            group.cancel_scope.cancel()
+        events.emit(events.STOPPED, instance=self.settings.name)
+
+    def _make_server(self) -> Server:
+        host, port = self.settings.http
+        config = uvicorn.Config(
+            self.app,
+            host=host,
+            port=port,
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            interface="asgi3",
+            proxy_headers=False,
+            http="httptools",
+            timeout_keep_alive=KEEP_ALIVE_S,
+            server_header=False,
+            ws="none",
+            backlog=2048,
+        )
+        return Server(config)
+
+    async def _serve_forever(
+        self, server: Server, scope: anyio.CancelScope
+    ) -> None:
+        await server.serve()
+        if not server.should_exit:
+            scope.cancel()
+
+    async def _wait_for_signal(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                return
+
+    async def _drain(self, server: Server) -> None:
+        events.emit(events.DRAINING, instance=self.settings.name)
+        self.readiness.draining = True
+        await anyio.sleep(self.settings.drain_grace_s)
+        server.should_exit = True
+        with anyio.move_on_after(self.settings.drain_limit_s):
+            while server.started and (
+                server.server_state.connections or server.server_state.tasks
+            ):
+                await anyio.sleep(POLL_S)
+        with anyio.move_on_after(FLUSH_LIMIT_S):
+            await self._hand_over_all()
+        await self.gateway.upstream.close()
+
+    async def _hand_over_all(self) -> None:
+        while not self.meter.empty:
+            await self._flush_batch()
+        await self.claims.flush()
+        self.spread.leaving = True
+        self.spread.tell()
+        if self.replicator is None or not self.replicator.leads():
+            return
+        while self.replicator.leads() and self.settings.peers:
+            self.replicator.offer(replicator_module.HandOver())
+            await anyio.sleep(POLL_S)
+
+    # -- hand-over to the log ----------------------------------------------
+
+    async def _flush_usage(self) -> None:
+        period_ms = int(self.settings.usage_flush_s * 1000)
+        async for _ in self.timers.subscribe(period_ms):
+            while not self.meter.empty:
+                if not await self._flush_batch():
+                    break
+
+    async def _flush_batch(self) -> bool:
+        batch = self.meter.next_batch()
+        if batch is None:
+            return True
+        try:
+            mark = await self.spread.proposer.propose(batch, FLUSH_LIMIT_S)
+        except errors.ProposalError:
+            return False
+        self.meter.accepted(mark.sequence)
+        return True
+
+    async def _flush_claims(self) -> None:
+        async for _ in self.timers.subscribe(CLAIMS_FLUSH_MS):
+            await self.claims.flush()
+
+
+def main() -> None:
+    """Run the daemon with the settings file named on the command line."""
+    if len(sys.argv) != 2 or sys.argv[1].startswith("-"):
+        sys.exit("usage: primrosehitchd SETTINGS_FILE")
+    try:
+        settings = settings_module.load(pathlib.Path(sys.argv[1]))
+        _open_events(settings.log_file)
+        daemon = Daemon(settings)
+    except errors.PrimrosehitchError as exc:
+        sys.exit(f"primrosehitchd: {exc}")
+    anyio.run(
+        daemon.run, backend="asyncio", backend_options={"use_uvloop": True}
+    )
+
+
+def _open_events(name: str) -> None:
+    if name == "-":
+        events.open_log(sys.stdout)
+        return
+    path = pathlib.Path(name)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    events.open_log(path.open("a", buffering=1))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/primrosehitch/declaration.py
@@ -0,0 +1,182 @@
+"""The operators' declaration and its rows.
+
+A declaration is one document under version control. Each of its items
+is a row of a table; an edit is the difference between two sets of rows.
+The grants table, one row per class and customer, also reads and writes
+as CSV.
+"""
+
+import csv
+import io
+import json
+from typing import Any
+from typing import Iterable
+
+from primrosehitch import documents
+from primrosehitch import errors
+from primrosehitch import jsonc
+from primrosehitch import messages
+
+TABLES = {
+    "classes": "class",
+    "customers": "customer",
+    "models": "model",
+    "routes": "route",
+    "pools": "pool",
+}
+GRANT_TABLE = "grant"
+DECLARED = (*TABLES.values(), GRANT_TABLE)
+GRANT_FIELDS = (
+    "customer",
+    "class",
+    "weight",
+    "requests_per_s",
+    "concurrency",
+    "tokens_per_min",
+)
+CHECK_STEP = "check declaration"
+
+RowKey = tuple[str, str]
+
+
+def check(document: Any, source: str) -> documents.Declaration:
+    """Return a declaration after checking form and references.
+
+    Args:
+        document: the decoded document.
+        source: its name for errors.
+
+    Raises:
+        SettingsError: names the path and what was expected.
+    """
+    jsonc.check(document, "declaration", source)
+    seen = set()
+    for i, grant in enumerate(document["grants"]):
+        path = f"$.grants[{i}]"
+        _known(document["customers"], grant["customer"], path, source)
+        _known(document["classes"], grant["class"], path, source)
+        pair = (grant["customer"], grant["class"])
+        if pair in seen:
+            raise errors.SettingsError(
+                f"{pair} stands twice", CHECK_STEP, source, path
+            )
+        seen.add(pair)
+    for name, route in document.get("routes", {}).items():
+        path = f"$.routes.{name}"
+        _known(document["classes"], route["class"], path, source)
+    return document
+
+
+def _known(names: Any, name: str, path: str, source: str) -> None:
+    if name not in names:
+        raise errors.SettingsError(
+            f"{name!r} is not declared", CHECK_STEP, source, path
+        )
+
+
+def to_rows(document: documents.Declaration) -> dict[RowKey, str]:
+    """Return the JSON value of each row of a declaration."""
+    rows: dict[RowKey, str] = {}
+    for section, table in TABLES.items():
+        for name, value in document.get(section, {}).items():
+            rows[table, name] = _dump(value)
+    for grant in document["grants"]:
+        key = f"{grant['customer']}/{grant['class']}"
+        rows[GRANT_TABLE, key] = _dump(grant)
+    return rows
+
+
+def from_rows(rows: Iterable[messages.Row]) -> documents.Declaration:
+    """Return the declaration that rows hold."""
+    document: Any = {section: {} for section in TABLES}
+    document["grants"] = []
+    sections = {table: section for section, table in TABLES.items()}
+    for row in sorted(rows, key=lambda r: (r.table, r.key)):
+        if row.deleted:
+            continue
+        if row.table in sections:
+            document[sections[row.table]][row.key] = json.loads(row.value)
+        elif row.table == GRANT_TABLE:
+            document["grants"].append(json.loads(row.value))
+    return document
+
+
+def difference(
+    old: dict[RowKey, str], new: dict[RowKey, str]
+) -> tuple[messages.Row, ...]:
+    """Return the rows that turn one declaration into another."""
+    changed = [
+        messages.Row(table, key, value)
+        for (table, key), value in sorted(new.items())
+        if old.get((table, key)) != value
+    ]
+    gone = [
+        messages.Row(table, key, "", deleted=True)
+        for table, key in sorted(old)
+        if (table, key) not in new
+    ]
+    return tuple(changed + gone)
+
+
+def grants_to_csv(document: documents.Declaration) -> str:
+    """Return the grants as CSV with a header line."""
+    out = io.StringIO()
+    writer = csv.DictWriter(out, GRANT_FIELDS, lineterminator="\n")
+    writer.writeheader()
+    writer.writerows(document["grants"])
+    return out.getvalue()
+
+
+def grants_from_csv(text: str, source: str) -> list[Any]:
+    """Return the grants that a CSV text holds.
+
+    Raises:
+        SettingsError: an unknown column or a value that is no number.
+    """
+    grants = []
+    reader = csv.DictReader(io.StringIO(text))
+    unknown = set(reader.fieldnames or ()) - set(GRANT_FIELDS)
+    if unknown or not reader.fieldnames:
+        raise errors.SettingsError(
+            f"unknown or missing columns {sorted(unknown)}", "csv", source
+        )
+    for i, line in enumerate(reader):
+        grants.append(_grant(line, f"$.grants[{i}]", source))
+    return grants
+
+
+def _grant(line: dict[str, Any], path: str, source: str) -> Any:
+    grant: dict[str, Any] = {}
+    for field, text in line.items():
+        if field is None or text is None:
+            raise errors.SettingsError(
+                "wrong number of columns", "csv", source, path
+            )
+        if text == "":
+            continue
+        if field in ("customer", "class"):
+            grant[field] = text
+            continue
+        try:
+            number = float(text)
+        except ValueError:
+            raise errors.SettingsError(
+                f"{text!r} is not a number", "csv", source, f"{path}.{field}"
+            ) from None
+        whole = field == "concurrency" and number.is_integer()
+        grant[field] = int(number) if whole else number
+    return grant
+
+
+def _dump(value: Any) -> str:
+    return json.dumps(value, sort_keys=True, separators=(",", ":"))
+
+
+__all__ = [
+    "check",
+    "difference",
+    "from_rows",
+    "grants_from_csv",
+    "grants_to_csv",
+    "to_rows",
+]
--- /dev/null
+++ b/primrosehitch/directory.py
@@ -0,0 +1,131 @@
+"""Which endpoints are there, as they announce themselves.
+
+Pure. An announcement carries an incarnation and a sequence; within an
+incarnation leaving is final, whatever arrives later. Silence makes an
+endpoint suspect, then removed. A reclaim notice of one cheap endpoint
+drains all cheap ones of its failure domain at once.
+"""
+
+from typing import NamedTuple
+
+from primrosehitch import messages
+
+SUSPECT_MS = 3000
+REMOVED_MS = 10_000
+RECLAIM_HOLD_MS = 30_000
+TOMBSTONE_MS = 60_000
+
+READY = "ready"
+SUSPECT = "suspect"
+LEAVING = "leaving"
+GONE = "gone"
+
+
+class Change(NamedTuple):
+    """An endpoint's new status."""
+
+    endpoint: str
+    status: str
+
+
+class Endpoint:
+    """One endpoint: its last announcement and status; times in ms."""
+
+    def __init__(self, announcement: messages.Announcement, now: int):
+        self.announcement = announcement
+        self.status = GONE
+        self.heard = now
+
+    @property
+    def name(self) -> str:
+        """The endpoint's name."""
+        return self.announcement.name
+
+
+class Directory:
+    """All endpoints known to one gateway."""
+
+    def __init__(self) -> None:
+        self.endpoints: dict[str, Endpoint] = {}
+        self.reclaimed: dict[str, int] = {}
+
+    def hear(
+        self, announcement: messages.Announcement, now: int
+    ) -> list[Change]:
+        """Take in an announcement, heard directly or from a peer.
+
+        Args:
+            announcement: with ``age_ms`` since it was first heard.
+            now: the current time in ms.
+
+        Returns:
+            Changes of status; none for an announcement that is old.
+        """
+        heard = now - announcement.age_ms
+        endpoint = self.endpoints.get(announcement.name)
+        if endpoint is None:
+            endpoint = Endpoint(announcement, heard)
+            self.endpoints[announcement.name] = endpoint
+        else:
+            known = endpoint.announcement
+            order = (announcement.incarnation, announcement.sequence)
+            if order <= (known.incarnation, known.sequence):
+                return []
+            same = announcement.incarnation == known.incarnation
+            if same and known.leaving:
+                announcement = announcement._replace(leaving=True)
+            endpoint.announcement = announcement
+            endpoint.heard = heard
+        changes = self._note_reclaim(announcement, heard)
+        return changes + self._settle(endpoint, now)
+
+    def tick(self, now: int) -> list[Change]:
+        """Suspect and remove the silent."""
+        changes = []
+        for endpoint in list(self.endpoints.values()):
+            changes += self._settle(endpoint, now)
+            if now - endpoint.heard > TOMBSTONE_MS:
+                del self.endpoints[endpoint.name]
+        return changes
+
+    def ready(self, name: str) -> Endpoint | None:
+        """Return an endpoint that may get new work, or None."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or endpoint.status != READY:
+            return None
+        return endpoint
+
+    def _note_reclaim(
+        self, announcement: messages.Announcement, heard: int
+    ) -> list[Change]:
+        if not (announcement.reclaimed and announcement.cheap):
+            return []
+        domain = announcement.domain
+        self.reclaimed[domain] = heard + RECLAIM_HOLD_MS
+        changes = []
+        for endpoint in self.endpoints.values():
+            if endpoint.announcement.domain == domain:
+                changes += self._settle(endpoint, heard)
+        return changes
+
+    def _settle(self, endpoint: Endpoint, now: int) -> list[Change]:
+        status = self._status(endpoint, now)
+        if status == endpoint.status:
+            return []
+        endpoint.status = status
+        return [Change(endpoint.name, status)]
+
+    def _status(self, endpoint: Endpoint, now: int) -> str:
+        silent = now - endpoint.heard
+        if silent > REMOVED_MS:
+            return GONE
+        announcement = endpoint.announcement
+        held = self.reclaimed.get(announcement.domain, -1)
+        if announcement.leaving or announcement.reclaimed:
+            return LEAVING
+        if announcement.cheap and now < held:
+            return LEAVING
+        return SUSPECT if silent > SUSPECT_MS else READY
+
+
+__all__ = ["Change", "Directory", "Endpoint"]
--- /dev/null
+++ b/primrosehitch/dispatcher.py
@@ -0,0 +1,155 @@
+"""Places for requests: admission, limits and routing of one gateway.
+
+Request tasks ask for a place and wait; ends of requests, changes of
+endpoints and a timer give places to the waiting.
+"""
+
+import anyio
+
+from primrosehitch import admission as admission_module
+from primrosehitch import clock
+from primrosehitch import events
+from primrosehitch import fairqueue
+from primrosehitch import limits as limits_module
+from primrosehitch import outcomes
+from primrosehitch import routing
+from primrosehitch import timers
+from primrosehitch import web
+
+PUMP_MS = 50
+NO_ENDPOINT_RETRY_S = 1.0
+
+
+class Waiter:
+    """A request task's wait for a place."""
+
+    def __init__(self) -> None:
+        self.event = anyio.Event()
+        self.endpoint = ""
+        self.refusal: outcomes.Refusal | None = None
+
+
+class Dispatcher:
+    """Gives places at endpoints to requests.
+
+    Args:
+        router: chooses endpoints.
+        limits: the customers' limits.
+        max_waiting: requests that may wait for one model or service.
+    """
+
+    def __init__(
+        self,
+        router: routing.Router,
+        limits: limits_module.Limits,
+        max_waiting: int,
+    ):
+        self.router = router
+        self.limits = limits
+        self.max_waiting = max_waiting
+        self.pools: dict[str, admission_module.Admission] = {}
+        self.waiters: dict[fairqueue.Ticket, Waiter] = {}
+
+    async def acquire(
+        self, pool: str, ticket: fairqueue.Ticket, again: bool = False
+    ) -> str:
+        """Wait for a place and return the endpoint's name.
+
+        Args:
+            pool: a model's or service's name.
+            ticket: the request.
+            again: whether it had a place before.
+
+        Raises:
+            RefusedError: the request is refused.
+        """
+        admission = self._admission(pool)
+        waiter = self.waiters[ticket] = Waiter()
+        now = clock.now_ms()
+        if again:
+            admission.requeue(ticket, now)
+        else:
+            self._refuse(admission.offer(ticket, now))
+        try:
+            self.pump(pool)
+            await waiter.event.wait()
+        except BaseException:
+            if not admission.cancel(ticket) and waiter.endpoint:
+                self.release(pool, waiter.endpoint, ticket, failed=False)
+            raise
+        finally:
+            del self.waiters[ticket]
+        if waiter.refusal is not None:
+            raise web.RefusedError(waiter.refusal)
+        return waiter.endpoint
+
+    def release(
+        self,
+        pool: str,
+        endpoint: str,
+        ticket: fairqueue.Ticket,
+        failed: bool,
+    ) -> None:
+        """Give back a place."""
+        now = clock.now_ms()
+        if self.router.finished(endpoint, ticket, failed, now):
+            events.emit(events.ENDPOINT_ASIDE, endpoint=endpoint)
+        admission = self._admission(pool)
+        if not failed:
+            admission.note_completion(now)
+        self.pump(pool)
+
+    def refuse_waiting(
+        self, tickets: list[fairqueue.Ticket], refusal: outcomes.Refusal
+    ) -> None:
+        """Refuse certain tickets if they still wait."""
+        for ticket in tickets:
+            for admission in self.pools.values():
+                if ticket in self.waiters and admission.cancel(ticket):
+                    self._settle(ticket, refusal)
+
+    def pump(self, pool: str) -> None:
+        """Start what can be started in one pool."""
+        admission = self._admission(pool)
+        now = clock.now_ms()
+        started = admission.pump(
+            now, lambda ticket: self.router.choose(pool, ticket, now)
+        )
+        for item in started:
+            waiter = self.waiters[item.ticket]
+            waiter.endpoint = item.endpoint
+            waiter.event.set()
+
+    def pump_all(self) -> None:
+        """Start what can be started in all pools."""
+        for pool in list(self.pools):
+            self.pump(pool)
+
+    async def run(self, service: timers.TimerService) -> None:
+        """Expire and start waiting requests until cancelled."""
+        ticks = service.subscribe(PUMP_MS)
+        async for tick in ticks:
+            for admission in self.pools.values():
+                self._refuse(admission.expire(tick.now))
+            self.pump_all()
+
+    def _admission(self, pool: str) -> admission_module.Admission:
+        admission = self.pools.get(pool)
+        if admission is None:
+            admission = admission_module.Admission(self.max_waiting)
+            self.pools[pool] = admission
+        return admission
+
+    def _refuse(self, refused: list[admission_module.Refused]) -> None:
+        for item in refused:
+            self._settle(item.ticket, item.refusal)
+
+    def _settle(
+        self, ticket: fairqueue.Ticket, refusal: outcomes.Refusal
+    ) -> None:
+        waiter = self.waiters[ticket]
+        waiter.refusal = refusal
+        waiter.event.set()
+
+
+__all__ = ["Dispatcher"]
--- /dev/null
+++ b/primrosehitch/documents.py
@@ -0,0 +1,142 @@
+"""Settings and declarations, generated from the JSON schemas.
+
+Do not edit: run ``make messages``.
+"""
+
+from typing import NotRequired
+from typing import TypedDict
+
+ClassSpec = TypedDict(
+    "ClassSpec",
+    {
+        "tier": int,
+        "weight": NotRequired[float],
+        "floor": NotRequired[float],
+        "max_wait_ms": int,
+        "first_token_ms": int,
+        "token_gap_ms": NotRequired[int],
+        "objective": NotRequired[float],
+        "protected": NotRequired[bool],
+    },
+)
+
+CustomerSpec = TypedDict(
+    "CustomerSpec",
+    {
+        "label": NotRequired[str],
+    },
+)
+
+GrantSpec = TypedDict(
+    "GrantSpec",
+    {
+        "customer": str,
+        "class": str,
+        "weight": NotRequired[float],
+        "requests_per_s": NotRequired[float],
+        "concurrency": NotRequired[int],
+        "tokens_per_min": NotRequired[float],
+    },
+)
+
+ModelSpec = TypedDict(
+    "ModelSpec",
+    {
+        "default_output_tokens": NotRequired[int],
+    },
+)
+
+RouteSpec = TypedDict(
+    "RouteSpec",
+    {
+        "service": str,
+        "repeatable": bool,
+        "class": str,
+        "open": NotRequired[bool],
+        "timeout_ms": NotRequired[int],
+    },
+)
+
+PoolSpec = TypedDict(
+    "PoolSpec",
+    {
+        "kind": str,
+        "minimum": int,
+        "maximum": NotRequired[int],
+        "target_use": NotRequired[float],
+        "steady_price": NotRequired[float],
+        "cheap_price": NotRequired[float],
+    },
+)
+
+Declaration = TypedDict(
+    "Declaration",
+    {
+        "classes": dict[str, "ClassSpec"],
+        "customers": dict[str, "CustomerSpec"],
+        "grants": list["GrantSpec"],
+        "models": dict[str, "ModelSpec"],
+        "routes": NotRequired[dict[str, "RouteSpec"]],
+        "pools": NotRequired[dict[str, "PoolSpec"]],
+    },
+)
+
+Peer = TypedDict(
+    "Peer",
+    {
+        "name": str,
+        "domain": str,
+        "address": str,
+        "http": str,
+        "replica": NotRequired[bool],
+    },
+)
+
+Outside = TypedDict(
+    "Outside",
+    {
+        "address": str,
+        "token": NotRequired[str],
+    },
+)
+
+Settings = TypedDict(
+    "Settings",
+    {
+        "name": str,
+        "domain": str,
+        "http": str,
+        "peer": str,
+        "secret": str,
+        "operator_keys": list[str],
+        "announce_tokens": NotRequired[dict[str, str]],
+        "data_folder": NotRequired[str],
+        "bootstrap": NotRequired[bool],
+        "peers": NotRequired[list["Peer"]],
+        "platform": NotRequired["Outside"],
+        "usage": NotRequired["Outside"],
+        "weights": NotRequired["Outside"],
+        "usage_window_s": NotRequired[float],
+        "usage_flush_s": NotRequired[float],
+        "key_freshness_s": NotRequired[float],
+        "drain_grace_s": NotRequired[float],
+        "drain_limit_s": NotRequired[float],
+        "max_body_bytes": NotRequired[int],
+        "max_waiting": NotRequired[int],
+        "log_file": NotRequired[str],
+    },
+)
+
+
+__all__ = [
+    "ClassSpec",
+    "CustomerSpec",
+    "Declaration",
+    "GrantSpec",
+    "ModelSpec",
+    "Outside",
+    "Peer",
+    "PoolSpec",
+    "RouteSpec",
+    "Settings",
+]
--- /dev/null
+++ b/primrosehitch/events.py
@@ -0,0 +1,149 @@
+"""Numbered events: the catalogue, and ``emit`` to write one.
+
+The log is one JSON object a line, written by eliot. docs/EVENTS.md is
+generated from ``CATALOGUE``.
+"""
+
+from typing import IO
+from typing import Any
+from typing import NamedTuple
+
+import eliot
+
+
+class Event(NamedTuple):
+    """One kind of log event.
+
+    Attributes:
+        number: stable number, never used again for another event.
+        name: short name.
+        meaning: what happened.
+        action: what an operator does about it.
+    """
+
+    number: int
+    name: str
+    meaning: str
+    action: str
+
+
+NONE = "None."
+STARTED = Event(1001, "started", "The daemon is running.", NONE)
+DRAINING = Event(
+    1002, "draining", "A stop was asked for; readiness now fails.", NONE
+)
+STOPPED = Event(1003, "stopped", "The daemon ended after a drain.", NONE)
+FROZEN = Event(
+    1004,
+    "frozen",
+    "The process stood still; it refreshes before it serves.",
+    "Look for an overloaded or paused VM if it recurs.",
+)
+LINK_UP = Event(1101, "link-up", "A link to a peer was opened.", NONE)
+LINK_DOWN = Event(
+    1102,
+    "link-down",
+    "A link to a peer broke or was refused.",
+    "Check the peer and the network if it lasts.",
+)
+LINK_REFUSED = Event(
+    1103,
+    "link-refused",
+    "A peer did not prove that it knows the deployment secret.",
+    "Compare `secret` in both settings files.",
+)
+MEMBER_CHANGED = Event(
+    1104,
+    "member-changed",
+    "An instance became alive, suspect, left or removed.",
+    "For suspect or removed: check that VM and its failure domain.",
+)
+LEADER_CHANGED = Event(
+    1201, "leader-changed", "Another replica leads, or none does.", NONE
+)
+MEMBERSHIP_CHANGED = Event(
+    1202, "membership-changed", "Voters or learners changed.", NONE
+)
+REPLICA_FAILED = Event(
+    1203,
+    "replica-failed",
+    "The replica stopped: its log could not be read or written.",
+    "Free disk space or replace the disk, then restart. An emptied data"
+    " folder rejoins under a new identity.",
+)
+REPAIRED = Event(
+    1204,
+    "repaired",
+    "All wanted replicas hold all that is committed: one more loss is"
+    " survivable.",
+    NONE,
+)
+VERSION_IN_FORCE = Event(
+    1301, "version-in-force", "A configuration version is in force.", NONE
+)
+KEY_WITHDRAWN = Event(
+    1302, "key-withdrawn", "A withdrawn key stopped working here.", NONE
+)
+REQUEST = Event(1401, "request", "A caller's request ended.", NONE)
+REQUEST_REFUSED = Event(
+    1402,
+    "request-refused",
+    "A caller's request got an answer of our own.",
+    "See the reason in docs/INTERFACES.md.",
+)
+ENDPOINT_CHANGED = Event(
+    1501, "endpoint-changed", "An endpoint came, is leaving or went.", NONE
+)
+ENDPOINT_ASIDE = Event(
+    1502,
+    "endpoint-aside",
+    "An endpoint failed repeatedly and gets no work until a probe passes.",
+    "Look at that endpoint if it stays aside.",
+)
+ORDER_SENT = Event(1601, "order-sent", "The platform got an order.", NONE)
+ORDER_FAILED = Event(
+    1602,
+    "order-failed",
+    "The platform did not accept an order; it is sent again.",
+    "Check the platform's interface if it lasts.",
+)
+WINDOW_CLOSED = Event(
+    1701, "window-closed", "A usage window's figures are fixed.", NONE
+)
+WINDOW_REPORTED = Event(
+    1702, "window-reported", "A usage window was reported.", NONE
+)
+REPORT_FAILED = Event(
+    1703,
+    "report-failed",
+    "The usage interface did not accept a report; it is sent again.",
+    "Check the usage interface if it lasts.",
+)
+TASK_FAILED = Event(
+    1901,
+    "task-failed",
+    "A part of the daemon failed and was restarted or stopped.",
+    "Report it with the text of the error.",
+)
+
+CATALOGUE = tuple(
+    value for value in list(globals().values()) if isinstance(value, Event)
+)
+
+
+def emit(event: Event, **fields: Any) -> None:
+    """Write one event with its fields.
+
+    Args:
+        event: an event of the catalogue.
+        fields: values that JSON can carry; never a key or a token.
+    """
+    eliot.log_message(message_type=event.name, event=event.number, **fields)
+
+
+def open_log(stream: IO[str]) -> None:
+    """Write all further events to a stream, one JSON object a line."""
+    eliot.to_file(stream)
+
+
+__all__ = ["CATALOGUE", "Event", "emit", "open_log"]
--- /dev/null
+++ b/primrosehitch/gateway.py
@@ -0,0 +1,511 @@
+"""The callers' side: from an HTTP call to an endpoint and back."""
+
+import json
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+import anyio
+import xxhash
+
+from primrosehitch import burn as burn_module
+from primrosehitch import catalog as catalog_module
+from primrosehitch import claims as claims_module
+from primrosehitch import clock
+from primrosehitch import directory as directory_module
+from primrosehitch import dispatcher as dispatcher_module
+from primrosehitch import events
+from primrosehitch import fairqueue
+from primrosehitch import headers as headers_module
+from primrosehitch import metrics
+from primrosehitch import outcomes
+from primrosehitch import readiness as readiness_module
+from primrosehitch import relay as relay_module
+from primrosehitch import retry as retry_module
+from primrosehitch import settings as settings_module
+from primrosehitch import upstream as upstream_module
+from primrosehitch import usage as usage_module
+from primrosehitch import web
+
+OPEN_CUSTOMER = "open"
+MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+SERVICE_PREFIX = "/services/"
+CHARS_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 256
+PREFIX_CHARS = 1024
+PREFIXES_MAX = 32
+ENGINE_IDLE_S = 15.0
+MAX_REQUEST_ID = 128
+
+
+class Caller(NamedTuple):
+    """Who calls, and under which grant."""
+
+    key: str
+    key_hash: str
+    grant: catalog_module.Grant
+    service_class: catalog_module.ServiceClass
+
+
+class Gateway:
+    """Serves callers.
+
+    Args:
+        settings: the instance's settings.
+        catalog: the configuration in force.
+        directory: the endpoints known.
+        dispatcher: gives places at endpoints.
+        readiness: whether anything may be served.
+        claims: claims for calls that may not be repeated.
+        meter: counts usage.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        catalog: catalog_module.Catalog,
+        directory: directory_module.Directory,
+        dispatcher: dispatcher_module.Dispatcher,
+        readiness: readiness_module.Readiness,
+        claims: claims_module.Claims,
+        meter: usage_module.Meter,
+    ):
+        self.settings = settings
+        self.catalog = catalog
+        self.directory = directory
+        self.dispatcher = dispatcher
+        self.readiness = readiness
+        self.claims = claims
+        self.meter = meter
+        self.upstream = upstream_module.Upstream()
+        self.retries = retry_module.RetryBudget()
+        self.burn = burn_module.Burn()
+        self.active: dict[str, set[relay_module.Exchange]] = {}
+
+    # -- entry -------------------------------------------------------------
+
+    async def serve(self, call: web.Call) -> None:
+        """Answer a caller's request."""
+        exchange = relay_module.Exchange(call, clock.now_ms())
+        try:
+            await self._serve(exchange)
+        except web.RefusedError as exc:
+            exchange.refusal = exc.refusal
+        except web.CallerGoneError:
+            exchange.outcome = "gone"
+        except Exception as exc:
+            events.emit(events.TASK_FAILED, task="request", error=repr(exc))
+            exchange.refusal = _internal(exchange)
+        if exchange.refusal is not None:
+            await relay_module.end_with_refusal(exchange)
+        self._account(exchange)
+
+    async def _serve(self, exchange: relay_module.Exchange) -> None:
+        path = exchange.call.path
+        if path in MODEL_PATHS:
+            await self._serve_model(exchange)
+        elif path.startswith(SERVICE_PREFIX):
+            await self._serve_service(exchange)
+        else:
+            raise web.RefusedError(
+                web.bad_input("no-such-path", f"no path {path}", 404)
+            )
+
+    async def list_models(self, call: web.Call) -> None:
+        """Answer with the models declared."""
+        names = sorted(self.catalog.items["model"])
+        items = [{"id": n, "object": "model"} for n in names]
+        await web.answer_json(call, 200, {"object": "list", "data": items})
+
+    def cut(self, key_hashes: list[str]) -> None:
+        """End all exchanges of withdrawn keys at once."""
+        refusal = _unauthorised("the key was withdrawn")
+        for key_hash in key_hashes:
+            for exchange in list(self.active.get(key_hash, ())):
+                exchange.withdraw(refusal)
+
+    # -- models ------------------------------------------------------------
+
+    async def _serve_model(self, exchange: relay_module.Exchange) -> None:
+        call = exchange.call
+        self._check_method(call, "POST")
+        self._check_ready()
+        caller = self._identify(call, call.header(b"x-class"))
+        body = await web.read_body(call, self.settings.max_body_bytes)
+        self._check_no_key(call, caller.key, body)
+        document = web.parse_json(body)
+        model = document.get("model")
+        if (
+            not isinstance(model, str)
+            or model not in self.catalog.items["model"]
+        ):
+            raise web.RefusedError(
+                web.bad_input("unknown-model", f"no model {model!r}", 404)
+            )
+        ticket = self._ticket(exchange, caller, document, model)
+        exchange.streaming = document.get("stream") is True
+        outgoing = upstream_module.Outgoing(
+            "POST",
+            "",
+            call.path,
+            self._endpoint_headers(call, caller),
+            body,
+            ENGINE_IDLE_S,
+        )
+        work = relay_module.Work(model, outgoing, True, True)
+        await self._run(exchange, caller, ticket, work)
+
+    def _ticket(
+        self,
+        exchange: relay_module.Exchange,
+        caller: Caller,
+        document: dict[str, Any],
+        model: str,
+    ) -> fairqueue.Ticket:
+        text = prompt_text(document)
+        wanted = document.get("max_tokens")
+        if not isinstance(wanted, int) or wanted < 1:
+            spec = self.catalog.items["model"][model]
+            wanted = spec.get("default_output_tokens", DEFAULT_OUTPUT_TOKENS)
+        prompt_tokens = 1 + len(text) // CHARS_PER_TOKEN
+        ticket = fairqueue.Ticket(
+            exchange.call.request_id,
+            caller.service_class,
+            caller.grant.customer,
+            caller.grant.weight,
+            float(prompt_tokens + wanted),
+            exchange.started,
+        )
+        ticket.prompt_tokens = prompt_tokens
+        ticket.prefixes = prefix_hashes(text)
+        return ticket
+
+    # -- services ----------------------------------------------------------
+
+    async def _serve_service(self, exchange: relay_module.Exchange) -> None:
+        call = exchange.call
+        name, _, rest = call.path[len(SERVICE_PREFIX) :].partition("/")
+        route = self.catalog.items["route"].get(name)
+        self._check_ready()
+        if route is None:
+            raise web.RefusedError(
+                web.bad_input("unknown-route", f"no route {name!r}", 404)
+            )
+        caller = self._identify_for_route(call, route)
+        body = await web.read_body(call, self.settings.max_body_bytes)
+        self._check_no_key(call, caller.key, body)
+        ticket = fairqueue.Ticket(
+            call.request_id,
+            caller.service_class,
+            caller.grant.customer,
+            caller.grant.weight,
+            1.0,
+            exchange.started,
+        )
+        target = "/" + name + ("/" + rest if rest else "")
+        if call.query:
+            target += "?" + call.query.decode("latin-1")
+        outgoing = upstream_module.Outgoing(
+            call.method,
+            "",
+            target,
+            self._endpoint_headers(call, caller),
+            body,
+            route.timeout_ms / 1000,
+        )
+        work = relay_module.Work(
+            route.service, outgoing, route.repeatable, False
+        )
+        if route.repeatable or call.method in ("GET", "HEAD"):
+            work = work._replace(repeatable=True)
+            await self._run(exchange, caller, ticket, work)
+        else:
+            await self._run_once(exchange, caller, ticket, work)
+
+    async def _run_once(
+        self,
+        exchange: relay_module.Exchange,
+        caller: Caller,
+        ticket: fairqueue.Ticket,
+        work: relay_module.Work,
+    ) -> None:
+        content = b"\0".join(
+            (
+                work.outgoing.method.encode(),
+                work.outgoing.target.encode(),
+                work.outgoing.body,
+            )
+        )
+        key = exchange.call.header(b"idempotency-key")
+        if len(key) > MAX_REQUEST_ID:
+            raise web.RefusedError(
+                web.bad_input("bad-idempotency-key", "the key is too long")
+            )
+        claim = await self.claims.claim(caller.grant.customer, key, content)
+        if not self.claims.is_ours(claim):
+            await relay_module.replay(exchange, claim)
+            return
+        claim_id = claim.claim_id
+        with anyio.CancelScope(shield=True):
+            try:
+                await self._run(exchange, caller, ticket, work)
+            finally:
+                if not exchange.sent:
+                    self.claims.release(claim_id)
+                elif exchange.answer is None:
+                    self.claims.record_unknown(claim_id)
+                else:
+                    self._record(claim_id, exchange.answer)
+            await self.claims.settle(claim_id)
+
+    def _record(self, claim_id: str, answer: upstream_module.Answer) -> None:
+        content_type = b""
+        for name, value in answer.headers:
+            if name.lower() == b"content-type":
+                content_type = value
+        self.claims.record(
+            claim_id,
+            answer.status,
+            content_type.decode("latin-1"),
+            answer.body,
+        )
+
+    # -- running -----------------------------------------------------------
+
+    async def _run(
+        self,
+        exchange: relay_module.Exchange,
+        caller: Caller,
+        ticket: fairqueue.Ticket,
+        work: relay_module.Work,
+    ) -> None:
+        if not self.dispatcher.router.available(work.pool):
+            self._refuse_no_endpoint(work.pool)
+        now = clock.now_ms()
+        refusal = self.dispatcher.limits.admit(caller.grant, now)
+        if refusal is not None:
+            raise web.RefusedError(refusal)
+        exchange.ticket = ticket
+        exchanges = self.active.setdefault(caller.key_hash, set())
+        exchanges.add(exchange)
+        runner = relay_module.Runner(self, exchange, ticket, work)
+        try:
+            if self.catalog.find_key(caller.key_hash) or not caller.key:
+                await runner.run()
+            else:
+                raise web.RefusedError(_unauthorised("the key was withdrawn"))
+        finally:
+            exchanges.discard(exchange)
+            if not exchanges:
+                self.active.pop(caller.key_hash, None)
+            self._finish(exchange, caller, ticket, work)
+
+    def _finish(
+        self,
+        exchange: relay_module.Exchange,
+        caller: Caller,
+        ticket: fairqueue.Ticket,
+        work: relay_module.Work,
+    ) -> None:
+        tokens = exchange.prompt_tokens + exchange.output_tokens
+        now = clock.now_ms()
+        self.dispatcher.limits.finish(caller.grant, tokens, now)
+        admission = self.dispatcher.pools.get(work.pool)
+        if admission is not None and exchange.placed:
+            admission.finished(ticket, float(max(1, tokens)))
+        if exchange.delivered:
+            window = usage_module.window_of(
+                clock.wall_s(), self.settings.usage_window_s
+            )
+            self.meter.count(
+                usage_module.Tally(
+                    caller.grant.customer,
+                    caller.grant.class_name,
+                    exchange.prompt_tokens,
+                    exchange.output_tokens,
+                ),
+                window,
+            )
+
+    def _refuse_no_endpoint(self, pool: str) -> None:
+        raise web.RefusedError(
+            outcomes.not_run(
+                "no-endpoint",
+                f"no endpoint serves {pool} now",
+                "routing",
+                503,
+                dispatcher_module.NO_ENDPOINT_RETRY_S,
+            )
+        )
+
+    # -- checks ------------------------------------------------------------
+
+    def _check_ready(self) -> None:
+        refusal = self.readiness.refusal(clock.now_ms())
+        if refusal is not None:
+            raise web.RefusedError(refusal)
+
+    def _check_method(self, call: web.Call, method: str) -> None:
+        if call.method != method:
+            raise web.RefusedError(
+                web.bad_input("bad-method", f"only {method} works here", 405)
+            )
+
+    def _identify(self, call: web.Call, class_name: str) -> Caller:
+        key = headers_module.caller_key(call.headers)
+        if not key:
+            raise web.RefusedError(_unauthorised("no key was sent"))
+        key_hash = settings_module.hash_key(key)
+        known = self.catalog.find_key(key_hash)
+        if known is None:
+            raise web.RefusedError(_unauthorised("the key does not work"))
+        grant = self.catalog.find_grant(known.customer, class_name)
+        if grant is None:
+            raise web.RefusedError(
+                web.bad_input(
+                    "class-not-granted",
+                    f"class {class_name!r} is not granted",
+                    403,
+                )
+            )
+        spec = self.catalog.items["class"][grant.class_name]
+        return Caller(key, key_hash, grant, spec)
+
+    def _identify_for_route(
+        self, call: web.Call, route: catalog_module.Route
+    ) -> Caller:
+        if not route.open:
+            return self._identify(call, route.class_name)
+        spec = self.catalog.items["class"][route.class_name]
+        grant = catalog_module.Grant(
+            OPEN_CUSTOMER, route.class_name, 1.0, 0.0, 0, 0.0
+        )
+        key = headers_module.caller_key(call.headers)
+        key_hash = settings_module.hash_key(key)
+        if key and self.catalog.find_key(key_hash) is None:
+            key_hash = ""
+        return Caller("", key_hash, grant, spec)
+
+    def _check_no_key(self, call: web.Call, key: str, body: bytes) -> None:
+        sent = key or headers_module.caller_key(call.headers)
+        places = (call.path.encode(), call.query)
+        found = any(headers_module.holds_key(p, sent) for p in places)
+        if sent and (found or sent.encode() in body):
+            raise web.RefusedError(
+                web.bad_input(
+                    "key-in-request",
+                    "the key stands in the path, the query or the body",
+                )
+            )
+
+    def _endpoint_headers(
+        self, call: web.Call, caller: Caller
+    ) -> list[headers_module.Header]:
+        key = caller.key or headers_module.caller_key(call.headers)
+        headers = headers_module.forwarded(call.headers, key)
+        headers.append((b"x-request-id", call.request_id.encode()))
+        return headers
+
+    # -- accounting --------------------------------------------------------
+
+    def _account(self, exchange: relay_module.Exchange) -> None:
+        outcome = exchange.outcome_tag()
+        if outcome not in ("ok", "replayed", "endpoint-error"):
+            exchange.wasted_tokens = exchange.output_tokens
+        ticket = exchange.ticket
+        metrics.REQUESTS.labels(outcome).inc()
+        if exchange.first_ms >= 0:
+            metrics.FIRST_TOKEN.observe(exchange.first_ms / 1000)
+        metrics.TOKENS.inc(exchange.output_tokens)
+        fields = {"request_id": exchange.call.request_id, "outcome": outcome}
+        if ticket is not None:
+            fields["customer"] = ticket.customer
+            fields["class"] = ticket.service_class.name
+            self._note_burn(exchange, ticket, outcome)
+        if exchange.refusal is None:
+            events.emit(
+                events.REQUEST,
+                endpoint=exchange.endpoint,
+                first_ms=exchange.first_ms,
+                tokens=exchange.output_tokens,
+                **fields,
+            )
+        else:
+            fields["reason"] = exchange.refusal.reason
+            events.emit(events.REQUEST_REFUSED, **fields)
+
+    def _note_burn(
+        self,
+        exchange: relay_module.Exchange,
+        ticket: fairqueue.Ticket,
+        outcome: str,
+    ) -> None:
+        if outcome in ("gone", "withdrawn"):
+            return
+        ended = burn_module.Ended(
+            customer=ticket.customer,
+            class_name=ticket.service_class.name,
+            outcome=outcome,
+            first_token_ms=exchange.first_ms,
+            token_gap_ms=exchange.gap_ms(),
+            output_tokens=exchange.output_tokens,
+            wasted_tokens=exchange.wasted_tokens,
+        )
+        self.burn.note(ended, ticket.service_class, clock.wall_s())
+
+
+def request_id_of(headers: list[headers_module.Header]) -> str:
+    """Return the identifier for a request, the caller's if it is sane."""
+    for name, value in headers:
+        if name == b"x-request-id":
+            text = value.decode("latin-1")
+            clean = text.replace("-", "").replace("_", "")
+            short = len(text) <= MAX_REQUEST_ID
+            if short and clean.isascii() and clean.isalnum():
+                return f"{text}.{uuid.uuid4().hex[:8]}"
+    return uuid.uuid4().hex
+
+
+def prompt_text(document: dict[str, Any]) -> str:
+    """Return the text of a prompt or of all messages."""
+    prompt = document.get("prompt")
+    if isinstance(prompt, str):
+        return prompt
+    messages = document.get("messages")
+    if not isinstance(messages, list):
+        return ""
+    parts = []
+    for message in messages:
+        content = message.get("content") if isinstance(message, dict) else ""
+        if not isinstance(content, str):
+            content = json.dumps(content)
+        parts.append(content)
+    return "\n".join(parts)
+
+
+def prefix_hashes(text: str) -> tuple[str, ...]:
+    """Return a hash for each leading block of a prompt, shortest first."""
+    state = xxhash.xxh64()
+    hashes = []
+    whole = min(len(text) // PREFIX_CHARS, PREFIXES_MAX)
+    for i in range(whole):
+        block = text[i * PREFIX_CHARS : (i + 1) * PREFIX_CHARS]
+        state.update(block)
+        hashes.append(state.hexdigest())
+    return tuple(hashes)
+
+
+def _internal(exchange: relay_module.Exchange) -> outcomes.Refusal:
+    tag = "not-run"
+    if exchange.sent:
+        tag = "incomplete" if exchange.repeatable else "unknown"
+    return outcomes.Refusal(
+        tag, "internal", "an error of the router", "gateway", 500
+    )
+
+
+def _unauthorised(message: str) -> outcomes.Refusal:
+    return outcomes.not_run("unauthorised", message, "keys", 401)
+
+
+__all__ = ["Gateway", "prefix_hashes", "prompt_text", "request_id_of"]
--- /dev/null
+++ b/primrosehitch/links.py
@@ -0,0 +1,279 @@
+"""Links between instances: framed messages over TCP, one way each.
+
+An instance dials every peer and sends on that connection; it receives
+on the connections that peers dial. Both ends prove knowledge of the
+deployment secret by an HMAC over both nonces. Sending never waits: a
+full queue drops the message, and all protocols above tolerate loss.
+"""
+
+import hashlib
+import hmac
+import os
+import struct
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+from anyio.streams.buffered import BufferedByteReceiveStream
+from anyio.streams.memory import MemoryObjectSendStream
+
+from primrosehitch import errors
+from primrosehitch import events
+from primrosehitch import messages
+from primrosehitch import settings as settings_module
+
+VERSION = 1
+FRAME = struct.Struct("<IH")
+MAX_FRAME_BYTES = 64 << 20
+QUEUE_MESSAGES = 4096
+HANDSHAKE_S = 2.0
+WRITE_LIMIT_S = 2.0
+IDLE_LIMIT_S = 5.0
+RETRY_S = 0.2
+BATCH_MESSAGES = 64
+
+
+class Received(NamedTuple):
+    """A message and the instance that sent it."""
+
+    sender: str
+    message: tuple
+
+
+def pack(message: tuple) -> bytes:
+    """Return a message as a frame: length, kind, packed bytes."""
+    body = messages.encode(message)
+    return FRAME.pack(len(body), messages.NUMBERS[type(message)]) + body
+
+
+async def read_message(stream: BufferedByteReceiveStream) -> tuple | None:
+    """Return the next message, or None for a kind not known here.
+
+    Raises:
+        LinkError: the frame is too large or damaged.
+    """
+    header = await stream.receive_exactly(FRAME.size)
+    size, number = FRAME.unpack(header)
+    if size > MAX_FRAME_BYTES:
+        raise errors.LinkError(f"frame of {size} bytes", "link.read")
+    body = await stream.receive_exactly(size)
+    kind = messages.KINDS.get(number)
+    if kind is None:
+        return None
+    try:
+        return messages.decode(kind, body)
+    except ValueError as exc:
+        raise errors.LinkError(str(exc), "link.read") from exc
+
+
+def proof(secret: bytes, role: bytes, *parts: bytes) -> bytes:
+    """Return the HMAC by which one end proves that it has the secret."""
+    mac = hmac.new(secret, role, hashlib.sha256)
+    for part in parts:
+        mac.update(struct.pack("<I", len(part)) + part)
+    return mac.digest()
+
+
+class Links:
+    """All links of one instance.
+
+    Args:
+        settings: the instance's settings.
+        incarnation: number of this start of the instance.
+        inbox: where received messages go.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        incarnation: int,
+        inbox: MemoryObjectSendStream[Received],
+    ):
+        self.settings = settings
+        self.incarnation = incarnation
+        self.inbox = inbox
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.up: dict[str, bool] = {p.name: False for p in settings.peers}
+        self.queues = {
+            p.name: anyio.create_memory_object_stream[bytes](QUEUE_MESSAGES)
+            for p in settings.peers
+        }
+
+    def send(self, target: str, message: tuple) -> bool:
+        """Queue a message for a peer.
+
+        Returns:
+            Whether it was queued; False drops it.
+        """
+        return self.send_frame(target, pack(message))
+
+    def send_frame(self, target: str, frame: bytes) -> bool:
+        """Queue a packed message for a peer."""
+        queue = self.queues.get(target)
+        if queue is None or not self.up[target]:
+            return False
+        try:
+            queue[0].send_nowait(frame)
+        except anyio.WouldBlock:
+            return False
+        self.sent_messages += 1
+        self.sent_bytes += len(frame)
+        return True
+
+    def broadcast(self, message: tuple) -> None:
+        """Queue a message for all peers."""
+        frame = pack(message)
+        for target in self.queues:
+            self.send_frame(target, frame)
+
+    async def run(self) -> None:
+        """Listen and dial until cancelled."""
+        host, port = self.settings.peer
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port
+        )
+        async with listener, anyio.create_task_group() as group:
+            for peer in self.settings.peers:
+                group.start_soon(self._dial_forever, peer)
+            await listener.serve(self._accept, group)
+
+    # -- dialing -----------------------------------------------------------
+
+    async def _dial_forever(self, peer: settings_module.Peer) -> None:
+        while True:
+            try:
+                await self._dial(peer)
+            except (
+                OSError,
+                TimeoutError,
+                errors.LinkError,
+                anyio.BrokenResourceError,
+                anyio.EndOfStream,
+                anyio.IncompleteRead,
+            ) as exc:
+                self._note_down(peer, exc)
+            await anyio.sleep(RETRY_S)
+
+    def _note_down(self, peer: settings_module.Peer, exc: Exception) -> None:
+        if self.up[peer.name]:
+            events.emit(events.LINK_DOWN, peer=peer.name, error=str(exc))
+        self.up[peer.name] = False
+
+    async def _dial(self, peer: settings_module.Peer) -> None:
+        with anyio.fail_after(HANDSHAKE_S):
+            stream = await anyio.connect_tcp(*peer.address)
+        async with stream:
+            with anyio.fail_after(HANDSHAKE_S):
+                await self._introduce(stream, peer.name)
+            events.emit(events.LINK_UP, peer=peer.name)
+            self.up[peer.name] = True
+            try:
+                await self._pump(stream, peer.name)
+            finally:
+                self._drain_queue(peer.name)
+
+    async def _introduce(
+        self, stream: anyio.abc.SocketStream, peer: str
+    ) -> None:
+        reader = BufferedByteReceiveStream(stream)
+        challenge = await read_message(reader)
+        if not isinstance(challenge, messages.Challenge):
+            raise errors.LinkError("no challenge", "link.hello", peer)
+        nonce = os.urandom(16)
+        name = self.settings.name
+        mac = proof(
+            self.settings.secret,
+            b"dial",
+            challenge.nonce,
+            nonce,
+            name.encode(),
+            peer.encode(),
+        )
+        hello = messages.Hello(name, self.incarnation, VERSION, nonce, mac)
+        await stream.send(pack(hello))
+        welcome = await read_message(reader)
+        expected = proof(
+            self.settings.secret, b"accept", challenge.nonce, nonce
+        )
+        genuine = isinstance(
+            welcome, messages.Welcome
+        ) and hmac.compare_digest(welcome.proof, expected)
+        if not genuine:
+            raise errors.LinkError("not proven", "link.hello", peer)
+
+    async def _pump(self, stream: anyio.abc.SocketStream, peer: str) -> None:
+        source = self.queues[peer][1]
+        while True:
+            parts = [await source.receive()]
+            while len(parts) < BATCH_MESSAGES:
+                try:
+                    parts.append(source.receive_nowait())
+                except anyio.WouldBlock:
+                    break
+            with anyio.fail_after(WRITE_LIMIT_S):
+                await stream.send(b"".join(parts))
+
+    def _drain_queue(self, peer: str) -> None:
+        source = self.queues[peer][1]
+        try:
+            while True:
+                source.receive_nowait()
+        except anyio.WouldBlock:
+            return
+
+    # -- accepting ---------------------------------------------------------
+
+    async def _accept(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            try:
+                await self._receive_all(stream)
+            except (
+                OSError,
+                TimeoutError,
+                errors.LinkError,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                anyio.EndOfStream,
+                anyio.IncompleteRead,
+            ):
+                return
+
+    async def _receive_all(self, stream: anyio.abc.SocketStream) -> None:
+        reader = BufferedByteReceiveStream(stream)
+        with anyio.fail_after(HANDSHAKE_S):
+            sender = await self._greet(stream, reader)
+        while True:
+            with anyio.fail_after(IDLE_LIMIT_S):
+                message = await read_message(reader)
+            if message is not None:
+                await self.inbox.send(Received(sender, message))
+
+    async def _greet(
+        self,
+        stream: anyio.abc.SocketStream,
+        reader: BufferedByteReceiveStream,
+    ) -> str:
+        nonce = os.urandom(16)
+        await stream.send(pack(messages.Challenge(nonce)))
+        hello = await read_message(reader)
+        if not isinstance(hello, messages.Hello):
+            raise errors.LinkError("no hello", "link.greet")
+        expected = proof(
+            self.settings.secret,
+            b"dial",
+            nonce,
+            hello.nonce,
+            hello.sender.encode(),
+            self.settings.name.encode(),
+        )
+        known = hello.sender in self.queues
+        if not known or not hmac.compare_digest(hello.proof, expected):
+            events.emit(events.LINK_REFUSED, peer=hello.sender)
+            raise errors.LinkError("not proven", "link.greet", hello.sender)
+        mac = proof(self.settings.secret, b"accept", nonce, hello.nonce)
+        await stream.send(pack(messages.Welcome(mac, VERSION)))
+        return hello.sender
+
+
+__all__ = ["Links", "Received", "pack", "proof", "read_message"]
--- /dev/null
+++ b/primrosehitch/metrics.py
@@ -0,0 +1,51 @@
+"""Metrics of one instance, as prometheus_client exposes them."""
+
+import prometheus_client
+
+REQUESTS = prometheus_client.Counter(
+    "primrosehitch_requests", "Requests of callers by outcome.", ["outcome"]
+)
+FIRST_TOKEN = prometheus_client.Histogram(
+    "primrosehitch_first_token_seconds",
+    "Time from a request to its first token or answer.",
+    buckets=(0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 0.98, 1.5, 3, 6, 15),
+)
+TOKENS = prometheus_client.Counter(
+    "primrosehitch_output_tokens", "Tokens passed on to callers."
+)
+VERSION = prometheus_client.Gauge(
+    "primrosehitch_version", "Configuration version in force here."
+)
+LEADS = prometheus_client.Gauge(
+    "primrosehitch_leads", "1 where this instance's replica leads."
+)
+ENDPOINTS = prometheus_client.Gauge(
+    "primrosehitch_endpoints", "Endpoints known here."
+)
+LINK_BYTES = prometheus_client.Gauge(
+    "primrosehitch_link_bytes", "Bytes sent to peers since the start."
+)
+LINK_MESSAGES = prometheus_client.Gauge(
+    "primrosehitch_link_messages", "Messages sent to peers since the start."
+)
+
+
+def exposition() -> bytes:
+    """Return all metrics in the text format."""
+    return prometheus_client.generate_latest()
+
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
+
+__all__ = [
+    "CONTENT_TYPE",
+    "ENDPOINTS",
+    "FIRST_TOKEN",
+    "LEADS",
+    "LINK_BYTES",
+    "LINK_MESSAGES",
+    "REQUESTS",
+    "TOKENS",
+    "VERSION",
+    "exposition",
+]
--- /dev/null
+++ b/primrosehitch/operators.py
@@ -0,0 +1,604 @@
+"""The operators' and endpoints' side: HTTP calls under /admin and
+/endpoints.
+
+Any gateway takes any call; what needs the quorum goes to the leader.
+Edits carry the version they were made on and an edit identifier, so
+that a resent edit gets its first answer.
+"""
+
+import json
+import secrets
+from typing import Any
+from typing import Awaitable
+from typing import Callable
+import uuid
+
+import anyio
+
+from primrosehitch import catalog as catalog_module
+from primrosehitch import clock
+from primrosehitch import declaration as declaration_module
+from primrosehitch import errors
+from primrosehitch import events
+from primrosehitch import gateway as gateway_module
+from primrosehitch import headers as headers_module
+from primrosehitch import membership as membership_module
+from primrosehitch import messages
+from primrosehitch import outcomes
+from primrosehitch import replicator as replicator_module
+from primrosehitch import settings as settings_module
+from primrosehitch import spread as spread_module
+from primrosehitch import state as state_module
+from primrosehitch import web
+
+EDIT_S = 4.0
+IN_FORCE_S = 2.0
+POLL_S = 0.02
+RETRY_S = 2.0
+MAX_DECLARATION_BYTES = 32 << 20
+MAX_ANNOUNCEMENT_BYTES = 256 << 10
+KEY_BYTES = 24
+ANNOUNCED = messages.Announcement()._fields
+
+Handler = Callable[[Any, web.Call], Awaitable[None]]
+
+
+class Operators:
+    """Answers operators and endpoints at one instance.
+
+    Args:
+        settings: the instance's settings.
+        catalog: the configuration in force.
+        spread: what the other instances say.
+        gateway: the callers' side, for reports.
+        replicator: this instance's replica, or None.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        catalog: catalog_module.Catalog,
+        spread: spread_module.Spread,
+        gateway: gateway_module.Gateway,
+        replicator: replicator_module.Replicator | None,
+    ):
+        self.settings = settings
+        self.catalog = catalog
+        self.spread = spread
+        self.gateway = gateway
+        self.replicator = replicator
+
+    async def serve(self, call: web.Call) -> None:
+        """Answer a call under /admin or /endpoints."""
+        try:
+            handler = self._HANDLERS.get((call.method, call.path))
+            if handler is None:
+                raise web.RefusedError(
+                    web.bad_input("no-such-path", f"no {call.path}", 404)
+                )
+            if call.path.startswith("/admin"):
+                self._check_operator(call)
+            await handler(self, call)
+        except web.RefusedError as exc:
+            await web.answer_refusal(call, exc.refusal)
+        except errors.SettingsError as exc:
+            refusal = web.bad_input("bad-declaration", str(exc))
+            await web.answer_refusal(call, refusal)
+        except errors.ProposalError as exc:
+            await web.answer_refusal(call, _unproposed(exc))
+        except web.CallerGoneError:
+            return
+        except Exception as exc:
+            events.emit(events.TASK_FAILED, task="admin", error=repr(exc))
+            refusal = outcomes.Refusal(
+                "unknown", "internal", "an error here", "admin", 500
+            )
+            await web.answer_refusal(call, refusal)
+
+    def _check_operator(self, call: web.Call) -> None:
+        key = headers_module.caller_key(call.headers)
+        if settings_module.hash_key(key) not in self.settings.operator_keys:
+            raise web.RefusedError(
+                outcomes.not_run(
+                    "unauthorised", "not an operator's key", "admin", 401
+                )
+            )
+
+    # -- configuration -----------------------------------------------------
+
+    async def _get_declaration(self, call: web.Call) -> None:
+        document = declaration_module.from_rows(self.catalog.rows.values())
+        value = {"version": self.catalog.version, "declaration": document}
+        await web.answer_json(call, 200, value)
+
+    async def _apply(self, call: web.Call) -> None:
+        body = await web.read_body(call, MAX_DECLARATION_BYTES)
+        value = web.parse_json(body)
+        _check_fields(value, {"declaration"}, {"edit_id", "base_version"})
+        document = declaration_module.check(value["declaration"], "request")
+        base = value.get("base_version", self.catalog.version)
+        _check_type(base, int, "base_version")
+        rows: tuple[messages.Row, ...] = ()
+        await self._catch_up(base)
+        if base == self.catalog.version:
+            current = {
+                k: r.value
+                for k, r in self.catalog.rows.items()
+                if not r.deleted and r.table in declaration_module.DECLARED
+            }
+            new = declaration_module.to_rows(document)
+            rows = declaration_module.difference(current, new)
+        edit = messages.Edit(_edit_id(value), base, self.settings.name, rows)
+        await self._answer_edit(call, edit, {"changed_rows": len(rows)})
+
+    async def _catch_up(self, version: int) -> None:
+        with anyio.move_on_after(IN_FORCE_S):
+            while self.catalog.version < version:
+                await anyio.sleep(POLL_S)
+        if self.catalog.version < version:
+            raise web.RefusedError(
+                outcomes.not_run(
+                    "config-behind",
+                    f"version {version} is not known here",
+                    "edit",
+                    409,
+                    RETRY_S,
+                )
+            )
+
+    async def _answer_edit(
+        self, call: web.Call, edit: messages.Edit, extra: dict[str, Any]
+    ) -> None:
+        result = await self.spread.proposer.propose(edit, EDIT_S)
+        value = {
+            "edit_id": result.edit_id,
+            "accepted": result.accepted,
+            "version": result.version,
+            **extra,
+        }
+        if not result.accepted:
+            value["conflicts"] = [_row_value(r) for r in result.conflicts]
+            value["reason"] = "version-conflict"
+            await web.answer_json(call, 409, value)
+            return
+        value.update(await self._in_force(lambda: self._behind(result)))
+        await web.answer_json(call, 200, value)
+
+    def _behind(self, result: messages.EditResult) -> list[str]:
+        behind = []
+        if self.catalog.version < result.version:
+            behind.append(self.settings.name)
+        for member in self.spread.members.members.values():
+            current = member.heartbeat.version
+            alive = self.spread.members.is_alive(member.name)
+            if current < result.version or not alive:
+                behind.append(member.name)
+        return behind
+
+    async def _in_force(
+        self, behind: Callable[[], list[str]]
+    ) -> dict[str, Any]:
+        """Wait a little for all instances and say which confirm."""
+        with anyio.move_on_after(IN_FORCE_S):
+            while any(self._reachable(n) for n in behind()):
+                await anyio.sleep(POLL_S)
+        missing = behind()
+        names = [self.settings.name, *self.spread.members.members]
+        return {
+            "in_force": [n for n in names if n not in missing],
+            "unconfirmed": [self._unconfirmed(n) for n in missing],
+        }
+
+    def _reachable(self, name: str) -> bool:
+        own = name == self.settings.name
+        return own or self.spread.members.is_alive(name)
+
+    def _unconfirmed(self, name: str) -> dict[str, Any]:
+        member = self.spread.members.members.get(name)
+        if member is None:
+            return {"instance": name, "domain": self.settings.domain}
+        silent = None
+        if member.last_heard >= 0:
+            silent = round((clock.now_ms() - member.last_heard) / 1000, 1)
+        return {
+            "instance": name,
+            "domain": member.domain,
+            "status": member.status,
+            "last_heard_s_ago": silent,
+        }
+
+    # -- keys --------------------------------------------------------------
+
+    async def _grant_key(self, call: web.Call) -> None:
+        value = web.parse_json(await web.read_body(call, 65536))
+        _check_fields(value, {"customer"}, {"edit_id", "key_hash"})
+        customer = value["customer"]
+        if customer not in self.catalog.items["customer"]:
+            raise web.RefusedError(
+                web.bad_input("unknown-customer", f"no {customer!r}", 404)
+            )
+        extra: dict[str, Any] = {}
+        key_hash = value.get("key_hash", "")
+        if not key_hash:
+            extra["key"] = "ph-" + secrets.token_urlsafe(KEY_BYTES)
+            key_hash = settings_module.hash_key(extra["key"])
+        if not _is_hash(key_hash):
+            raise web.RefusedError(
+                web.bad_input("bad-key-hash", "not a SHA-256 in hex")
+            )
+        extra.update(key_hash=key_hash, key_id=key_hash[:12])
+        row_value = json.dumps({"customer": customer, "id": key_hash[:12]})
+        row = messages.Row(state_module.KEY_TABLE, key_hash, row_value)
+        edit = messages.Edit(
+            _edit_id(value),
+            state_module.ANY_VERSION,
+            self.settings.name,
+            (row,),
+        )
+        await self._answer_edit(call, edit, extra)
+
+    async def _list_keys(self, call: web.Call) -> None:
+        keys = [
+            {
+                "key_id": k.key_id,
+                "key_hash": k.key_hash,
+                "customer": k.customer,
+                "withdrawn": k.key_hash in self.catalog.withdrawals,
+            }
+            for k in self.catalog.items["key"].values()
+        ]
+        await web.answer_json(call, 200, {"keys": keys})
+
+    async def _withdraw_key(self, call: web.Call) -> None:
+        value = web.parse_json(await web.read_body(call, 65536))
+        _check_fields(value, set(), {"key_id", "key_hash", "key"})
+        key_hash = self._find_hash(value)
+        withdrawal = messages.Withdrawal(
+            key_hash, self.settings.name, int(clock.wall_s() * 1000)
+        )
+        self.spread.withdraw([withdrawal])
+        durable = await self._make_durable()
+        value = await self._in_force(self._without_withdrawals)
+        value.update(key_id=key_hash[:12], withdrawn=True, durable=durable)
+        await web.answer_json(call, 200, value)
+
+    def _find_hash(self, value: dict[str, Any]) -> str:
+        if "key" in value:
+            return settings_module.hash_key(str(value["key"]))
+        wanted = str(value.get("key_hash") or value.get("key_id") or "")
+        if _is_hash(wanted):
+            return wanted
+        found = [
+            h for h in self.catalog.items["key"] if wanted and h[:12] == wanted
+        ]
+        if len(found) != 1:
+            raise web.RefusedError(
+                web.bad_input("unknown-key", f"no key {wanted!r}", 404)
+            )
+        return found[0]
+
+    async def _make_durable(self) -> bool:
+        batch = messages.WithdrawalBatch(
+            tuple(self.catalog.withdrawals.values())
+        )
+        try:
+            await self.spread.proposer.propose(batch, IN_FORCE_S)
+        except errors.ProposalError:
+            return False
+        return True
+
+    def _without_withdrawals(self) -> list[str]:
+        wanted = self.catalog.withdrawals_digest
+        return [
+            m.name
+            for m in self.spread.members.members.values()
+            if m.heartbeat.withdrawals_digest != wanted
+            or not self.spread.members.is_alive(m.name)
+        ]
+
+    # -- cluster -----------------------------------------------------------
+
+    async def _init(self, call: web.Call) -> None:
+        value = web.parse_json(await web.read_body(call, 65536) or b"{}")
+        _check_fields(value, set(), {"force"})
+        if self.replicator is None:
+            raise web.RefusedError(
+                web.bad_input("no-data-folder", "not a replica", 409)
+            )
+        self._check_init(bool(value.get("force")))
+        cluster = uuid.uuid4().hex
+        self.replicator.offer(replicator_module.Bootstrap(cluster))
+        with anyio.move_on_after(EDIT_S):
+            while not self.replicator.leads():
+                await anyio.sleep(POLL_S)
+        await web.answer_json(call, 200, {"cluster": cluster})
+
+    def _check_init(self, force: bool) -> None:
+        assert self.replicator is not None
+        members = self.spread.members.members
+        taken = not self.replicator.empty or any(
+            m.heartbeat.replica_state == "member" for m in members.values()
+        )
+        if taken:
+            raise web.RefusedError(
+                web.bad_input("already-initialised", "state exists", 409)
+            )
+        wanted = [p.name for p in self.settings.peers if p.replica]
+        away = [n for n in wanted if not self.spread.members.is_alive(n)]
+        if away and not force:
+            raise web.RefusedError(
+                web.bad_input(
+                    "replicas-unreachable",
+                    f"not heard: {away}; they may hold state",
+                    409,
+                )
+            )
+
+    async def _status(self, call: web.Call) -> None:
+        now = clock.now_ms()
+        readiness = self.gateway.readiness
+        refusal = readiness.refusal(now)
+        value: dict[str, Any] = {
+            "instance": self.settings.name,
+            "domain": self.settings.domain,
+            "version": self.catalog.version,
+            "withdrawn_keys": len(self.catalog.withdrawals),
+            "leader": self.spread.leader(),
+            "ready": readiness.ready(now),
+            "not_ready_reason": refusal.reason if refusal else None,
+            "members": [self._member_value(m) for m in self._members()],
+            "endpoints": len(self.spread.directory.endpoints),
+            "replica": self._replica_value(),
+        }
+        await web.answer_json(call, 200, value)
+
+    def _members(self) -> list[membership_module.Member]:
+        return list(self.spread.members.members.values())
+
+    def _member_value(
+        self, member: membership_module.Member
+    ) -> dict[str, Any]:
+        value = self._unconfirmed(member.name)
+        value["version"] = member.heartbeat.version
+        value["withdrawn_keys"] = member.heartbeat.withdrawals
+        for peer in self.settings.peers:
+            if peer.name == member.name:
+                value["http"] = str(peer.http)
+        return value
+
+    def _replica_value(self) -> dict[str, Any] | None:
+        replicator = self.replicator
+        if replicator is None:
+            return None
+        raft = replicator.raft
+        return {
+            "id": replicator.identity.replica,
+            "cluster": replicator.identity.cluster,
+            "role": raft.role,
+            "term": raft.term,
+            "commit": raft.commit,
+            "log_entries": len(replicator.log.entries),
+            "voters": list(raft.voters),
+            "learners": list(raft.learners),
+            "in_charge": replicator.in_charge(),
+            "repaired": replicator.repaired(),
+            "failed": replicator.failed or None,
+        }
+
+    async def _endpoints(self, call: web.Call) -> None:
+        items = []
+        for endpoint in self.spread.directory.endpoints.values():
+            value = endpoint.announcement._asdict()
+            del value["prefixes"]
+            value["status"] = endpoint.status
+            items.append(value)
+        await web.answer_json(call, 200, {"endpoints": items})
+
+    # -- reports -----------------------------------------------------------
+
+    async def _burn(self, call: web.Call) -> None:
+        since = float(call.parameters().get("since", "0") or 0)
+        value = {
+            "instance": self.settings.name,
+            "buckets": self.gateway.burn.export(since),
+            "classes": [
+                c._asdict() for c in self.catalog.items["class"].values()
+            ],
+        }
+        await web.answer_json(call, 200, value)
+
+    async def _usage(self, call: web.Call) -> None:
+        if self.replicator is None:
+            raise web.RefusedError(
+                web.bad_input("no-data-folder", "ask a replica", 409)
+            )
+        state = self.replicator.replica.state
+        windows = [
+            {
+                "window": w.window,
+                "state": w.state,
+                "rows": [r._asdict() for r in w.rows],
+            }
+            for w in state.windows.values()
+        ]
+        open_rows = [
+            {"window": key[0], **row._asdict()}
+            for key, row in sorted(state.open_usage.items())
+        ]
+        value = {"windows": windows, "open": open_rows}
+        await web.answer_json(call, 200, value)
+
+    async def _orders(self, call: web.Call) -> None:
+        if self.replicator is None:
+            raise web.RefusedError(
+                web.bad_input("no-data-folder", "ask a replica", 409)
+            )
+        orders = self.replicator.replica.state.orders.values()
+        value = {"orders": [o._asdict() for o in orders]}
+        await web.answer_json(call, 200, value)
+
+    # -- endpoints ---------------------------------------------------------
+
+    async def _announce(self, call: web.Call) -> None:
+        body = await web.read_body(call, MAX_ANNOUNCEMENT_BYTES)
+        value = web.parse_json(body)
+        announcement = parse_announcement(value)
+        token = self.settings.announce_tokens.get(announcement.kind)
+        given = headers_module.caller_key(call.headers)
+        if token is None or not secrets.compare_digest(
+            given.encode(), token.encode()
+        ):
+            raise web.RefusedError(
+                outcomes.not_run(
+                    "unauthorised", "not this kind's token", "announce", 401
+                )
+            )
+        self.spread.announce(announcement)
+        await web.answer_json(call, 200, {"heard_by": self.settings.name})
+
+    _HANDLERS: dict[tuple[str, str], Handler] = {
+        ("GET", "/admin/declaration"): _get_declaration,
+        ("POST", "/admin/declaration"): _apply,
+        ("GET", "/admin/keys"): _list_keys,
+        ("POST", "/admin/keys"): _grant_key,
+        ("POST", "/admin/keys/withdraw"): _withdraw_key,
+        ("POST", "/admin/init"): _init,
+        ("GET", "/admin/status"): _status,
+        ("GET", "/admin/endpoints"): _endpoints,
+        ("GET", "/admin/burn"): _burn,
+        ("GET", "/admin/usage"): _usage,
+        ("GET", "/admin/orders"): _orders,
+        ("POST", "/endpoints/announce"): _announce,
+    }
+
+
+_ANNOUNCED_TYPES: dict[str, Any] = {
+    "name": str,
+    "incarnation": int,
+    "sequence": int,
+    "address": str,
+    "domain": str,
+    "kind": str,
+    "models": list,
+    "slots": int,
+    "cheap": bool,
+    "running": int,
+    "waiting": int,
+    "leaving": bool,
+    "reclaimed": bool,
+    "prefixes": list,
+    "fenced": bool,
+    "resumes": bool,
+}
+_ANNOUNCED_REQUIRED = {
+    "name",
+    "incarnation",
+    "sequence",
+    "address",
+    "domain",
+    "kind",
+    "models",
+    "slots",
+}
+MAX_NUMBERS = {"slots": 1 << 31, "running": 1 << 31, "waiting": 1 << 31}
+
+
+def parse_announcement(value: dict[str, Any]) -> messages.Announcement:
+    """Return the announcement that a JSON object holds.
+
+    Unknown fields are passed over, so that newer endpoints may say more.
+
+    Raises:
+        RefusedError: a field is missing or of the wrong type.
+    """
+    missing = _ANNOUNCED_REQUIRED - set(value)
+    if missing:
+        raise web.RefusedError(
+            web.bad_input("bad-announcement", f"missing {sorted(missing)}")
+        )
+    fields: dict[str, Any] = {}
+    for name, kind in _ANNOUNCED_TYPES.items():
+        if name in value:
+            _check_type(value[name], kind, name)
+            fields[name] = value[name]
+            if kind is int:
+                _check_range(value[name], name)
+    for name in ("models", "prefixes"):
+        items = fields.get(name, [])
+        if not all(isinstance(i, str) for i in items):
+            raise web.RefusedError(
+                web.bad_input("bad-announcement", f"{name}: not strings")
+            )
+        fields[name] = tuple(items)
+    try:
+        settings_module.parse_address(fields["address"])
+    except ValueError:
+        raise web.RefusedError(
+            web.bad_input("bad-announcement", "address: not ip:port")
+        ) from None
+    return messages.Announcement(**fields)
+
+
+def _check_range(value: int, name: str) -> None:
+    if not 0 <= value < MAX_NUMBERS.get(name, 1 << 63):
+        raise web.RefusedError(
+            web.bad_input("bad-announcement", f"{name}: out of range")
+        )
+
+
+def _check_fields(
+    value: dict[str, Any], required: set[str], optional: set[str]
+) -> None:
+    missing = required - set(value)
+    unknown = set(value) - required - optional
+    if missing or unknown:
+        text = f"missing {sorted(missing)}, unknown {sorted(unknown)}"
+        raise web.RefusedError(web.bad_input("bad-request", text))
+
+
+def _check_type(value: Any, kind: type, name: str) -> None:
+    wrong_bool = kind is int and isinstance(value, bool)
+    if not isinstance(value, kind) or wrong_bool:
+        raise web.RefusedError(
+            web.bad_input("bad-request", f"{name}: not {kind.__name__}")
+        )
+
+
+def _edit_id(value: dict[str, Any]) -> str:
+    edit_id = value.get("edit_id") or uuid.uuid4().hex
+    _check_type(edit_id, str, "edit_id")
+    return edit_id
+
+
+def _is_hash(text: Any) -> bool:
+    if not isinstance(text, str) or len(text) != 64:
+        return False
+    return all(c in "0123456789abcdef" for c in text)
+
+
+def _row_value(row: messages.Row) -> dict[str, Any]:
+    return {
+        "table": row.table,
+        "key": row.key[:12] if row.table == "key" else row.key,
+        "value": json.loads(row.value) if row.value else None,
+        "version": row.version,
+        "deleted": row.deleted,
+    }
+
+
+def _unproposed(exc: errors.ProposalError) -> outcomes.Refusal:
+    if not exc.maybe_applied:
+        return outcomes.not_run(
+            "no-quorum", "no leader can be reached", "edit", 503, RETRY_S
+        )
+    return outcomes.Refusal(
+        "unknown",
+        "no-quorum",
+        "the edit may yet be accepted; resend it under the same edit_id",
+        "edit",
+        503,
+        RETRY_S,
+    )
+
+
+__all__ = ["Operators", "parse_announcement"]
--- /dev/null
+++ b/primrosehitch/routing.py
@@ -0,0 +1,324 @@
+"""Which endpoint gets a request.
+
+Pure. The score is the predicted time to the first token: the model's
+cost per uncached prompt token, times how slow this endpoint has been
+of late, times its load. Load is what this gateway and its peers have
+sent, and the part of the endpoint's own report that neither explains.
+The own failure domain goes first by a penalty on the others; a cached
+prompt prefix is a bonus, never a pin. A bounded sample of endpoints is
+scored, so that a decision costs the same for ten and for a thousand.
+
+Locality first with a weighted choice by predicted load follows the
+related paper's routing rule (GRACE-MoE, section 4.3); see
+docs/design/routing.md for what was measured.
+"""
+
+import collections
+import random
+from typing import NamedTuple
+
+from primrosehitch import directory as directory_module
+from primrosehitch import fairqueue
+from primrosehitch import messages
+
+SAMPLE = 12
+REMOTE_MS = 4.0
+OVERCOMMIT = 2.0
+PROMPT_BASE_TOKENS = 64.0
+START_MS_PER_TOKEN = 0.2
+SMOOTHING = 0.2
+MODEL_SMOOTHING = 0.05
+PREFIXES_KEPT = 512
+FAILURES_ASIDE = 3
+ASIDE_MS = 2000
+ASIDE_MAX_MS = 30_000
+STALE_PEER_MS = 2000
+STUCK_FACTOR = 3.0
+REPORT_MEMORY_MS = 4000
+
+Ticket = fairqueue.Ticket
+
+
+class Sent(NamedTuple):
+    """How many requests of this gateway ran at a time in ms."""
+
+    at: int
+    running: int
+
+
+class Load:
+    """What this gateway knows of one endpoint's load and speed."""
+
+    def __init__(self) -> None:
+        self.running: dict[int, int] = {}
+        self.peers: dict[str, dict[int, int]] = {}
+        self.peers_at: dict[str, int] = {}
+        self.history: collections.deque[Sent] = collections.deque()
+        self.slowness = 1.0
+        self.failures = 0
+        self.aside_until = 0
+        self.probing = False
+        self.prefixes: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.awaiting: dict[str, tuple[int, float]] = {}
+
+    def own(self, tier: int | None = None) -> int:
+        """Return this gateway's running requests up to a tier."""
+        return _up_to(self.running, tier)
+
+    def used(self, tier: int | None, now: int) -> int:
+        """Return running requests of all gateways up to a tier."""
+        total = self.own(tier)
+        for gateway, counts in self.peers.items():
+            if now - self.peers_at[gateway] <= STALE_PEER_MS:
+                total += _up_to(counts, tier)
+        return total
+
+
+def _up_to(counts: dict[int, int], tier: int | None) -> int:
+    if tier is None:
+        return sum(counts.values())
+    return sum(n for t, n in counts.items() if t <= tier)
+
+
+class Router:
+    """Chooses endpoints for one gateway.
+
+    Args:
+        domain: the gateway's failure domain.
+        directory: the endpoints known.
+        rng: picks the sample.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        directory: directory_module.Directory,
+        rng: random.Random,
+    ):
+        self.domain = domain
+        self.directory = directory
+        self.rng = rng
+        self.loads: dict[str, Load] = {}
+        self.pools: dict[str, list[str]] = {}
+        self.ms_per_token: dict[str, float] = {}
+
+    # -- endpoints ---------------------------------------------------------
+
+    def update(self, name: str) -> None:
+        """Note an endpoint's announcement or change of status."""
+        endpoint = self.directory.endpoints.get(name)
+        wanted: set[str] = set()
+        if endpoint and endpoint.status == directory_module.READY:
+            wanted = set(endpoint.announcement.models)
+        for pool in wanted:
+            names = self.pools.setdefault(pool, [])
+            if name not in names:
+                names.append(name)
+        for pool, names in self.pools.items():
+            if pool not in wanted and name in names:
+                names.remove(name)
+        if endpoint is None or endpoint.status == directory_module.GONE:
+            self.loads.pop(name, None)
+        elif endpoint.announcement.prefixes:
+            load = self.load(name)
+            for prefix in endpoint.announcement.prefixes:
+                self._remember(load, prefix)
+
+    def load(self, name: str) -> Load:
+        """Return what is known of an endpoint's load."""
+        load = self.loads.get(name)
+        if load is None:
+            load = self.loads[name] = Load()
+        return load
+
+    def hear_counts(
+        self,
+        gateway: str,
+        counts: tuple[messages.EndpointCount, ...],
+        now: int,
+    ) -> None:
+        """Take in what another gateway runs at each endpoint."""
+        fresh: dict[str, dict[int, int]] = {}
+        for count in counts:
+            fresh.setdefault(count.endpoint, {})[count.tier] = count.running
+        for name, load in self.loads.items():
+            load.peers[gateway] = fresh.pop(name, {})
+            load.peers_at[gateway] = now
+        for name, running in fresh.items():
+            load = self.load(name)
+            load.peers[gateway] = running
+            load.peers_at[gateway] = now
+
+    def counts(self) -> tuple[messages.EndpointCount, ...]:
+        """Return this gateway's running requests, for its peers."""
+        return tuple(
+            messages.EndpointCount(name, running, tier)
+            for name, load in self.loads.items()
+            for tier, running in load.running.items()
+            if running
+        )
+
+    # -- choice ------------------------------------------------------------
+
+    def choose(self, pool: str, ticket: Ticket, now: int) -> str | None:
+        """Return the endpoint for a ticket and count it there.
+
+        Args:
+            pool: a model's or service's name.
+            ticket: the request.
+            now: the current time in ms.
+
+        Returns:
+            The endpoint's name, or None where no place is free.
+        """
+        best = None
+        best_score = 0.0
+        for name in self._sample(pool):
+            if name in ticket.excluded:
+                continue
+            score = self._score(pool, name, ticket, now)
+            if score is not None and (best is None or score < best_score):
+                best, best_score = name, score
+        if best is not None:
+            self._count(best, ticket, pool, now)
+        return best
+
+    def available(self, pool: str) -> bool:
+        """Return whether any endpoint of a pool may get work."""
+        return bool(self.pools.get(pool))
+
+    def _sample(self, pool: str) -> list[str]:
+        names = self.pools.get(pool, [])
+        if len(names) <= SAMPLE:
+            return names
+        start = self.rng.randrange(len(names))
+        step = 1 + self.rng.randrange(len(names) - 1)
+        picked = {
+            names[(start + i * step) % len(names)] for i in range(SAMPLE)
+        }
+        return list(picked)
+
+    def _score(
+        self, pool: str, name: str, ticket: Ticket, now: int
+    ) -> float | None:
+        endpoint = self.directory.ready(name)
+        load = self.load(name)
+        if endpoint is None or not self._usable(load, now):
+            return None
+        slots = max(1, endpoint.announcement.slots)
+        used = load.used(ticket.effective_tier, now)
+        total = max(load.used(None, now), self._reported(endpoint, load, now))
+        if used >= slots or total >= slots * OVERCOMMIT:
+            return None
+        expected = self._expected(pool, load, ticket)
+        crowd = 1.0 + total / slots
+        score = expected * self._slowness(load, now) * crowd
+        if endpoint.announcement.domain != self.domain:
+            score += REMOTE_MS
+        return score
+
+    def _expected(self, pool: str, load: Load, ticket: Ticket) -> float:
+        per_token = self.ms_per_token.get(pool, START_MS_PER_TOKEN)
+        tokens = ticket.prompt_tokens
+        count = len(ticket.prefixes)
+        for position in range(count, 0, -1):
+            if ticket.prefixes[position - 1] in load.prefixes:
+                tokens -= tokens * position // (count + 1)
+                break
+        return per_token * (tokens + PROMPT_BASE_TOKENS)
+
+    def _slowness(self, load: Load, now: int) -> float:
+        worst = load.slowness
+        for since, expected in load.awaiting.values():
+            late = (now - since) / max(1.0, expected)
+            if late > STUCK_FACTOR:
+                worst = max(worst, late)
+        return worst
+
+    def _reported(
+        self, endpoint: directory_module.Endpoint, load: Load, now: int
+    ) -> int:
+        announcement = endpoint.announcement
+        reported = announcement.running + announcement.waiting
+        then = 0
+        for sent in load.history:
+            if sent.at > endpoint.heard:
+                break
+            then = sent.running
+        return max(0, reported - then) + load.own()
+
+    def _usable(self, load: Load, now: int) -> bool:
+        if load.failures < FAILURES_ASIDE:
+            return True
+        return now >= load.aside_until and not load.probing
+
+    # -- experience --------------------------------------------------------
+
+    def _count(self, name: str, ticket: Ticket, pool: str, now: int) -> None:
+        load = self.load(name)
+        tier = ticket.effective_tier
+        load.running[tier] = load.running.get(tier, 0) + 1
+        if load.failures >= FAILURES_ASIDE:
+            load.probing = True
+        expected = self._expected(pool, load, ticket)
+        load.awaiting[ticket.request_id] = (now, expected)
+        self._note_history(load, now)
+        for prefix in ticket.prefixes:
+            self._remember(load, prefix)
+
+    def first_token(
+        self, pool: str, name: str, ticket: Ticket, now: int
+    ) -> None:
+        """Learn from the time that a first token took."""
+        load = self.load(name)
+        since, expected = load.awaiting.pop(ticket.request_id, (now, 0.0))
+        if not expected:
+            return
+        took = max(1.0, float(now - since))
+        ratio = took / max(0.1, expected)
+        load.slowness += SMOOTHING * (min(ratio, 100.0) - load.slowness)
+        per_token = self.ms_per_token.get(pool, START_MS_PER_TOKEN)
+        scaled = per_token * ratio / max(1.0, load.slowness)
+        per_token += MODEL_SMOOTHING * (scaled - per_token)
+        self.ms_per_token[pool] = per_token
+
+    def finished(
+        self, name: str, ticket: Ticket, failed: bool, now: int
+    ) -> bool:
+        """Count a request out.
+
+        Returns:
+            Whether the endpoint was put aside by it.
+        """
+        load = self.load(name)
+        tier = ticket.effective_tier
+        load.running[tier] = max(0, load.running.get(tier, 0) - 1)
+        load.awaiting.pop(ticket.request_id, None)
+        load.probing = False
+        self._note_history(load, now)
+        if not failed:
+            load.failures = 0
+            return False
+        load.failures += 1
+        if load.failures < FAILURES_ASIDE:
+            return False
+        rounds = load.failures - FAILURES_ASIDE
+        pause = min(ASIDE_MAX_MS, ASIDE_MS * 2 ** min(rounds, 10))
+        load.aside_until = now + pause
+        return True
+
+    def _note_history(self, load: Load, now: int) -> None:
+        load.history.append(Sent(now, load.own()))
+        while load.history and load.history[0].at < now - REPORT_MEMORY_MS:
+            load.history.popleft()
+
+    def _remember(self, load: Load, prefix: str) -> None:
+        load.prefixes[prefix] = None
+        load.prefixes.move_to_end(prefix)
+        while len(load.prefixes) > PREFIXES_KEPT:
+            load.prefixes.popitem(last=False)
+
+
+__all__ = ["Load", "Router"]
--- /dev/null
+++ b/primrosehitch/settings.py
@@ -0,0 +1,160 @@
+"""The settings of one process, read from JSON with comments."""
+
+import hashlib
+import pathlib
+from typing import NamedTuple
+
+from primrosehitch import documents
+from primrosehitch import errors
+from primrosehitch import jsonc
+
+
+class Address(NamedTuple):
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Peer(NamedTuple):
+    """Another instance of the deployment."""
+
+    name: str
+    domain: str
+    address: Address
+    http: Address
+    replica: bool
+
+
+class Outside(NamedTuple):
+    """A system outside the deployment that takes our calls."""
+
+    address: Address
+    token: str
+
+
+class Settings(NamedTuple):
+    """One instance's settings; durations in seconds, sizes in bytes."""
+
+    name: str
+    domain: str
+    http: Address
+    peer: Address
+    secret: bytes
+    operator_keys: frozenset[str]
+    announce_tokens: dict[str, str]
+    data_folder: pathlib.Path | None
+    bootstrap: bool
+    peers: tuple[Peer, ...]
+    platform: Outside | None
+    usage: Outside | None
+    weights: Outside | None
+    usage_window_s: float
+    usage_flush_s: float
+    key_freshness_s: float
+    drain_grace_s: float
+    drain_limit_s: float
+    max_body_bytes: int
+    max_waiting: int
+    log_file: str
+
+    @property
+    def replicas_wanted(self) -> int:
+        """How many instances of the deployment hold durable state."""
+        own = self.data_folder is not None
+        return own + sum(peer.replica for peer in self.peers)
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that ``ip:port`` names."""
+    host, _, port = text.rpartition(":")
+    return Address(host.strip("[]"), int(port))
+
+
+def hash_key(key: str) -> str:
+    """Return the hexadecimal SHA-256 of a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def parse(document: documents.Settings, source: str) -> Settings:
+    """Return checked settings.
+
+    Args:
+        document: the decoded file.
+        source: its name for errors.
+
+    Raises:
+        SettingsError: names the path and what was expected.
+    """
+    jsonc.check(document, "settings", source)
+    names = [p["name"] for p in document.get("peers", ())]
+    names.append(document["name"])
+    if len(set(names)) < len(names):
+        raise errors.SettingsError(
+            "an instance is named twice", "check settings", source, "$.peers"
+        )
+    folder = document.get("data_folder")
+    return Settings(
+        name=document["name"],
+        domain=document["domain"],
+        http=parse_address(document["http"]),
+        peer=parse_address(document["peer"]),
+        secret=document["secret"].encode(),
+        operator_keys=frozenset(document["operator_keys"]),
+        announce_tokens=dict(document.get("announce_tokens", {})),
+        data_folder=pathlib.Path(folder) if folder else None,
+        bootstrap=document.get("bootstrap", False),
+        peers=tuple(_peer(p) for p in document.get("peers", ())),
+        platform=_outside(document.get("platform")),
+        usage=_outside(document.get("usage")),
+        weights=_outside(document.get("weights")),
+        usage_window_s=document.get("usage_window_s", 60),
+        usage_flush_s=document.get("usage_flush_s", 1),
+        key_freshness_s=document.get("key_freshness_s", 3600),
+        drain_grace_s=document.get("drain_grace_s", 2),
+        drain_limit_s=document.get("drain_limit_s", 600),
+        max_body_bytes=document.get("max_body_bytes", 4 << 20),
+        max_waiting=document.get("max_waiting", 512),
+        log_file=document.get("log_file", "-"),
+    )
+
+
+def _peer(document: documents.Peer) -> Peer:
+    return Peer(
+        document["name"],
+        document["domain"],
+        parse_address(document["address"]),
+        parse_address(document["http"]),
+        document.get("replica", False),
+    )
+
+
+def _outside(document: documents.Outside | None) -> Outside | None:
+    if document is None:
+        return None
+    address = parse_address(document["address"])
+    return Outside(address, document.get("token", ""))
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Return the settings of a file.
+
+    Raises:
+        SettingsError: the file is missing, not JSON, or not acceptable.
+    """
+    return parse(jsonc.read(path), str(path))
+
+
+__all__ = [
+    "Address",
+    "Outside",
+    "Peer",
+    "Settings",
+    "hash_key",
+    "load",
+    "parse",
+    "parse_address",
+]
--- /dev/null
+++ b/primrosehitch/web.py
@@ -0,0 +1,181 @@
+"""Small helpers for ASGI: a request, its body, and answers."""
+
+import json
+from typing import Any
+from typing import Awaitable
+from typing import Callable
+from typing import NamedTuple
+from urllib import parse
+
+from primrosehitch import headers as headers_module
+from primrosehitch import outcomes
+
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+class Call(NamedTuple):
+    """One HTTP call: its scope, channels and request identifier."""
+
+    method: str
+    path: str
+    query: bytes
+    headers: list[headers_module.Header]
+    receive: Receive
+    send: Send
+    request_id: str
+
+    def header(self, name: bytes) -> str:
+        """Return a header's value, empty where it is missing."""
+        for known, value in self.headers:
+            if known == name:
+                return value.decode("latin-1")
+        return ""
+
+    def parameters(self) -> dict[str, str]:
+        """Return the query's parameters."""
+        return dict(parse.parse_qsl(self.query.decode("latin-1")))
+
+
+class RefusedError(Exception):
+    """Ends a call with a refusal."""
+
+    def __init__(self, refusal: outcomes.Refusal):
+        self.refusal = refusal
+        super().__init__(refusal.reason)
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+def make_call(
+    scope: dict[str, Any], receive: Receive, send: Send, request_id: str
+) -> Call:
+    """Return the call that an ASGI scope describes."""
+    return Call(
+        scope["method"],
+        scope["path"],
+        scope["query_string"],
+        scope["headers"],
+        receive,
+        send,
+        request_id,
+    )
+
+
+async def read_body(call: Call, limit: int) -> bytes:
+    """Return a call's whole body.
+
+    Args:
+        call: the call.
+        limit: the largest size accepted, in bytes.
+
+    Raises:
+        RefusedError: the body is larger.
+        CallerGoneError: the caller went before its end.
+    """
+    length = call.header(b"content-length")
+    if length.isdigit() and int(length) > limit:
+        raise RefusedError(too_large(limit))
+    parts = []
+    size = 0
+    while True:
+        message = await call.receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError
+        part = message.get("body", b"")
+        size += len(part)
+        if size > limit:
+            raise RefusedError(too_large(limit))
+        parts.append(part)
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+def too_large(limit: int) -> outcomes.Refusal:
+    """Return the refusal of a body over a limit in bytes."""
+    return bad_input("body-too-large", f"over {limit} bytes", 413)
+
+
+def bad_input(
+    reason: str, message: str, status: int = 400
+) -> outcomes.Refusal:
+    """Return the refusal of a call that can never succeed as it is."""
+    return outcomes.not_run(reason, message, "request", status)
+
+
+def parse_json(body: bytes) -> Any:
+    """Return a JSON object.
+
+    Raises:
+        RefusedError: the body is not a JSON object.
+    """
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        text = f"the body is not JSON: {str(exc)[:100]}"
+        raise RefusedError(bad_input("bad-json", text)) from None
+    if not isinstance(value, dict):
+        raise RefusedError(
+            bad_input("bad-json", "the body is not a JSON object")
+        )
+    return value
+
+
+async def answer_json(
+    call: Call,
+    status: int,
+    value: Any,
+    extra: list[headers_module.Header] | None = None,
+) -> None:
+    """Answer a call with a JSON value."""
+    data = json.dumps(value).encode()
+    await answer(call, status, data, [JSON_TYPE, *(extra or [])])
+
+
+async def answer(
+    call: Call,
+    status: int,
+    body: bytes,
+    headers: list[headers_module.Header],
+) -> None:
+    """Answer a call with a whole body."""
+    await call.send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [
+                *headers,
+                (b"content-length", str(len(body)).encode()),
+                (b"x-request-id", call.request_id.encode()),
+            ],
+        }
+    )
+    await call.send({"type": "http.response.body", "body": body})
+
+
+async def answer_refusal(call: Call, refusal: outcomes.Refusal) -> None:
+    """Answer a call with a refusal, at once."""
+    extra = [(b"x-outcome", refusal.outcome.encode())]
+    if refusal.retry_after_s is not None:
+        seconds = max(1, round(refusal.retry_after_s + 0.5))
+        extra.append((b"retry-after", str(seconds).encode()))
+    body = refusal.body(call.request_id)
+    await answer_json(call, refusal.status, body, extra)
+
+
+__all__ = [
+    "Call",
+    "CallerGoneError",
+    "RefusedError",
+    "answer",
+    "answer_json",
+    "answer_refusal",
+    "bad_input",
+    "make_call",
+    "parse_json",
+    "read_body",
+]
--- /dev/null
+++ b/primrosehitch_lab/standin.py
@@ -0,0 +1,129 @@
+"""What the stand-ins share: serving ASGI, announcing, answering."""
+
+import asyncio
+import json
+import random
+import time
+from typing import Any
+
+import httpcore
+import uvicorn
+
+ANNOUNCE_S = 1.0
+CALL_TIMEOUT = {"connect": 1.0, "read": 5.0, "write": 1.0, "pool": 1.0}
+
+
+async def read_body(receive: Any) -> bytes:
+    """Return a request's body."""
+    parts = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+async def answer(
+    send: Any, status: int, value: Any, headers: Any = ()
+) -> None:
+    """Answer with JSON."""
+    data = json.dumps(value).encode()
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(data)).encode()),
+                *headers,
+            ],
+        }
+    )
+    await send({"type": "http.response.body", "body": data})
+
+
+def header(scope: Any, name: bytes) -> str:
+    """Return a header's value, empty where it is missing."""
+    for known, value in scope["headers"]:
+        if known == name:
+            return value.decode("latin-1")
+    return ""
+
+
+class Announcer:
+    """Announces one endpoint to the gateways, in turn.
+
+    Args:
+        gateways: addresses of gateways.
+        token: the token of the endpoint's kind.
+        fixed: fields of the announcement that do not change.
+    """
+
+    def __init__(self, gateways: list[str], token: str, fixed: Any):
+        self.gateways = gateways
+        self.token = token
+        self.fixed = dict(fixed)
+        self.fixed["incarnation"] = time.time_ns() // 1000
+        self.sequence = 0
+        self.silent = False
+
+    async def announce(self, current: Any) -> bool:
+        """Announce once; return whether a gateway heard it."""
+        if self.silent or not self.gateways:
+            return False
+        self.sequence += 1
+        value = {**self.fixed, **current, "sequence": self.sequence}
+        body = json.dumps(value).encode()
+        start = random.randrange(len(self.gateways))
+        async with httpcore.AsyncConnectionPool() as pool:
+            for i in range(len(self.gateways)):
+                gateway = self.gateways[(start + i) % len(self.gateways)]
+                if await self._post(pool, gateway, body):
+                    return True
+        return False
+
+    async def _post(self, pool: Any, gateway: str, body: bytes) -> bool:
+        try:
+            response = await pool.request(
+                "POST",
+                f"http://{gateway}/endpoints/announce",
+                headers={
+                    "authorization": f"Bearer {self.token}",
+                    "content-length": str(len(body)),
+                },
+                content=body,
+                extensions={"timeout": CALL_TIMEOUT},
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ):
+            return False
+        return response.status == 200
+
+
+async def serve(app: Any, address: str, *tasks: Any) -> None:
+    """Serve an ASGI application and run tasks beside it."""
+    host, _, port = address.rpartition(":")
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=int(port),
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        interface="asgi3",
+        proxy_headers=False,
+        http="httptools",
+        ws="none",
+        timeout_graceful_shutdown=1,
+    )
+    server = uvicorn.Server(config)
+    running = [asyncio.create_task(task) for task in tasks]
+    await server.serve()
+    for task in running:
+        task.cancel()
+
+
+__all__ = ["Announcer", "answer", "header", "read_body", "serve"]
