--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -4,8 +4,8 @@
 generated from ``CATALOGUE``.
 """
 
-from typing import IO
 from typing import Any
+from typing import IO
 from typing import NamedTuple
 
 import eliot
--- a/tools/generate_messages.py
+++ b/tools/generate_messages.py
@@ -101,7 +101,7 @@
         return "tuple[str, ...]", "()", write, f"tuple(r.{name})"
     item = field.schema.elementType.node.displayName.split(":")[-1]
     write = (
-        f"items = b.init("{name}", len(m.{py}))\n"
+        f'items = b.init("{name}", len(m.{py}))\n'
         f"    for i, item in enumerate(m.{py}):\n"
         f"        _write_{snake(item).lstrip('_')}(items[i], item)"
     )
