Prove the durable parts by a seeded randomised run and contracts

The run found, each fixed here: - a restarted replica published version 0 until its next sync, so a version went back (seed 1); durable commits now publish at once; - 'repaired' was said up to a lost lease after a second loss (seed 17); it now needs the lease and fresh word of every voter; - withdrawals and prompt prefixes were hashed as text, which xxhash refuses; every withdrawal failed with HTTP 500.

--- a/primrosehitch/catalog.py
+++ b/primrosehitch/catalog.py
@@ -228,7 +228,9 @@
             key_hash = withdrawal.key_hash
             if key_hash not in self.withdrawals:
                 self.withdrawals[key_hash] = withdrawal
-                self.withdrawals_digest ^= xxhash.xxh64_intdigest(key_hash)
+                self.withdrawals_digest ^= xxhash.xxh64_intdigest(
+                    key_hash.encode()
+                )
                 fresh.append(key_hash)
         return fresh
 
--- a/primrosehitch/raft.py
+++ b/primrosehitch/raft.py
@@ -288,13 +288,14 @@
 
     def _quorum_contact(self) -> int:
         times = sorted(
-            (self._contact(voter) for voter in self.voters), reverse=True
+            (self.contact(voter) for voter in self.voters), reverse=True
         )
         if not times:
             return -1
         return times[len(times) // 2]
 
-    def _contact(self, voter: str) -> int:
+    def contact(self, voter: str) -> int:
+        """Return when a voter was last known to be there, in ms."""
         if voter == self.name:
             return self.last_tick
         progress = self.progress.get(voter)
--- a/primrosehitch/replica.py
+++ b/primrosehitch/replica.py
@@ -17,6 +17,7 @@
 from primrosehitch import state as state_module
 
 COMPACT_ENTRIES = 4096
+FRESH_MS = 1000
 
 APPLIED = "applied"
 NOT_LEADER = "not-leader"
@@ -130,8 +131,10 @@
 
         A restart then never finds an older version than was served.
         """
-        pending = self.unpublished
-        if pending is not None and durable >= pending.index:
+        pending = self.unpublished or self._next_publication()
+        if pending is None:
+            return
+        if durable >= pending.index:
             errors.require(
                 pending.version > self.published.version,
                 "a version never reverts",
@@ -139,16 +142,16 @@
             )
             self.published = pending
             self.unpublished = None
-        if self.unpublished is None:
-            self._prepare_publication()
+        elif pending is not self.unpublished:
+            self.unpublished = pending
+            self.log.set_commit(pending.index)
 
-    def _prepare_publication(self) -> None:
+    def _next_publication(self) -> Publication | None:
         version = self.state.version
         if version == self.published.version:
-            return
+            return None
         rows = tuple(self.state.rows_since(self.published.version))
-        self.unpublished = Publication(self.raft.applied, version, rows)
-        self.log.set_commit(self.raft.applied)
+        return Publication(self.raft.applied, version, rows)
 
     def _restore_installed(self) -> None:
         installed = self.raft.take_installed()
@@ -233,13 +236,22 @@
     return tuple(n for n in names if n != name)
 
 
-def repaired(raft: raft_module.Raft, wanted: int) -> bool:
+def repaired(raft: raft_module.Raft, wanted: int, now: int) -> bool:
     """Return whether one more loss is survivable with no change.
 
+    Every voter must hold all that is committed, and must have said so
+    within ``FRESH_MS``: a loss within that time may not be seen yet.
+
     Args:
-        raft: the leader's consensus state.
+        raft: a replica's consensus state; only a leader that holds its
+            lease can know.
         wanted: voters that the settings ask for.
+        now: the current time in ms.
     """
+    if now >= raft.lease_until():
+        return False
+    if any(now - raft.contact(v) > FRESH_MS for v in raft.voters):
+        return False
     holding = 1 + sum(raft.caught_up(v) for v in raft.voters if v != raft.name)
     whole = len(raft.voters) == wanted and holding == wanted
     instances = {instance_of(v) for v in raft.voters}
--- a/primrosehitch/replicator.py
+++ b/primrosehitch/replicator.py
@@ -129,7 +129,9 @@
 
     def repaired(self) -> bool:
         """Return whether one more loss is survivable."""
-        return self.leads() and replica_module.repaired(self.raft, self.wanted)
+        return self.leads() and replica_module.repaired(
+            self.raft, self.wanted, clock.now_ms()
+        )
 
     # -- inputs ------------------------------------------------------------
 
--- a/primrosehitch_lab/cli.py
+++ b/primrosehitch_lab/cli.py
@@ -44,6 +44,12 @@
 
         sys.exit(demo.run())
 
+    def soak(self, seed: int = 1, count: int = 1) -> None:
+        """Run COUNT randomised schedules from SEED on."""
+        from primrosehitch_lab import soak
+
+        sys.exit(soak.run_many(seed, count))
+
     def up(self, folder: str, out: str = "out", seconds: float = 0) -> None:
         """Start an example deployment; until Ctrl-C, or for SECONDS."""
         from primrosehitch_lab import fleet as fleet_module
--- a/primrosehitch_lab/fleet.py
+++ b/primrosehitch_lab/fleet.py
@@ -43,6 +43,7 @@
         self.http: dict[str, str] = {}
         self.peer: dict[str, str] = {}
         self.address: dict[str, str] = {}
+        self.via: dict[tuple[str, str], str] = {}
         self.overrides: dict[str, dict[str, Any]] = {}
         folder.mkdir(parents=True, exist_ok=True)
         for instance in description["instances"]:
@@ -71,7 +72,7 @@
             "operator_keys": [settings_module.hash_key(OPERATOR_KEY)],
             "announce_tokens": {"engine": TOKEN, "service": TOKEN},
             "peers": [
-                self._peer_of(other)
+                self._peer_of(name, other)
                 for other in self.description["instances"]
                 if other["name"] != name
             ],
@@ -85,12 +86,12 @@
         value.update(self.overrides.get(name, {}))
         return value
 
-    def _peer_of(self, other: Any) -> dict[str, Any]:
+    def _peer_of(self, own: str, other: Any) -> dict[str, Any]:
         name = other["name"]
         return {
             "name": name,
             "domain": other["domain"],
-            "address": self.peer[name],
+            "address": self.via.get((own, name), self.peer[name]),
             "http": self.http[name],
             "replica": bool(other.get("replica")),
         }
--- a/primrosehitch_lab/model.py
+++ b/primrosehitch_lab/model.py
@@ -57,7 +57,7 @@
     state = xxhash.xxh64()
     found = []
     for at in range(0, len(prompt) - BLOCK_CHARS + 1, BLOCK_CHARS):
-        state.update(prompt[at : at + BLOCK_CHARS])
+        state.update(prompt[at : at + BLOCK_CHARS].encode())
         found.append(state.hexdigest())
     return tuple(found)
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,158 @@
+"""Fleets of real processes shared by tests."""
+
+import pathlib
+
+from forwarder import Forwarder
+import pytest
+
+from primrosehitch import porcelain
+from primrosehitch_lab import fleet as fleet_module
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+class Ports:
+    base = 24000
+
+
+def take_ports(count):
+    Ports.base += count
+    return Ports.base - count
+
+
+DECLARATION = {
+    "classes": {
+        "desk": {"tier": 0, "max_wait_ms": 3000, "first_token_ms": 2000},
+        "quote": {
+            "tier": 1,
+            "max_wait_ms": 20000,
+            "first_token_ms": 9000,
+            "floor": 0.1,
+        },
+    },
+    "customers": {"ana": {}, "bea": {}},
+    "grants": [
+        {"customer": "ana", "class": "desk"},
+        {"customer": "ana", "class": "quote"},
+        {"customer": "bea", "class": "quote", "concurrency": 2},
+    ],
+    "models": {"m": {}},
+    "routes": {
+        "booking": {
+            "service": "booking",
+            "repeatable": False,
+            "class": "desk",
+            "timeout_ms": 5000,
+        },
+        "status": {"service": "booking", "repeatable": True, "class": "desk"},
+        "hours": {
+            "service": "booking",
+            "repeatable": True,
+            "class": "desk",
+            "open": True,
+        },
+    },
+}
+
+
+def describe(instances, endpoints):
+    return {
+        "instances": instances,
+        "endpoints": endpoints,
+        "settings": {
+            "usage_window_s": 2,
+            "usage_flush_s": 0.2,
+            "drain_grace_s": 0.5,
+        },
+    }
+
+
+def instance(name, domain, replica):
+    return {"name": name, "domain": domain, "replica": replica}
+
+
+def engine(name, domain, **more):
+    return {"name": name, "domain": domain, "models": ["m"], **more}
+
+
+def service(name, domain):
+    return {
+        "name": name,
+        "domain": domain,
+        "kind": "service",
+        "models": ["booking"],
+    }
+
+
+FIVE = describe(
+    [
+        instance("g1", "za", True),
+        instance("g2", "zb", True),
+        instance("g3", "zc", True),
+        instance("g4", "za", False),
+        instance("g5", "zb", False),
+    ],
+    [
+        engine("e1", "za"),
+        engine("e2", "zb"),
+        engine("e3", "zc"),
+        service("s1", "za"),
+    ],
+)
+
+
+def new_fleet(tmp_path, description):
+    base = take_ports(2 * len(description["instances"]) + 30)
+    fleet = fleet_module.Fleet(description, tmp_path, base)
+    forwarder = Forwarder()
+    names = list(fleet.peer)
+    for own in names:
+        for other in names:
+            if own != other:
+                port = take_ports(1)
+                fleet.via[own, other] = f"127.0.0.1:{port}"
+                forwarder.add(
+                    (own, other), fleet.via[own, other], fleet.peer[other]
+                )
+    fleet.forwarder = forwarder
+    return fleet
+
+
+def cut_off(fleet, names):
+    """Cut instances off from all others, silently."""
+    for own, other in fleet.via:
+        if (own in names) != (other in names):
+            fleet.forwarder.cut.add((own, other))
+
+
+def heal(fleet):
+    fleet.forwarder.cut.clear()
+
+
+@pytest.fixture(scope="session")
+def shared(tmp_path_factory):
+    """A deployment that tests use without harming it."""
+    fleet = new_fleet(tmp_path_factory.mktemp("shared"), FIVE)
+    try:
+        fleet.bring_up(DECLARATION)
+        fleet.key = porcelain.create_key(fleet.target("g1"), "ana")["key"]
+        fleet.other_key = porcelain.create_key(fleet.target("g1"), "bea")[
+            "key"
+        ]
+        yield fleet
+    finally:
+        fleet.stop()
+        fleet.forwarder.stop()
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """A deployment of the test's own, to be harmed."""
+    fleet = new_fleet(tmp_path, FIVE)
+    try:
+        fleet.bring_up(DECLARATION)
+        fleet.key = porcelain.create_key(fleet.target("g1"), "ana")["key"]
+        yield fleet
+    finally:
+        fleet.stop()
+        fleet.forwarder.stop()
--- /dev/null
+++ b/tests/forwarder.py
@@ -0,0 +1,60 @@
+"""A TCP forwarder for tests: it can swallow bytes silently.
+
+Each directed link between two instances passes through one port. While
+cut, bytes are read and thrown away and no connection is reset, so that
+both ends believe that the link is up.
+"""
+
+import asyncio
+import threading
+
+
+class Forwarder:
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.cut = set()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+        self.thread.daemon = True
+        self.thread.start()
+
+    def add(self, name, listen, target):
+        """Forward a listening address to a target."""
+        future = asyncio.run_coroutine_threadsafe(
+            self._serve(name, listen, target), self.loop
+        )
+        future.result(5)
+
+    def stop(self):
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+
+    async def _serve(self, name, listen, target):
+        async def connected(reader, writer):
+            await self._connect(name, target, reader, writer)
+
+        host, port = listen.rsplit(":", 1)
+        await asyncio.start_server(connected, host, int(port))
+
+    async def _connect(self, name, target, reader, writer):
+        host, port = target.rsplit(":", 1)
+        while name in self.cut:
+            await asyncio.sleep(0.05)
+        try:
+            other = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            self._pump(name, reader, other[1]),
+            self._pump(name, other[0], writer),
+        )
+
+    async def _pump(self, name, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                if name not in self.cut:
+                    writer.write(data)
+                    await writer.drain()
+        except OSError:
+            pass
+        writer.close()
