Admit a class's reserve, mix cheap endpoints, keep crossed events out

Causes, each found by a test that failed first: - a class whose queue was empty was refused at the door while a burst kept the queue full, so it started nothing for 56 s; its reserve, the one ticket that its floor starts, is now always admitted.

--- a/primrosehitch/admission.py
+++ b/primrosehitch/admission.py
@@ -3,7 +3,8 @@
 Pure. Shedding and serving order are told apart. Shedding looks at tiers
 only: a request is refused only when no ticket of a lower tier waits in
 its place, but for each class's reserve, the one ticket that its floor
-will start. Serving order is by tier, but a class that has waited long
+will start. The reserve is always admitted, or a burst that keeps the
+queue full would starve the class at the door. Serving order is by tier, but a class that has waited long
 for a start, or has earned one by its floor, gets the next free place.
 """
 
@@ -88,7 +89,7 @@
         refused: list[Refused] = []
         crowded = self.waiting >= self.max_waiting
         late = self.predicted_wait(ticket) > ticket.service_class.max_wait_ms
-        if crowded or late:
+        if (crowded or late) and len(queue.queue) >= RESERVE:
             reason = "queue-full" if crowded else "would-miss-deadline"
             refused = self._make_room(ticket, queue, reason)
         if not any(r.ticket is ticket for r in refused):
--- a/primrosehitch/fairqueue.py
+++ b/primrosehitch/fairqueue.py
@@ -75,6 +75,7 @@
         self.waiting: dict[str, collections.deque[Ticket]] = {}
         self.virtual: dict[str, float] = {}
         self.floor = 0.0
+        self.highest = 0.0
         self.heap: list[tuple[float, str]] = []
         self.count = 0
 
@@ -118,6 +119,8 @@
         self.floor = max(self.floor, self.virtual[ticket.customer])
         self._drop_from(ticket, self.waiting[ticket.customer].popleft)
         self.charge(ticket.customer, ticket.estimate, ticket.weight)
+        if not self.count:
+            self._start_afresh()
         return ticket
 
     def remove(self, ticket: Ticket) -> bool:
@@ -133,6 +136,7 @@
         time = self.virtual.get(customer, self.floor) + tokens / weight
         if customer in self.waiting or time > self.floor:
             self.virtual[customer] = time
+            self.highest = max(self.highest, time)
         else:
             self.virtual.pop(customer, None)
 
@@ -166,6 +170,11 @@
             del self.waiting[ticket.customer]
             self._forget_idle()
 
+    def _start_afresh(self) -> None:
+        self.floor = self.highest
+        self.virtual.clear()
+        self.heap.clear()
+
     def _forget_idle(self) -> None:
         if len(self.virtual) < 2 * len(self.waiting) + 64:
             return
--- a/primrosehitch/planner.py
+++ b/primrosehitch/planner.py
@@ -124,32 +124,40 @@
     def _pool(
         self, pool: catalog.Pool, own: list[Present], waiting: int, now: int
     ) -> list[Wish]:
-        coming = [s for s in self.starting if s.kind == pool.kind]
         need = wanted_count(pool, own, waiting)
-        have = len(own) + len(coming)
-        if have < need or not _survives(pool, _counts(own, coming)):
-            self.low_since.pop(pool.name, None)
-            return self._grow(pool, own, need, now)
-        if need >= len(own) or coming:
+        usable = [d for d in self.domains if self._may_be_cheap(d, pool, now)]
+        mix = cheapest_mix(pool, need, len(usable))
+        wishes = self._grow(pool, own, mix, usable, now)
+        coming = [s for s in self.starting if s.kind == pool.kind]
+        surplus = len(own) > mix.steady + mix.cheap
+        dear = sum(not p.cheap for p in own) > mix.steady
+        if wishes or coming or not (surplus or dear):
             self.low_since.pop(pool.name, None)
-            return []
+            return wishes
         since = self.low_since.setdefault(pool.name, now)
         if now - since < CALM_MS:
             return []
         self.low_since[pool.name] = now
-        return self._shrink(pool, own)
+        return self._shrink(pool, own, need)
+
+    def _may_be_cheap(self, domain: str, pool: catalog.Pool, now: int) -> bool:
+        return now >= self.backoff.get((domain, pool.kind), 0)
 
     def _grow(
-        self, pool: catalog.Pool, own: list[Present], need: int, now: int
+        self,
+        pool: catalog.Pool,
+        own: list[Present],
+        mix: "Mix",
+        usable: list[str],
+        now: int,
     ) -> list[Wish]:
-        wishes = []
-        for _ in range(MAX_STEP):
+        wishes: list[Wish] = []
+        while len(wishes) < MAX_STEP:
             coming = [s for s in self.starting if s.kind == pool.kind]
             counts = _counts(own, coming)
-            have = sum(sum(c) for c in counts.values())
-            if have >= need and _survives(pool, counts):
+            wish = self._next_start(pool, mix, usable, counts)
+            if wish is None:
                 break
-            wish = self._next_start(pool, counts, now)
             wishes.append(wish)
             self.starting.append(
                 Starting(wish.domain, wish.kind, wish.cheap, now)
@@ -159,21 +167,27 @@
     def _next_start(
         self,
         pool: catalog.Pool,
+        mix: "Mix",
+        usable: list[str],
         counts: dict[str, tuple[int, int]],
-        now: int,
-    ) -> Wish:
-        by_size = sorted(
-            self.domains, key=lambda d: (sum(counts.get(d, (0, 0))), d)
-        )
-        for domain in by_size:
-            steady, cheap = counts.get(domain, (0, 0))
-            after = {**counts, domain: (steady, cheap + 1)}
-            allowed = now >= self.backoff.get((domain, pool.kind), 0)
-            if allowed and _survives(pool, after):
-                return Wish(START, domain, pool.kind, True, "")
-        return Wish(START, by_size[0], pool.kind, False, "")
-
-    def _shrink(self, pool: catalog.Pool, own: list[Present]) -> list[Wish]:
+    ) -> Wish | None:
+        steady = sum(s for s, _ in counts.values())
+        cheap = sum(c for _, c in counts.values())
+        if cheap < mix.cheap and usable:
+            domain = min(usable, key=lambda d: (counts.get(d, (0, 0))[1], d))
+            return Wish(START, domain, pool.kind, True, "")
+        if steady + cheap < mix.steady + mix.cheap or steady < mix.steady:
+            domain = min(
+                self.domains, key=lambda d: (sum(counts.get(d, (0, 0))), d)
+            )
+            return Wish(START, domain, pool.kind, False, "")
+        return None
+
+    def _shrink(
+        self, pool: catalog.Pool, own: list[Present], need: int
+    ) -> list[Wish]:
+        if len(own) <= need:
+            return []
         order = sorted(own, key=lambda p: (p.cheap, p.running, p.name))
         for endpoint in order:
             rest = [p for p in own if p is not endpoint]
@@ -190,6 +204,33 @@
         return []
 
 
+class Mix(NamedTuple):
+    """How many steady and how many cheap endpoints to run."""
+
+    steady: int
+    cheap: int
+
+
+def cheapest_mix(pool: catalog.Pool, need: int, domains: int) -> Mix:
+    """Return the cheapest mix that any domain's loss leaves enough of.
+
+    Args:
+        pool: the pool, with its prices.
+        need: endpoints wanted in all.
+        domains: failure domains where cheap ones may be had; they are
+            spread evenly over these.
+    """
+    best = Mix(need, 0)
+    best_cost = need * pool.steady_price
+    for cheap in range(1, pool.maximum + 1 if domains else 1):
+        lost = -(-cheap // domains)
+        steady = max(0, pool.minimum - (cheap - lost), need - cheap)
+        cost = steady * pool.steady_price + cheap * pool.cheap_price
+        if steady + cheap <= pool.maximum and cost < best_cost:
+            best, best_cost = Mix(steady, cheap), cost
+    return best
+
+
 def wanted_count(pool: catalog.Pool, own: list[Present], waiting: int) -> int:
     """Return how many endpoints a pool needs for its demand."""
     busy = sum(p.running for p in own) + waiting
@@ -241,9 +282,11 @@
 
 
 __all__ = [
+    "Mix",
     "Planner",
     "Present",
     "Wish",
+    "cheapest_mix",
     "cost_per_hour",
     "order_of",
     "wanted_count",
--- a/primrosehitch/relay.py
+++ b/primrosehitch/relay.py
@@ -141,7 +141,7 @@
         self.ticket = ticket
         self.work = work
         exchange.repeatable = work.repeatable
-        self.check = streams.StreamCheck()
+        self.check = streams.StreamCheck(exchange.call.request_id)
 
     async def run(self) -> None:
         """Run until the caller has the answer.
--- a/primrosehitch/streams.py
+++ b/primrosehitch/streams.py
@@ -29,9 +29,15 @@
 
 
 class StreamCheck:
-    """Checks one answer's stream, across resumptions."""
+    """Checks one answer's stream, across resumptions.
 
-    def __init__(self) -> None:
+    Args:
+        request_id: the identifier sent along. An engine that builds it
+            into its own identifier must do so after a resumption too.
+    """
+
+    def __init__(self, request_id: str = "") -> None:
+        self.request_id = request_id.encode()
         self.partial = b""
         self.identifier = b""
         self.events = 0
@@ -59,7 +65,9 @@
     def restart(self) -> None:
         """Forget a half event before resuming elsewhere."""
         self.partial = b""
-        self.identifier = b""
+        echoed = self.request_id and self.request_id in self.identifier
+        if not echoed:
+            self.identifier = b""
 
     def usage(self) -> tuple[int, int] | None:
         """Return (prompt, output) tokens that the engine stated."""
--- a/primrosehitch_lab/services.py
+++ b/primrosehitch_lab/services.py
@@ -50,7 +50,7 @@
         self.runs.append(body.decode("latin-1"))
         await asyncio.sleep(float(self.faults.get("delay_s", 0)))
         if self.faults.get("drop"):
-            raise ConnectionError("answer lost on purpose")
+            await standin.drop(send)
         await standin.answer(send, 201, {"number": number})
 
     def _remember(self, scope: Any, body: bytes) -> None:
@@ -120,7 +120,7 @@
         entry = {"sender": sender, "fence": fence, "at": time.time()}
         self.orders.append({**order, **entry})
         if self.faults.get("drop_order"):
-            raise ConnectionError("answer lost on purpose")
+            await standin.drop(send)
         refused = order["cheap"] and self.faults.get("no_cheap")
         status = 503 if refused else 200
         state = "unavailable" if refused else "accepted"
@@ -138,7 +138,7 @@
             await standin.answer(send, 409, {"state": "different"})
             return
         if self.faults.get("drop_usage"):
-            raise ConnectionError("answer lost on purpose")
+            await standin.drop(send)
         await standin.answer(send, 200, {"state": "accepted"})
 
 
--- a/primrosehitch_lab/standin.py
+++ b/primrosehitch_lab/standin.py
@@ -42,6 +42,18 @@
     await send({"type": "http.response.body", "body": data})
 
 
+async def drop(send: Any) -> None:
+    """Break the connection in the middle of the answer."""
+    await send(
+        {
+            "type": "http.response.start",
+            "status": 200,
+            "headers": [(b"content-length", b"1000")],
+        }
+    )
+    raise ConnectionError("answer lost on purpose")
+
+
 def header(scope: Any, name: bytes) -> str:
     """Return a header's value, empty where it is missing."""
     for known, value in scope["headers"]:
@@ -126,4 +138,4 @@
         task.cancel()
 
 
-__all__ = ["Announcer", "answer", "header", "read_body", "serve"]
+__all__ = ["Announcer", "answer", "drop", "header", "read_body", "serve"]
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,152 @@
+"""The log's contract, shared by the memory and the disk medium."""
+
+import errno
+import os
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from primrosehitch import errors
+from primrosehitch import log as log_module
+from primrosehitch import messages
+
+
+def entry(index, term=1, body=b"x"):
+    return messages.Entry(index, term, "Edit", body)
+
+
+@pytest.fixture(params=["memory", "disk"])
+def medium(request, tmp_path):
+    if request.param == "memory":
+        yield log_module.MemoryMedium()
+        return
+    disk = log_module.DiskMedium(tmp_path)
+    yield disk
+    disk.close()
+
+
+def filled(medium, count=5):
+    log = log_module.Log(medium)
+    log.set_hard(3, "a/1")
+    for i in range(1, count + 1):
+        log.append([entry(i)])
+        log.sync()
+    return log
+
+
+def test_what_is_synced_is_found_again(medium):
+    filled(medium)
+    again = log_module.Log(medium)
+    assert [e.index for e in again.entries] == [1, 2, 3, 4, 5]
+    assert again.hard == messages.HardState(3, "a/1")
+    assert not again.dirty
+
+
+def test_truncation_and_overwriting_are_found_again(medium):
+    log = filled(medium)
+    log.truncate(3)
+    log.append([entry(3, 2), entry(4, 2)])
+    log.sync()
+    again = log_module.Log(medium)
+    assert [(e.index, e.term) for e in again.entries] == [
+        (1, 1),
+        (2, 1),
+        (3, 2),
+        (4, 2),
+    ]
+
+
+def test_a_snapshot_replaces_what_it_covers(medium):
+    log = filled(medium)
+    log.install(messages.SnapshotMeta(3, 1, ("a/1",), (), b"state"))
+    again = log_module.Log(medium)
+    assert again.first_index == 4
+    assert again.last_index == 5
+    assert again.snapshot.body == b"state"
+    assert again.hard.term == 3
+
+
+def test_a_snapshot_of_another_history_drops_the_rest(medium):
+    log = filled(medium)
+    log.install(messages.SnapshotMeta(3, 9, ("a/1",), (), b"state"))
+    assert log_module.Log(medium).last_index == 3
+
+
+def test_identity_lasts(medium):
+    log = log_module.Log(medium)
+    assert log.identity() is None
+    log.set_identity(messages.Identity("c", "a", "a/1"))
+    assert log_module.Log(medium).identity().replica == "a/1"
+
+
+@pytest.mark.parametrize("lost", [1, 5, 19, 20, 25])
+def test_a_torn_tail_is_cut(medium, lost):
+    filled(medium)
+    data = medium.read(log_module.LOG_FILE)
+    medium.truncate(log_module.LOG_FILE, len(data) - lost)
+    again = log_module.Log(medium)
+    assert again.last_index == 4
+    again.append([entry(5)])
+    again.sync()
+    assert log_module.Log(medium).last_index == 5
+
+
+@pytest.mark.parametrize("place", [0, 5, 9, 15, 30, 60])
+def test_damage_in_the_middle_stops_with_a_clear_error(medium, place):
+    filled(medium)
+    data = bytearray(medium.read(log_module.LOG_FILE))
+    data[place] ^= 0xFF
+    medium.replace(log_module.LOG_FILE, bytes(data))
+    with pytest.raises(errors.LogDamagedError) as caught:
+        log_module.Log(medium, "disk 7")
+    assert caught.value.peer == "disk 7"
+    assert "restore the disk" in str(caught.value)
+
+
+def test_a_full_disk_is_named_and_nothing_is_acknowledged(
+    tmp_path, monkeypatch
+):
+    log = log_module.open_disk_log(tmp_path)
+    log.append([entry(1)])
+
+    def full(*args):
+        raise OSError(errno.ENOSPC, "full")
+
+    monkeypatch.setattr(os, "write", full)
+    with pytest.raises(errors.LogFullError) as caught:
+        log.sync()
+    assert str(tmp_path) in caught.value.peer
+    assert log.dirty
+
+
+@given(
+    st.lists(st.integers(1, 4), min_size=1, max_size=8),
+    st.floats(0, 1),
+)
+def test_a_crash_keeps_all_synced_frames_and_no_part_of_a_frame(sizes, kept):
+    medium = log_module.MemoryMedium()
+    log = log_module.Log(medium)
+    for size in sizes[:-1]:
+        first = log.last_index + 1
+        log.append([entry(first + i) for i in range(size)])
+        log.sync()
+    synced = log.last_index
+    log.append([entry(synced + 1 + i) for i in range(sizes[-1])])
+    medium.append(
+        log_module.LOG_FILE, log_module.pack_frame(bytes(log.unsynced))
+    )
+    medium.crash(kept)
+    again = log_module.Log(medium)
+    assert again.last_index in (synced, synced + sizes[-1])
+
+
+@given(st.binary(max_size=400))
+def test_any_bytes_are_a_log_or_a_clear_error(data):
+    medium = log_module.MemoryMedium()
+    medium.replace(log_module.LOG_FILE, data)
+    try:
+        log = log_module.Log(medium)
+    except errors.LogDamagedError:
+        return
+    assert log.last_index == 0
--- /dev/null
+++ b/tests/test_raft.py
@@ -0,0 +1,253 @@
+"""Consensus: leases, freezes, hand-over, catch-up, membership."""
+
+import random
+
+import pytest
+
+from primrosehitch import errors
+from primrosehitch import log as log_module
+from primrosehitch import messages
+from primrosehitch import raft as raft_module
+from primrosehitch import replica as replica_module
+
+STEP_MS = 50
+
+
+class Cluster:
+    """Replicas that exchange messages in lockstep."""
+
+    def __init__(self, names, compact_entries=4096):
+        self.now = 1000
+        self.compact_entries = compact_entries
+        self.away = set()
+        self.replicas = {}
+        self.wire = []
+        for name in names:
+            self.add(name)
+        self.replicas[names[0]].raft.bootstrap()
+
+    def add(self, name):
+        self.replicas[name] = replica_module.Replica(
+            f"{name}/1",
+            log_module.open_memory_log(),
+            random.Random(name),
+            self.now,
+            self.compact_entries,
+        )
+
+    def run(self, ms):
+        for _ in range(ms // STEP_MS):
+            self.now += STEP_MS
+            self.step()
+
+    def step(self):
+        wire, self.wire = self.wire, []
+        for sender, item in wire:
+            name = item.target.split("/")[0]
+            if name not in self.away and sender not in self.away:
+                self.replicas[name].receive(
+                    f"{sender}/1", item.message, self.now
+                )
+        for name, replica in self.replicas.items():
+            if name in self.away:
+                continue
+            replica.tick(self.now)
+            self.maintain(replica)
+            for item in replica.flush():
+                self.wire.append((name, item))
+
+    def maintain(self, replica):
+        if replica.raft.role != raft_module.LEADER:
+            return
+        present = {n: r.name for n, r in self.replicas.items()}
+        for name in self.away:
+            present.pop(name)
+        change = replica_module.membership_step(replica.raft, present)
+        if change is not None:
+            replica.raft.change_membership(change, self.now)
+
+    def leader(self):
+        found = [
+            n
+            for n, r in self.replicas.items()
+            if n not in self.away and r.raft.role == raft_module.LEADER
+        ]
+        return found[0] if found else ""
+
+    def edit(self, name, count=1):
+        answers = []
+        for i in range(count):
+            edit = messages.Edit(
+                f"{name}-{self.now}-{i}",
+                replica_module.state_module.ANY_VERSION,
+                "op",
+                (messages.Row("customer", f"c{i}", "{}"),),
+            )
+            self.replicas[name].propose(
+                "Edit",
+                messages.encode(edit),
+                lambda outcome, value: answers.append(outcome),
+                self.now,
+            )
+        return answers
+
+
+@pytest.fixture
+def cluster():
+    cluster = Cluster("abc")
+    cluster.run(8000)
+    assert len(cluster.replicas["a"].raft.voters) == 3
+    return cluster
+
+
+def in_charge(cluster, name):
+    return cluster.replicas[name].raft.in_charge(cluster.now)
+
+
+def test_one_replica_leads_and_is_in_charge(cluster):
+    assert cluster.leader() == "a"
+    assert [in_charge(cluster, n) for n in "abc"] == [True, False, False]
+
+
+def test_a_cut_off_leader_loses_charge_before_another_gets_it(cluster):
+    cluster.away = {"b", "c"}
+    lost = None
+    for _ in range(60):
+        cluster.now += STEP_MS
+        cluster.replicas["a"].tick(cluster.now)
+        cluster.replicas["a"].flush()
+        if not in_charge(cluster, "a"):
+            lost = cluster.now
+            break
+    assert lost is not None
+    away = {"a"}
+    cluster.away = away
+    cluster.wire = []
+    for _ in range(200):
+        cluster.run(STEP_MS)
+        if any(in_charge(cluster, n) for n in "bc"):
+            break
+    assert any(in_charge(cluster, n) for n in "bc")
+    assert not in_charge(cluster, "a")
+
+
+@pytest.mark.parametrize("gap", [1050, 1200, 1500, 5000, 10**6])
+def test_a_leader_that_stood_still_is_not_in_charge(cluster, gap):
+    cluster.now += gap
+    assert not in_charge(cluster, "a")
+    cluster.replicas["a"].tick(cluster.now)
+    assert cluster.replicas["a"].raft.role == raft_module.FOLLOWER
+
+
+def test_an_acknowledgement_counts_from_when_it_was_asked_for(cluster):
+    raft = cluster.replicas["a"].raft
+    sent = cluster.now
+    until = raft.lease_until()
+    late = messages.AppendReply(raft.term, True, 1, sent - 5000)
+    raft.receive("b/1", late, cluster.now)
+    assert raft.lease_until() <= max(until, sent + raft_module.LEASE_MS)
+
+
+def test_a_voter_bound_to_a_leader_grants_no_vote(cluster):
+    raft = cluster.replicas["b"].raft
+    request = messages.VoteRequest(99, 10**6, 99, False, False)
+    raft.receive("c/1", request, cluster.now)
+    assert raft.outbox[-1].message.granted is False
+    assert raft.term < 99
+
+
+def test_a_restarted_voter_waits_before_it_votes(cluster):
+    log = cluster.replicas["b"].log
+    restarted = raft_module.Raft("b/1", log, random.Random(1), cluster.now)
+    request = messages.VoteRequest(99, 10**6, 99, False, False)
+    restarted.receive("c/1", request, cluster.now + 100)
+    assert restarted.outbox[-1].message.granted is False
+    restarted.tick(cluster.now + 900)
+    later = cluster.now + raft_module.ELECTION_MIN_MS + 1
+    restarted.receive("c/1", request, later)
+    assert restarted.outbox[-1].message.granted is True
+
+
+def test_a_vote_is_durable_before_it_leaves(cluster):
+    replica = cluster.replicas["b"]
+    later = cluster.now + raft_module.ELECTION_MIN_MS
+    replica.tick(later - 700)
+    replica.tick(later)
+    request = messages.VoteRequest(99, 10**6, 99, False, False)
+    replica.receive("c/1", request, later)
+    with pytest.raises(errors.InvariantError):
+        replica.after_sync()
+    replica.flush()
+    again = log_module.Log(replica.log.medium)
+    assert again.hard.term == 99
+    assert again.hard.voted_for == "c/1"
+
+
+def test_hand_over_is_quick_and_leaves_one_in_charge(cluster):
+    cluster.replicas["a"].raft.hand_over(cluster.now)
+    assert not in_charge(cluster, "a")
+    cluster.run(400)
+    assert cluster.leader() in ("b", "c")
+    cluster.run(2500)
+    assert sum(in_charge(cluster, n) for n in "abc") == 1
+
+
+def test_a_replica_thousands_behind_catches_up_by_snapshot():
+    cluster = Cluster("abc", compact_entries=200)
+    cluster.run(8000)
+    cluster.away = {"c"}
+    for _ in range(30):
+        cluster.edit("a", 100)
+        cluster.run(200)
+    behind = cluster.replicas["c"]
+    assert behind.raft.commit < 100
+    assert cluster.replicas["a"].log.first_index > 2000
+    cluster.away = set()
+    cluster.run(4000)
+    assert behind.state.version == 3000
+    assert behind.published.version == 3000
+
+
+def test_a_proposal_without_a_quorum_is_lost_not_applied(cluster):
+    cluster.away = {"b", "c"}
+    answers = cluster.edit("a")
+    cluster.run(4000)
+    assert answers == ["lost"]
+    assert cluster.replicas["a"].state.version == 0
+
+
+def test_a_follower_takes_no_proposal(cluster):
+    assert cluster.edit("b") == ["not-leader"]
+
+
+def test_one_voter_changes_at_a_time(cluster):
+    raft = cluster.replicas["a"].raft
+    with pytest.raises(errors.InvariantError):
+        raft.change_membership(messages.Membership(("a/1",), ()), cluster.now)
+
+
+def test_silence_alone_never_shrinks_the_quorum(cluster):
+    cluster.away = {"c"}
+    cluster.run(30_000)
+    assert set(cluster.replicas["a"].raft.voters) == {"a/1", "b/1", "c/1"}
+
+
+def test_a_new_identity_replaces_the_old_and_is_repaired(cluster):
+    replica = replica_module.Replica(
+        "c/2", log_module.open_memory_log(), random.Random(5), cluster.now
+    )
+    leader = cluster.replicas["a"].raft
+    assert replica_module.repaired(leader, 3, cluster.now)
+    cluster.away = {"c"}
+    cluster.run(1500)
+    assert not replica_module.repaired(leader, 3, cluster.now)
+    present = {"a": "a/1", "b": "b/1", "c": replica.name}
+    change = replica_module.membership_step(leader, present)
+    assert change.learners == ("c/2",)
+    assert "c/1" in change.voters
+
+
+def test_two_leaders_in_one_term_are_an_invariant_broken(cluster):
+    raft = cluster.replicas["a"].raft
+    with pytest.raises(errors.InvariantError):
+        raft.receive("b/1", messages.Append(raft.term), cluster.now)
