Remove each mechanism in turn and show that a test fails

Found: four mutants lived. The lease test compared with the moment of the call, the key test used a key that percent-encoding leaves alone, and no test held back an older term's entry or an unsynced leader's vote. Each test was replaced by a stricter one.

--- a/primrosehitch/admission.py
+++ b/primrosehitch/admission.py
@@ -4,8 +4,9 @@
 only: a request is refused only when no ticket of a lower tier waits in
 its place, but for each class's reserve, the one ticket that its floor
 will start. The reserve is always admitted, or a burst that keeps the
-queue full would starve the class at the door. Serving order is by tier, but a class that has waited long
-for a start, or has earned one by its floor, gets the next free place.
+queue full would starve the class at the door. Serving order is by tier,
+but a class that has waited long for a start, or has earned one by its
+floor, gets the next free place.
 """
 
 from typing import Callable
--- /dev/null
+++ b/tests/test_headers.py
@@ -0,0 +1,65 @@
+"""No key passes to an endpoint, wherever it hides."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from primrosehitch import headers
+
+KEY = "ph-Secret_Key-123"
+NAMES = [
+    b"authorization",
+    b"x-api-key",
+    b"cookie",
+    b"proxy-authorization",
+    b"x-forwarded-authorization",
+    b"x-anything",
+    b"user-agent",
+    b"accept",
+    b"content-type",
+    b"traceparent",
+]
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_no_header_that_holds_the_key_passes(name):
+    given_headers = [(name, f"a {KEY} b".encode()), (b"accept", b"*/*")]
+    passed = headers.forwarded(given_headers, KEY)
+    assert passed == [(b"accept", b"*/*")]
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(NAMES) | st.binary(min_size=1, max_size=12),
+            st.binary(max_size=30),
+        ),
+        max_size=8,
+    )
+)
+def test_only_listed_headers_pass(items):
+    for name, value in headers.forwarded(items, KEY):
+        assert name in headers.FORWARDED
+        assert KEY.encode() not in value
+
+
+@given(st.binary(max_size=10), st.binary(max_size=10), st.integers(0, 2))
+def test_an_encoded_key_is_found(before, after, rounds):
+    data = before + KEY.encode() + after
+    for _ in range(rounds):
+        data = b"".join(b"%%%02x" % byte for byte in data)
+    assert headers.holds_key(data, KEY)
+
+
+@pytest.mark.parametrize(
+    "given_headers,key",
+    [
+        ([(b"authorization", b"Bearer k1")], "k1"),
+        ([(b"authorization", b"bearer  k1 ")], "k1"),
+        ([(b"x-api-key", b"k2")], "k2"),
+        ([(b"authorization", b"Basic k1")], ""),
+        ([], ""),
+    ],
+)
+def test_where_a_key_is_read(given_headers, key):
+    assert headers.caller_key(given_headers) == key
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -141,11 +141,50 @@
 
 def test_an_acknowledgement_counts_from_when_it_was_asked_for(cluster):
     raft = cluster.replicas["a"].raft
-    sent = cluster.now
-    until = raft.lease_until()
-    late = messages.AppendReply(raft.term, True, 1, sent - 5000)
+    sent = cluster.now - 900
+    for progress in raft.progress.values():
+        progress.acked_sent_ms = sent
+    late = messages.AppendReply(raft.term, True, 1, sent)
     raft.receive("b/1", late, cluster.now)
-    assert raft.lease_until() <= max(until, sent + raft_module.LEASE_MS)
+    assert raft.lease_until() == sent + raft_module.LEASE_MS
+
+
+def led_by_hand():
+    """Return a leader of term 3 that holds an entry of term 2."""
+    log = log_module.open_memory_log()
+    change = messages.Membership(("a/1", "b/1", "c/1"), ())
+    body = messages.encode(change)
+    log.set_hard(2, "")
+    log.append([messages.Entry(1, 1, raft_module.MEMBERSHIP, body)])
+    log.append([messages.Entry(2, 2, "Edit", b"")])
+    log.sync()
+    raft = raft_module.Raft("a/1", log, random.Random(1), 0)
+    now = raft_module.ELECTION_MAX_MS
+    raft.last_tick = now
+    raft.tick(now)
+    raft.receive("b/1", messages.VoteReply(3, True, True), now)
+    raft.receive("b/1", messages.VoteReply(3, True, False), now)
+    assert raft.role == raft_module.LEADER
+    return raft, now
+
+
+def test_an_older_terms_entry_commits_only_below_one_of_its_own():
+    raft, now = led_by_hand()
+    raft.log.sync()
+    raft.synced()
+    raft.receive("b/1", messages.AppendReply(3, True, 2, now), now)
+    assert raft.commit == 0
+    raft.receive("b/1", messages.AppendReply(3, True, 3, now), now)
+    assert raft.commit == 3
+
+
+def test_a_leader_counts_its_own_entry_only_once_it_is_synced():
+    raft, now = led_by_hand()
+    raft.receive("b/1", messages.AppendReply(3, True, 3, now), now)
+    assert raft.commit == 0
+    raft.log.sync()
+    raft.synced()
+    assert raft.commit == 3
 
 
 def test_a_voter_bound_to_a_leader_grants_no_vote(cluster):
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,91 @@
+"""Only whole events of one answer pass, in order, to the end."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from primrosehitch import streams
+
+
+def event(number, identifier="a"):
+    return f'data: {{"id":"{identifier}","n":{number}}}\n\n'.encode()
+
+
+DONE = b"data: [DONE]\n\n"
+
+
+@given(st.integers(0, 12), st.lists(st.integers(1, 40), max_size=30))
+def test_any_split_passes_the_same_bytes(count, cuts):
+    data = b"".join(event(i) for i in range(count)) + DONE
+    check = streams.StreamCheck()
+    passed, events = b"", 0
+    while data:
+        size = cuts.pop() if cuts else len(data)
+        result = check.feed(data[:size])
+        assert result.data.endswith(b"\n\n") or not result.data
+        passed += result.data
+        events += result.events
+        data = data[size:]
+    assert passed == b"".join(event(i) for i in range(count)) + DONE
+    assert events == check.events == count
+    assert check.done
+
+
+def test_a_half_event_is_kept_back_and_dropped_on_resumption():
+    check = streams.StreamCheck()
+    check.feed(event(0) + event(1)[:9])
+    assert check.events == 1
+    check.restart()
+    assert check.feed(event(1)).data == event(1)
+
+
+FAULTS = [
+    [event(0) + event(1, "b")],
+    [event(0), event(1, "b")],
+    [event(0), DONE, event(1)],
+    [b"x" * (streams.MAX_PARTIAL_BYTES + 1)],
+]
+
+
+@pytest.mark.parametrize("chunks", FAULTS)
+def test_faults_are_refused(chunks):
+    check = streams.StreamCheck()
+    with pytest.raises(streams.StreamError):
+        for chunk in chunks:
+            check.feed(chunk)
+
+
+def test_an_echoed_identifier_is_kept_across_a_resumption():
+    check = streams.StreamCheck("r1")
+    check.feed(event(0, "chatcmpl-r1"))
+    check.restart()
+    with pytest.raises(streams.StreamError):
+        check.feed(event(1, "other"))
+
+
+def test_an_engines_own_identifier_may_change_on_resumption():
+    check = streams.StreamCheck("r1")
+    check.feed(event(0, "abc"))
+    check.restart()
+    assert check.feed(event(1, "def")).events == 1
+
+
+def test_comments_pass_and_usage_is_read():
+    check = streams.StreamCheck()
+    check.feed(event(0) + b": still here\n\n")
+    final = (
+        b'data: {"id":"a","usage":{"prompt_tokens":7,'
+        b'"completion_tokens":9}}\n\n'
+    )
+    check.feed(final + DONE)
+    assert check.usage() == (7, 9)
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_pass_or_are_refused(data):
+    check = streams.StreamCheck()
+    try:
+        check.feed(data)
+    except streams.StreamError:
+        return
+    assert check.events >= 0
--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,324 @@
+"""Remove each mechanism in turn and expect a test to fail.
+
+Each mutant is a copy of the tree with one text replaced. A mutant that
+its tests do not notice is printed as alive, and the exit code is 1.
+``tools/mutants.py NAME`` runs just one.
+"""
+
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+from typing import NamedTuple
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+COPIED = ("primrosehitch", "primrosehitch_lab", "tests", "tools", "examples")
+LIMIT_S = 300
+
+
+class Mutant(NamedTuple):
+    """A mechanism to remove, and the tests that must notice."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    tests: str
+
+
+MUTANTS = [
+    Mutant(
+        "sync before acknowledgement",
+        "log.py",
+        "        self.medium.sync(LOG_FILE)\n        self.size +=",
+        "        self.size +=",
+        "tests/test_log.py tests/test_soak.py",
+    ),
+    Mutant(
+        "torn tail is cut",
+        "log.py",
+        "        if end < len(data):\n"
+        "            self.medium.truncate(LOG_FILE, end)",
+        "        pass",
+        "tests/test_log.py",
+    ),
+    Mutant(
+        "damage in the middle stops",
+        "log.py",
+        "            _refuse_damage(data, start, peer)\n",
+        "",
+        "tests/test_log.py",
+    ),
+    Mutant(
+        "lease in charge",
+        "raft.py",
+        "        if now >= self.lease_until() or "
+        "now - self.last_tick > FREEZE_GAP_MS:\n            return False",
+        "        if self.role != LEADER:\n            return False",
+        "tests/test_raft.py tests/test_soak.py",
+    ),
+    Mutant(
+        "lease counts from sending",
+        "raft.py",
+        "max(progress.acked_sent_ms, sent_ms)",
+        "now",
+        "tests/test_raft.py tests/test_soak.py",
+    ),
+    Mutant(
+        "voter bound to its leader",
+        "raft.py",
+        "        if self._bound_to_leader(now) and not request.hand_over:\n"
+        "            return False\n",
+        "",
+        "tests/test_raft.py",
+    ),
+    Mutant(
+        "one vote a term",
+        "raft.py",
+        'return self.log.hard.voted_for in ("", sender)',
+        "return True",
+        "tests/test_soak.py tests/test_raft.py",
+    ),
+    Mutant(
+        "vote needs an up-to-date log",
+        "raft.py",
+        "        if behind:\n            return False\n",
+        "",
+        "tests/test_soak.py",
+    ),
+    Mutant(
+        "only entries of the own term commit",
+        "raft.py",
+        "if index > self.commit and self.log.term_at(index) == self.term:",
+        "if index > self.commit:",
+        "tests/test_soak.py tests/test_raft.py",
+    ),
+    Mutant(
+        "leader counts itself only when synced",
+        "raft.py",
+        "            self.durable_index\n            if voter == self.name",
+        "            self.log.last_index\n            if voter == self.name",
+        "tests/test_raft.py tests/test_soak.py",
+    ),
+    Mutant(
+        "version in force only when durable",
+        "replica.py",
+        "        if durable >= pending.index:",
+        "        if True:",
+        "tests/test_soak.py",
+    ),
+    Mutant(
+        "edit needs its version",
+        "state.py",
+        "if checked and edit.base_version != self.version:",
+        "if False:",
+        "tests/test_state.py",
+    ),
+    Mutant(
+        "resent edit gets its first answer",
+        "state.py",
+        "        if known is not None:\n            return known\n"
+        "        checked",
+        "        checked",
+        "tests/test_state.py tests/test_soak.py",
+    ),
+    Mutant(
+        "claim is granted once",
+        "state.py",
+        "        if known is not None:\n            return known\n"
+        "        granted",
+        "        granted",
+        "tests/test_state.py tests/test_soak.py",
+    ),
+    Mutant(
+        "released claim is never granted",
+        "state.py",
+        "        if claim.claim_id in self.released:\n",
+        "        if False:\n",
+        "tests/test_state.py tests/test_soak.py",
+    ),
+    Mutant(
+        "usage batch counts once",
+        "state.py",
+        "        if batch.sequence > mark:",
+        "        if True:",
+        "tests/test_state.py tests/test_soak.py",
+    ),
+    Mutant(
+        "closed window is fixed",
+        "state.py",
+        "        if window <= self.closed_through:\n"
+        "            corrects = window",
+        "        if False:\n            corrects = window",
+        "tests/test_state.py tests/test_soak.py",
+    ),
+    Mutant(
+        "withdrawn key stays withdrawn",
+        "catalog.py",
+        "        if key_hash in self.withdrawals:\n            return None\n",
+        "",
+        "tests/test_settings.py",
+    ),
+    Mutant(
+        "version never reverts",
+        "catalog.py",
+        "        if version <= self.version:\n            return False\n",
+        "",
+        "tests/test_settings.py",
+    ),
+    Mutant(
+        "header filter",
+        "headers.py",
+        "        if name in FORWARDED and not holds_key(value, key)",
+        "        if not holds_key(value, key)",
+        "tests/test_headers.py",
+    ),
+    Mutant(
+        "key in a listed header",
+        "headers.py",
+        "        if name in FORWARDED and not holds_key(value, key)",
+        "        if name in FORWARDED",
+        "tests/test_headers.py",
+    ),
+    Mutant(
+        "encoded key",
+        "headers.py",
+        "        data = decoded\n",
+        "        break\n",
+        "tests/test_headers.py",
+    ),
+    Mutant(
+        "one answer a stream",
+        "streams.py",
+        "            self._check_identifiers(whole, count)\n",
+        "",
+        "tests/test_streams.py",
+    ),
+    Mutant(
+        "whole events only",
+        "streams.py",
+        "whole, partial = data[: end + 2], data[end + 2 :]",
+        'whole, partial = data, b""',
+        "tests/test_streams.py",
+    ),
+    Mutant(
+        "leaving is final",
+        "directory.py",
+        "            if same and known.leaving:\n",
+        "            if False:\n",
+        "tests/test_policy.py",
+    ),
+    Mutant(
+        "reclaim drains the domain",
+        "directory.py",
+        "        if announcement.cheap and now < held:\n"
+        "            return LEAVING\n",
+        "",
+        "tests/test_policy.py",
+    ),
+    Mutant(
+        "floor",
+        "admission.py",
+        "due = [q for q in waiting if self._floor_due(q, now)]",
+        "due = []",
+        "tests/test_admission.py",
+    ),
+    Mutant(
+        "reserve at the door",
+        "admission.py",
+        "        if (crowded or late) and len(queue.queue) >= RESERVE:",
+        "        if crowded or late:",
+        "tests/test_admission.py",
+    ),
+    Mutant(
+        "lowest tier is shed first",
+        "admission.py",
+        "        victim = self._lowest_below(ticket.tier)\n"
+        "        if victim is None and",
+        "        victim = None\n        if victim is None and",
+        "tests/test_admission.py",
+    ),
+    Mutant(
+        "fair turn among customers",
+        "fairqueue.py",
+        "        time = self.virtual.get(customer, self.floor) + tokens / "
+        "weight",
+        "        time = self.virtual.get(customer, self.floor)",
+        "tests/test_admission.py",
+    ),
+    Mutant(
+        "refresh after a freeze",
+        "readiness.py",
+        "            self.refreshing = True\n            self.refresh_from",
+        "            self.refresh_from",
+        "tests/test_policy.py",
+    ),
+    Mutant(
+        "configuration behind is refused",
+        "readiness.py",
+        "        if behind and now - self.behind_since > BEHIND_LIMIT_MS:",
+        "        if False:",
+        "tests/test_policy.py",
+    ),
+    Mutant(
+        "bound on unrefreshed keys",
+        "readiness.py",
+        "        if now - self.contact > self.key_freshness_ms:",
+        "        if False:",
+        "tests/test_policy.py",
+    ),
+    Mutant(
+        "guard before the only write",
+        "guarded.py",
+        "            if not self.guard():",
+        "            if False:",
+        "tests/test_guarded.py",
+    ),
+    Mutant(
+        "links are proven",
+        "links.py",
+        "        if not known or not hmac.compare_digest("
+        "hello.proof, expected):",
+        "        if False:",
+        "tests/test_links.py",
+    ),
+]
+
+
+def survives(mutant: Mutant) -> bool:
+    """Return whether the tests pass in spite of the mutant."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder)
+        for name in COPIED:
+            shutil.copytree(ROOT / name, copy / name)
+        shutil.copy(ROOT / "pyproject.toml", copy)
+        path = copy / "primrosehitch" / mutant.file
+        text = path.read_text()
+        if text.count(mutant.old) != 1:
+            raise SystemExit(f"{mutant.name}: text not found once")
+        path.write_text(text.replace(mutant.old, mutant.new))
+        command = [sys.executable, "-m", "pytest", "-x", "-q"]
+        result = subprocess.run(
+            [*command, *mutant.tests.split()],
+            cwd=copy,
+            capture_output=True,
+            timeout=LIMIT_S,
+        )
+    return result.returncode == 0
+
+
+def main() -> int:
+    """Run all mutants, or the named one; return the exit code."""
+    wanted = [m for m in MUTANTS if m.name in sys.argv[1:] or not sys.argv[1:]]
+    alive = 0
+    for mutant in wanted:
+        lives = survives(mutant)
+        alive += lives
+        print(f"{'ALIVE ' if lives else 'killed'} {mutant.name}", flush=True)
+    print(f"{len(wanted) - alive} killed, {alive} alive")
+    return 1 if alive else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
