Link cells and replicas only; measure slopes up to 49 daemons

Ruled out: no single hot function; a profile shows the event loop's wake-ups and one read, write and timeout per message.

Change: links decode all frames of a read at once; ordinary announcements ride with the heartbeat, which beats every 500 ms; timers step by 50 ms; a setting 'cell' limits links to the cell and replicas.

--- a/primrosehitch/daemon.py
+++ b/primrosehitch/daemon.py
@@ -76,14 +76,15 @@
             bool(settings.peers), int(settings.key_freshness_s * 1000), now
         )
         router = routing.Router(settings.domain, self.directory, rng)
-        limits = limits_module.Limits(1 + len(settings.peers))
+        cell = [p for p in settings.peers if p.cell == settings.cell]
+        limits = limits_module.Limits(1 + len(cell))
         self.dispatcher = dispatcher_module.Dispatcher(
             router, limits, settings.max_waiting
         )
         self.meter = usage_module.Meter(settings.name, self.incarnation)
         self.replicator = self._open_replica(rng)
         members = membership_module.Members(
-            {p.name: p.domain for p in settings.peers}
+            {p.name: p.domain for p in self.links.peers}
         )
         self.spread = spread_module.Spread(
             settings.name,
@@ -95,6 +96,7 @@
             self.dispatcher,
             self.readiness,
             self.replicator,
+            {p.name for p in settings.peers if p.cell == settings.cell},
         )
         self.claims = claims_module.Claims(
             settings.name,
--- a/primrosehitch/dispatcher.py
+++ b/primrosehitch/dispatcher.py
@@ -16,7 +16,7 @@
 from primrosehitch import timers
 from primrosehitch import web
 
-PUMP_MS = 50
+PUMP_MS = 100
 NO_ENDPOINT_RETRY_S = 1.0
 
 
--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -89,6 +89,7 @@
         "address": str,
         "http": str,
         "replica": NotRequired[bool],
+        "cell": NotRequired[str],
     },
 )
 
@@ -105,6 +106,7 @@
     {
         "name": str,
         "domain": str,
+        "cell": NotRequired[str],
         "http": str,
         "peer": str,
         "secret": str,
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -14,7 +14,6 @@
 
 import anyio
 import anyio.abc
-from anyio.streams.buffered import BufferedByteReceiveStream
 from anyio.streams.memory import MemoryObjectSendStream
 
 from primrosehitch import errors
@@ -46,26 +45,76 @@
     return FRAME.pack(len(body), messages.NUMBERS[type(message)]) + body
 
 
-async def read_message(stream: BufferedByteReceiveStream) -> tuple | None:
-    """Return the next message, or None for a kind not known here.
+class FrameDecoder:
+    """Finds whole messages in the bytes of a link."""
 
-    Raises:
-        LinkError: the frame is too large or damaged.
-    """
-    header = await stream.receive_exactly(FRAME.size)
-    size, number = FRAME.unpack(header)
-    if size > MAX_FRAME_BYTES:
-        raise errors.LinkError(f"frame of {size} bytes", "link.read")
-    body = await stream.receive_exactly(size)
-    kind = messages.KINDS.get(number)
-    if kind is None:
-        return None
+    def __init__(self) -> None:
+        self.partial = b""
+
+    def feed(self, data: bytes) -> list[tuple]:
+        """Take in bytes and return the messages they complete.
+
+        A message of a kind not known here is passed over.
+
+        Raises:
+            LinkError: a frame is too large or damaged.
+        """
+        data = self.partial + data if self.partial else data
+        at = 0
+        found = []
+        while at + FRAME.size <= len(data):
+            size, number = FRAME.unpack_from(data, at)
+            if size > MAX_FRAME_BYTES:
+                raise errors.LinkError(f"frame of {size} bytes", "link.read")
+            end = at + FRAME.size + size
+            if end > len(data):
+                break
+            kind = messages.KINDS.get(number)
+            if kind is not None:
+                found.append(_decode(kind, data[at + FRAME.size : end]))
+            at = end
+        self.partial = data[at:]
+        return found
+
+
+def _decode(kind: type, body: bytes) -> tuple:
     try:
         return messages.decode(kind, body)
     except ValueError as exc:
         raise errors.LinkError(str(exc), "link.read") from exc
 
 
+class MessageReader:
+    """Reads the messages of one link, several at a time.
+
+    Args:
+        stream: the connection.
+    """
+
+    def __init__(self, stream: anyio.abc.SocketStream):
+        self.stream = stream
+        self.decoder = FrameDecoder()
+        self.ready: list[tuple] = []
+
+    async def some(self) -> list[tuple]:
+        """Return the messages that have come, at least one read's worth.
+
+        Raises:
+            LinkError: a frame is too large or damaged.
+            EndOfStream: the peer closed.
+        """
+        ready, self.ready = self.ready, []
+        if ready:
+            return ready
+        return self.decoder.feed(await self.stream.receive())
+
+    async def one(self) -> tuple:
+        """Return the next message and keep what came with it."""
+        while not self.ready:
+            self.ready = await self.some()
+        return self.ready.pop(0)
+
+
 def proof(secret: bytes, role: bytes, *parts: bytes) -> bytes:
     """Return the HMAC by which one end proves that it has the secret."""
     mac = hmac.new(secret, role, hashlib.sha256)
@@ -94,10 +143,11 @@
         self.inbox = inbox
         self.sent_messages = 0
         self.sent_bytes = 0
-        self.up: dict[str, bool] = {p.name: False for p in settings.peers}
+        self.peers = [p for p in settings.peers if settings.linked(p)]
+        self.up: dict[str, bool] = {p.name: False for p in self.peers}
         self.queues = {
             p.name: anyio.create_memory_object_stream[bytes](QUEUE_MESSAGES)
-            for p in settings.peers
+            for p in self.peers
         }
 
     def send(self, target: str, message: tuple) -> bool:
@@ -134,7 +184,7 @@
             local_host=host, local_port=port
         )
         async with listener, anyio.create_task_group() as group:
-            for peer in self.settings.peers:
+            for peer in self.peers:
                 group.start_soon(self._dial_forever, peer)
             await listener.serve(self._accept, group)
 
@@ -150,7 +200,6 @@
                 errors.LinkError,
                 anyio.BrokenResourceError,
                 anyio.EndOfStream,
-                anyio.IncompleteRead,
             ) as exc:
                 self._note_down(peer, exc)
             await anyio.sleep(RETRY_S)
@@ -176,8 +225,8 @@
     async def _introduce(
         self, stream: anyio.abc.SocketStream, peer: str
     ) -> None:
-        reader = BufferedByteReceiveStream(stream)
-        challenge = await read_message(reader)
+        reader = MessageReader(stream)
+        challenge = await reader.one()
         if not isinstance(challenge, messages.Challenge):
             raise errors.LinkError("no challenge", "link.hello", peer)
         nonce = os.urandom(16)
@@ -192,7 +241,7 @@
         )
         hello = messages.Hello(name, self.incarnation, VERSION, nonce, mac)
         await stream.send(pack(hello))
-        welcome = await read_message(reader)
+        welcome = await reader.one()
         expected = proof(
             self.settings.secret, b"accept", challenge.nonce, nonce
         )
@@ -235,28 +284,27 @@
                 anyio.BrokenResourceError,
                 anyio.ClosedResourceError,
                 anyio.EndOfStream,
-                anyio.IncompleteRead,
             ):
                 return
 
     async def _receive_all(self, stream: anyio.abc.SocketStream) -> None:
-        reader = BufferedByteReceiveStream(stream)
+        reader = MessageReader(stream)
         with anyio.fail_after(HANDSHAKE_S):
             sender = await self._greet(stream, reader)
         while True:
             with anyio.fail_after(IDLE_LIMIT_S):
-                message = await read_message(reader)
-            if message is not None:
+                found = await reader.some()
+            for message in found:
                 await self.inbox.send(Received(sender, message))
 
     async def _greet(
         self,
         stream: anyio.abc.SocketStream,
-        reader: BufferedByteReceiveStream,
+        reader: MessageReader,
     ) -> str:
         nonce = os.urandom(16)
         await stream.send(pack(messages.Challenge(nonce)))
-        hello = await read_message(reader)
+        hello = await reader.one()
         if not isinstance(hello, messages.Hello):
             raise errors.LinkError("no hello", "link.greet")
         expected = proof(
@@ -276,4 +324,11 @@
         return hello.sender
 
 
-__all__ = ["Links", "Received", "pack", "proof", "read_message"]
+__all__ = [
+    "FrameDecoder",
+    "Links",
+    "MessageReader",
+    "Received",
+    "pack",
+    "proof",
+]
--- a/primrosehitch/membership.py
+++ b/primrosehitch/membership.py
@@ -9,7 +9,7 @@
 
 from primrosehitch import messages
 
-HEARTBEAT_MS = 250
+HEARTBEAT_MS = 500
 SUSPECT_MS = 1500
 REMOVED_MS = 10_000
 
--- a/primrosehitch/replicator.py
+++ b/primrosehitch/replicator.py
@@ -23,7 +23,7 @@
 from primrosehitch import replica as replica_module
 from primrosehitch import timers
 
-TICK_MS = 50
+TICK_MS = 100
 MEMBERSHIP_MS = 250
 INBOX_ITEMS = 4096
 BATCH_ITEMS = 256
--- a/primrosehitch/settings.py
+++ b/primrosehitch/settings.py
@@ -27,6 +27,7 @@
     address: Address
     http: Address
     replica: bool
+    cell: str
 
 
 class Outside(NamedTuple):
@@ -41,6 +42,7 @@
 
     name: str
     domain: str
+    cell: str
     http: Address
     peer: Address
     secret: bytes
@@ -67,6 +69,15 @@
         own = self.data_folder is not None
         return own + sum(peer.replica for peer in self.peers)
 
+    def linked(self, peer: Peer) -> bool:
+        """Return whether there are links with a peer.
+
+        An instance is linked with its cell, and every instance with
+        every replica.
+        """
+        own = self.data_folder is not None
+        return own or peer.replica or peer.cell == self.cell
+
 
 def parse_address(text: str) -> Address:
     """Return the address that ``ip:port`` names."""
@@ -100,6 +111,7 @@
     return Settings(
         name=document["name"],
         domain=document["domain"],
+        cell=document.get("cell", ""),
         http=parse_address(document["http"]),
         peer=parse_address(document["peer"]),
         secret=document["secret"].encode(),
@@ -129,6 +141,7 @@
         parse_address(document["address"]),
         parse_address(document["http"]),
         document.get("replica", False),
+        document.get("cell", ""),
     )
 
 
--- a/primrosehitch/spread.py
+++ b/primrosehitch/spread.py
@@ -25,7 +25,7 @@
 from primrosehitch import replicator as replicator_module
 from primrosehitch import timers
 
-REFRESH_MS = 200
+WATCH_MS = 250
 ASK_AGAIN_MS = 500
 ROWS_CHUNK = 2000
 
@@ -43,6 +43,7 @@
         dispatcher: load and demand of this gateway.
         readiness: whether the gateway may serve.
         replicator: the replica of this instance, or None.
+        cell: the instances that share this one's endpoints.
     """
 
     def __init__(
@@ -56,8 +57,10 @@
         dispatcher: dispatcher_module.Dispatcher,
         readiness: readiness_module.Readiness,
         replicator: replicator_module.Replicator | None,
+        cell: set[str],
     ):
         self.name = name
+        self.cell = cell
         self.incarnation = incarnation
         self.links = links
         self.members = members
@@ -70,6 +73,7 @@
         self.sequence = 0
         self.leaving = False
         self.nonce = random.getrandbits(60)
+        self.unspread: dict[str, messages.Announcement] = {}
         self.asked_at = -ASK_AGAIN_MS
         self.arriving: dict[str, list[messages.Row]] = {}
         self.on_withdrawn: Callable[[list[str]], None] = lambda hashes: None
@@ -120,7 +124,6 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._beat, service)
             group.start_soon(self._watch, service)
-            group.start_soon(self._refresh, service)
             async for received in inbox:
                 self._take(received.sender, received.message)
 
@@ -128,9 +131,10 @@
         ticks = service.subscribe(membership_module.HEARTBEAT_MS)
         async for _ in ticks:
             self.tell()
+            self._spread_announcements()
 
     async def _watch(self, service: timers.TimerService) -> None:
-        ticks = service.subscribe(membership_module.HEARTBEAT_MS)
+        ticks = service.subscribe(WATCH_MS)
         async for tick in ticks:
             if tick.gap > timers.FREEZE_MS:
                 events.emit(events.FROZEN, gap_ms=tick.gap)
@@ -142,20 +146,19 @@
                 self._note_endpoint(change)
             alive = bool(self.members.alive())
             self.readiness.tick(alive, tick.now)
+            if self.readiness.refreshing:
+                self._ask_refresh()
             if self.replicator is not None and self.replicator.leader():
                 self.readiness.note_contact(tick.now)
 
-    async def _refresh(self, service: timers.TimerService) -> None:
-        ticks = service.subscribe(REFRESH_MS)
-        async for _ in ticks:
-            if self.readiness.refreshing:
-                self.links.broadcast(
-                    messages.Refresh(
-                        self.nonce,
-                        len(self.catalog.withdrawals),
-                        self.catalog.withdrawals_digest,
-                    )
-                )
+    def _ask_refresh(self) -> None:
+        self.links.broadcast(
+            messages.Refresh(
+                self.nonce,
+                len(self.catalog.withdrawals),
+                self.catalog.withdrawals_digest,
+            )
+        )
 
     def tell(self) -> None:
         """Send a heartbeat to all peers now."""
@@ -215,10 +218,20 @@
         return fresh
 
     def announce(self, announcement: messages.Announcement) -> None:
-        """Take in an endpoint's announcement and pass it on."""
-        self._hear_announcement(announcement)
-        batch = messages.AnnouncementBatch((announcement,))
-        self.links.broadcast(batch)
+        """Take in an endpoint's announcement and pass it on.
+
+        One that changes the endpoint's status goes out at once; the
+        others go with the next heartbeat.
+        """
+        self.unspread[announcement.name] = announcement
+        if self._hear_announcement(announcement):
+            self._spread_announcements()
+
+    def _spread_announcements(self) -> None:
+        if self.unspread:
+            found = tuple(self.unspread.values())
+            self.unspread.clear()
+            self.links.broadcast(messages.AnnouncementBatch(found))
 
     # -- messages ----------------------------------------------------------
 
@@ -235,9 +248,10 @@
             self._note_member(change)
         if heartbeat.leader:
             self.readiness.note_contact(now)
-        self.dispatcher.router.hear_counts(sender, heartbeat.counts, now)
-        demand = {d.customer: d.requests for d in heartbeat.demand}
-        self.dispatcher.limits.hear(sender, demand)
+        if sender in self.cell:
+            self.dispatcher.router.hear_counts(sender, heartbeat.counts, now)
+            demand = {d.customer: d.requests for d in heartbeat.demand}
+            self.dispatcher.limits.hear(sender, demand)
         self.readiness.note_known(heartbeat.version, now)
         if heartbeat.version > self.catalog.version:
             self._ask_rows(sender, now)
@@ -316,11 +330,13 @@
         for announcement in batch.announcements:
             self._hear_announcement(announcement)
 
-    def _hear_announcement(self, announcement: messages.Announcement) -> None:
+    def _hear_announcement(self, announcement: messages.Announcement) -> bool:
         now = clock.now_ms()
-        for change in self.directory.hear(announcement, now):
+        changes = self.directory.hear(announcement, now)
+        for change in changes:
             self._note_endpoint(change)
         self.dispatcher.router.update(announcement.name)
+        return bool(changes)
 
     def _on_replica_message(
         self, sender: str, message: messages.ReplicaMessage
--- a/primrosehitch/timers.py
+++ b/primrosehitch/timers.py
@@ -14,7 +14,7 @@
 
 from primrosehitch import clock
 
-STEP_MS = 20
+STEP_MS = 50
 FREEZE_MS = 1000
 
 
--- a/primrosehitch_lab/cli.py
+++ b/primrosehitch_lab/cli.py
@@ -44,6 +44,14 @@
 
         sys.exit(demo.run())
 
+    def slopes(self, nodes: tuple[int, ...] = (7, 21, 49)) -> str:
+        """Measure the slopes behind docs/CAPACITY.md."""
+        from primrosehitch import porcelain
+        from primrosehitch_lab import slopes
+
+        rows = [row._asdict() for row in slopes.run(tuple(nodes))]
+        return porcelain.table(rows, slopes.Row._fields)
+
     def soak(self, seed: int = 1, count: int = 1) -> None:
         """Run COUNT randomised schedules from SEED on."""
         from primrosehitch_lab import soak
