Fix the seeds of all generated tests; a claim identifier is one claim's

Cause: hypothesis drew new examples at each run and found that one claim identifier under two keys left a stale entry behind; and a test on processor time failed on a busy machine.

--- a/primrosehitch/state.py
+++ b/primrosehitch/state.py
@@ -110,6 +110,7 @@
         if claim.claim_id in self.released:
             return claim._replace(state=RELEASED)
         key = (claim.customer, claim.idempotency_key)
+        key = self.claim_keys.get(claim.claim_id, key)
         known = self.claims.get(key)
         if known is not None:
             return known
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,23 @@
 """Fleets of real processes shared by tests."""
 
+import os
 import pathlib
 
 from forwarder import Forwarder
+import hypothesis
 import pytest
 
 from primrosehitch import porcelain
 from primrosehitch_lab import fleet as fleet_module
 
+hypothesis.settings.register_profile(
+    "fixed", derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.register_profile(
+    "explore", max_examples=3000, deadline=None, database=None
+)
+hypothesis.settings.load_profile(os.environ.get("FUZZ", "fixed"))
+
 ROOT = pathlib.Path(__file__).parent.parent
 
 
