--- a/primrosehitch_lab/cli.py
+++ b/primrosehitch_lab/cli.py
@@ -68,6 +68,18 @@
 
         uvloop.run(bench.serve(role, address, target))
 
+    def experiment(self, name: str = "") -> str:
+        """Run the experiment NAME, or all."""
+        from primrosehitch import porcelain
+        from primrosehitch_lab import experiments
+
+        parts = []
+        for known, run in experiments.EXPERIMENTS.items():
+            if name in ("", known):
+                rows = run()
+                parts.append(porcelain.table(rows, tuple(rows[0])))
+        return "\n\n".join(parts)
+
     def soak(self, seed: int = 1, count: int = 1) -> None:
         """Run COUNT randomised schedules from SEED on."""
         from primrosehitch_lab import soak
--- a/primrosehitch_lab/engine.py
+++ b/primrosehitch_lab/engine.py
@@ -155,13 +155,8 @@
         wanted = value.get("max_tokens") or DEFAULT_MAX_TOKENS
         priority = int(standin.header(scope, b"x-priority") or 0)
         offset = int(standin.header(scope, b"x-resume-offset") or 0)
-        return model_module.Sequence(
-            f"{self.numbers}",
-            prompt,
-            wanted,
-            priority,
-            0,
-            offset,
+        return model_module.read_prompt(
+            f"{self.numbers}", prompt, wanted, priority, offset
         )
 
     async def _watch(self, receive: Any, sequence: Any) -> None:
--- a/primrosehitch_lab/model.py
+++ b/primrosehitch_lab/model.py
@@ -35,21 +35,38 @@
     def __init__(
         self,
         identifier: str,
-        prompt: str,
+        prompt_tokens: int,
+        blocks: tuple[str, ...],
         output_tokens: int,
         priority: int,
-        arrival: int,
         offset: int = 0,
     ):
         self.identifier = identifier
-        self.prompt_tokens = 1 + len(prompt) // CHARS_PER_TOKEN
-        self.blocks = block_hashes(prompt)
+        self.prompt_tokens = prompt_tokens
+        self.blocks = blocks
         self.output_tokens = output_tokens
         self.priority = priority
-        self.arrival = arrival
+        self.arrival = 0
         self.emitted = offset
         self.to_prefill = -1.0
-        self.prefilled = 0.0
+
+
+def read_prompt(
+    identifier: str,
+    prompt: str,
+    output_tokens: int,
+    priority: int,
+    offset: int,
+) -> Sequence:
+    """Return the sequence of a prompt's text."""
+    return Sequence(
+        identifier,
+        1 + len(prompt) // CHARS_PER_TOKEN,
+        block_hashes(prompt),
+        output_tokens,
+        priority,
+        offset,
+    )
 
 
 def block_hashes(prompt: str) -> tuple[str, ...]:
@@ -156,4 +173,4 @@
             self.cache.popitem(last=False)
 
 
-__all__ = ["Emitted", "EngineModel", "Sequence", "block_hashes"]
+__all__ = ["Emitted", "EngineModel", "Sequence", "block_hashes", "read_prompt"]
