Share places among gateways by who waits; keep withdrawals on disk

The run's check of usage now adds the reports of forgotten windows. The setting 'weights', used by nothing, is gone.

--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,4 @@
 	$(PY) tools/generate_messages.py
 	$(PY) tools/generate_types.py
 	$(PY) tools/generate_events.py
+	.venv/bin/ruff format --quiet primrosehitch
--- a/primrosehitch/controller.py
+++ b/primrosehitch/controller.py
@@ -77,6 +77,7 @@
             if not self.replicator.in_charge():
                 continue
             try:
+                await self._keep_withdrawals()
                 await self._close_window()
                 await self._report_windows()
                 await self._plan()
@@ -86,6 +87,18 @@
             except guarded.NotInChargeError:
                 continue
 
+    async def _keep_withdrawals(self) -> None:
+        """Bring withdrawals accepted without a quorum into the log."""
+        known = self.state.withdrawals
+        missing = tuple(
+            withdrawal
+            for key_hash, withdrawal in self.catalog.withdrawals.items()
+            if key_hash not in known
+        )
+        if missing:
+            batch = messages.WithdrawalBatch(missing)
+            await self.proposer.propose(batch, PROPOSE_S)
+
     # -- usage -------------------------------------------------------------
 
     async def _close_window(self) -> None:
--- a/primrosehitch/daemon.py
+++ b/primrosehitch/daemon.py
@@ -311,9 +311,18 @@
         daemon = Daemon(settings)
     except errors.PrimrosehitchError as exc:
         sys.exit(f"primrosehitchd: {exc}")
-    anyio.run(
-        daemon.run, backend="asyncio", backend_options={"use_uvloop": True}
-    )
+    options = {"use_uvloop": True}
+    try:
+        anyio.run(daemon.run, backend="asyncio", backend_options=options)
+    except* (OSError, errors.PrimrosehitchError) as group:
+        sys.exit(f"primrosehitchd: {_first_text(group)}")
+
+
+def _first_text(group: BaseExceptionGroup) -> str:
+    first: BaseException = group
+    while isinstance(first, BaseExceptionGroup):
+        first = first.exceptions[0]
+    return str(first)
 
 
 def _open_events(name: str) -> None:
--- a/primrosehitch/dispatcher.py
+++ b/primrosehitch/dispatcher.py
@@ -10,7 +10,9 @@
 from primrosehitch import clock
 from primrosehitch import events
 from primrosehitch import fairqueue
+from primrosehitch import fairshare
 from primrosehitch import limits as limits_module
+from primrosehitch import messages
 from primrosehitch import outcomes
 from primrosehitch import routing
 from primrosehitch import timers
@@ -48,6 +50,7 @@
         self.limits = limits
         self.max_waiting = max_waiting
         self.pools: dict[str, admission_module.Admission] = {}
+        self.share = fairshare.FairShare(router)
         self.waiters: dict[fairqueue.Ticket, Waiter] = {}
 
     async def acquire(
@@ -113,13 +116,32 @@
         admission = self._admission(pool)
         now = clock.now_ms()
         started = admission.pump(
-            now, lambda ticket: self.router.choose(pool, ticket, now)
+            now, lambda ticket: self._choose(pool, ticket, now)
         )
         for item in started:
             waiter = self.waiters[item.ticket]
             waiter.endpoint = item.endpoint
             waiter.event.set()
 
+    def _choose(
+        self, pool: str, ticket: fairqueue.Ticket, now: int
+    ) -> str | None:
+        admission = self.pools[pool]
+        if not ticket.boosted and not self.share.may_start(
+            pool, ticket.tier, admission, now
+        ):
+            return None
+        return self.router.choose(pool, ticket, now)
+
+    def waiting(self) -> tuple[messages.WaitingCount, ...]:
+        """Return who waits here, for the other gateways."""
+        return tuple(
+            item
+            for pool, admission in self.pools.items()
+            if admission.waiting
+            for item in fairshare.told(pool, admission)
+        )
+
     def pump_all(self) -> None:
         """Start what can be started in all pools."""
         for pool in list(self.pools):
--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -117,7 +117,6 @@
         "peers": NotRequired[list["Peer"]],
         "platform": NotRequired["Outside"],
         "usage": NotRequired["Outside"],
-        "weights": NotRequired["Outside"],
         "usage_window_s": NotRequired[float],
         "usage_flush_s": NotRequired[float],
         "key_freshness_s": NotRequired[float],
--- a/primrosehitch/fairqueue.py
+++ b/primrosehitch/fairqueue.py
@@ -3,7 +3,9 @@
 Start-time fair queueing by tokens: a customer's virtual time grows by
 the tokens charged over its weight, and the waiting customer with the
 least virtual time is served next. An estimate is charged at the start
-and corrected as tokens come, so unknown output lengths even out.
+and corrected as tokens come, so unknown output lengths even out. A
+customer that used less than its share keeps a bounded credit, so that
+its own bursts do not queue behind one that floods all the time.
 """
 
 import collections
@@ -12,6 +14,8 @@
 
 from primrosehitch import catalog
 
+CREDIT_TOKENS = 8192.0
+
 
 class Ticket:
     """A request that waits for or holds a place at an endpoint.
@@ -89,7 +93,8 @@
         queue = self.waiting.get(customer)
         if queue is None:
             queue = self.waiting[customer] = collections.deque()
-            time = max(self.virtual.get(customer, 0.0), self.floor)
+            oldest = self.floor - CREDIT_TOKENS
+            time = max(self.virtual.get(customer, oldest), oldest)
             self.virtual[customer] = time
             if customer not in self.listed:
                 self.listed.add(customer)
@@ -137,8 +142,9 @@
 
     def charge(self, customer: str, tokens: float, weight: float) -> None:
         """Charge tokens served, or correct an estimate."""
-        time = self.virtual.get(customer, self.floor) + tokens / weight
-        if customer in self.waiting or time > self.floor:
+        oldest = self.floor - CREDIT_TOKENS
+        time = self.virtual.get(customer, oldest) + tokens / weight
+        if customer in self.waiting or time > oldest:
             self.virtual[customer] = time
             self.highest = max(self.highest, time)
         else:
@@ -186,7 +192,7 @@
         self.virtual = {
             c: t
             for c, t in self.virtual.items()
-            if c in self.waiting or t > self.floor
+            if c in self.waiting or t > self.floor - CREDIT_TOKENS
         }
 
 
--- a/primrosehitch/log.py
+++ b/primrosehitch/log.py
@@ -275,7 +275,7 @@
 
 
 class Log:
-    """Entries after a snapshot, the hard state and the identity.
+    """Entries after a snapshot, hard state, identity, withdrawn keys.
 
     Changes are visible at once and durable after ``sync``.
 
@@ -293,6 +293,7 @@
         self.hard = messages.HardState()
         self.snapshot = messages.SnapshotMeta()
         self.entries: list[messages.Entry] = []
+        self.withdrawals: dict[str, messages.Withdrawal] = {}
         self.unsynced = bytearray()
         self.size = 0
         self._load()
@@ -352,6 +353,18 @@
         self.hard = self.hard._replace(commit=index)
         self._record(self.hard)
 
+    def keep_withdrawals(self, batch: messages.WithdrawalBatch) -> None:
+        """Record withdrawn keys heard of, whoever accepted them.
+
+        They are no entries: they need no agreement, and are never cut.
+        """
+        fresh = tuple(
+            w for w in batch.withdrawals if w.key_hash not in self.withdrawals
+        )
+        if fresh:
+            self.withdrawals.update((w.key_hash, w) for w in fresh)
+            self._record(messages.WithdrawalBatch(fresh))
+
     def sync(self) -> None:
         """Write all changes as one frame and make them durable.
 
@@ -380,6 +393,9 @@
         self.unsynced.clear()
         self._record(snapshot)
         self._record(self.hard)
+        if self.withdrawals:
+            known = tuple(self.withdrawals.values())
+            self._record(messages.WithdrawalBatch(known))
         for entry in kept:
             self._record(entry)
         frame = pack_frame(bytes(self.unsynced))
@@ -430,6 +446,8 @@
         elif isinstance(message, messages.SnapshotMeta):
             self.snapshot = message
             self.entries = []
+        elif isinstance(message, messages.WithdrawalBatch):
+            self.withdrawals.update((w.key_hash, w) for w in message[0])
         else:
             self._replay_entry(message)
 
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -993,6 +993,7 @@
     echo: int = 0
     replica_state: str = ""
     replica_id: str = ""
+    waiting: tuple["WaitingCount", ...] = ()
 
 
 def _write_heartbeat(b: Any, m: Heartbeat) -> None:
@@ -1013,6 +1014,9 @@
     b.echo = m.echo
     b.replicaState = m.replica_state
     b.replicaId = m.replica_id
+    items = b.init("waiting", len(m.waiting))
+    for i, item in enumerate(m.waiting):
+        _write_waiting_count(items[i], item)
 
 
 def _read_heartbeat(r: Any) -> Heartbeat:
@@ -1030,6 +1034,7 @@
         r.echo,
         r.replicaState,
         r.replicaId,
+        tuple(_read_waiting_count(x) for x in r.waiting),
     )
 
 
@@ -1221,6 +1226,34 @@
     )
 
 
+class WaitingCount(NamedTuple):
+    """Message ``WaitingCount`` of the schema."""
+
+    pool: str = ""
+    tier: int = 0
+    customer: str = ""
+    weight: float = 0.0
+    count: int = 0
+
+
+def _write_waiting_count(b: Any, m: WaitingCount) -> None:
+    b.pool = m.pool
+    b.tier = m.tier
+    b.customer = m.customer
+    b.weight = m.weight
+    b.count = m.count
+
+
+def _read_waiting_count(r: Any) -> WaitingCount:
+    return WaitingCount(
+        r.pool,
+        r.tier,
+        r.customer,
+        r.weight,
+        r.count,
+    )
+
+
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -1323,6 +1356,11 @@
         _write_refresh_reply,
         _read_refresh_reply,
     ),
+    WaitingCount: (
+        _capnp.WaitingCount,
+        _write_waiting_count,
+        _read_waiting_count,
+    ),
 }
 
 KINDS: dict[int, type] = {
@@ -1371,6 +1409,7 @@
     43: WithdrawalsRequest,
     44: Refresh,
     45: RefreshReply,
+    46: WaitingCount,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -1457,6 +1496,7 @@
     "UsageRow",
     "VoteReply",
     "VoteRequest",
+    "WaitingCount",
     "Welcome",
     "Window",
     "WindowReported",
--- a/primrosehitch/operators.py
+++ b/primrosehitch/operators.py
@@ -378,6 +378,7 @@
             "term": raft.term,
             "commit": raft.commit,
             "log_entries": len(replicator.log.entries),
+            "withdrawn_keys": len(replicator.replica.state.withdrawals),
             "voters": list(raft.voters),
             "learners": list(raft.learners),
             "in_charge": replicator.in_charge(),
--- a/primrosehitch/replicator.py
+++ b/primrosehitch/replicator.py
@@ -57,6 +57,12 @@
     cluster: str
 
 
+class KeepWithdrawals(NamedTuple):
+    """Withdrawn keys that this instance heard of."""
+
+    batch: messages.WithdrawalBatch
+
+
 class HandOver(NamedTuple):
     """Give leadership to another replica."""
 
@@ -207,6 +213,8 @@
             self._take_message(item.message, now)
         elif isinstance(item, Local):
             self.replica.propose(item.kind, item.body, item.answer, now)
+        elif isinstance(item, KeepWithdrawals):
+            self.log.keep_withdrawals(item.batch)
         elif isinstance(item, HandOver):
             self.raft.hand_over(now)
         elif isinstance(item, Bootstrap) and self.empty:
@@ -302,4 +310,11 @@
         self.log.set_identity(self.identity)
 
 
-__all__ = ["Bootstrap", "FromPeer", "HandOver", "Local", "Replicator"]
+__all__ = [
+    "Bootstrap",
+    "FromPeer",
+    "HandOver",
+    "KeepWithdrawals",
+    "Local",
+    "Replicator",
+]
--- a/primrosehitch/routing.py
+++ b/primrosehitch/routing.py
@@ -43,6 +43,16 @@
 Ticket = fairqueue.Ticket
 
 
+def depth(slots: int) -> int:
+    """Return how many requests an endpoint of some slots is sent.
+
+    A few more than it serves at once: a place that becomes free is
+    known at the other gateways only after their next heartbeat, and
+    would stand empty until then.
+    """
+    return slots + max(1, slots // 4)
+
+
 class Sent(NamedTuple):
     """How many requests of this gateway ran at a time in ms."""
 
@@ -202,6 +212,22 @@
             self._count(best, ticket, pool, now)
         return best
 
+    def running(self, pool: str, tier: int) -> int:
+        """Return this gateway's running requests of one tier."""
+        return sum(
+            load.running.get(tier, 0)
+            for load in map(self.load, self.pools.get(pool, ()))
+        )
+
+    def places(self, pool: str, tier: int, now: int) -> int:
+        """Return the places that higher tiers leave to a tier."""
+        total = 0
+        for name in self.pools.get(pool, ()):
+            slots = self.directory.endpoints[name].announcement.slots
+            higher = self.load(name).used(tier - 1, now)
+            total += max(0, depth(slots) - higher)
+        return total
+
     def available(self, pool: str) -> bool:
         """Return whether any endpoint of a pool may get work."""
         return bool(self.pools.get(pool))
@@ -236,7 +262,7 @@
         slots = max(1, endpoint.announcement.slots)
         used = load.used(ticket.effective_tier, now)
         total = max(load.used(None, now), self._reported(endpoint, load, now))
-        if used >= slots or total >= slots * OVERCOMMIT:
+        if used >= depth(slots) or total >= slots * OVERCOMMIT:
             return None
         expected = self._expected(pool, load, ticket)
         crowd = 1.0 + total / slots
@@ -355,4 +381,4 @@
             load.prefixes.popitem(last=False)
 
 
-__all__ = ["Load", "Router"]
+__all__ = ["Load", "Router", "depth"]
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -290,6 +290,7 @@
   echo @10 :UInt64;
   replicaState @11 :Text;
   replicaId @12 :Text;
+  waiting @13 :List(WaitingCount);
 }
 
 struct Announcement {
@@ -343,3 +344,11 @@
   nonce @0 :UInt64;
   version @1 :UInt64;
 }
+
+struct WaitingCount {
+  pool @0 :Text;
+  tier @1 :UInt16;
+  customer @2 :Text;
+  weight @3 :Float32;
+  count @4 :UInt32;
+}
--- a/primrosehitch/settings.py
+++ b/primrosehitch/settings.py
@@ -53,7 +53,6 @@
     peers: tuple[Peer, ...]
     platform: Outside | None
     usage: Outside | None
-    weights: Outside | None
     usage_window_s: float
     usage_flush_s: float
     key_freshness_s: float
@@ -122,7 +121,6 @@
         peers=tuple(_peer(p) for p in document.get("peers", ())),
         platform=_outside(document.get("platform")),
         usage=_outside(document.get("usage")),
-        weights=_outside(document.get("weights")),
         usage_window_s=document.get("usage_window_s", 60),
         usage_flush_s=document.get("usage_flush_s", 1),
         key_freshness_s=document.get("key_freshness_s", 3600),
--- a/primrosehitch/spread.py
+++ b/primrosehitch/spread.py
@@ -77,7 +77,6 @@
         self.asked_at = -ASK_AGAIN_MS
         self.arriving: dict[str, list[messages.Row]] = {}
         self.on_withdrawn: Callable[[list[str]], None] = lambda hashes: None
-        self.durable_withdrawals: set[str] = set()
 
     # -- the way to the leader ---------------------------------------------
 
@@ -187,6 +186,7 @@
                 leaving=self.leaving,
                 counts=self.dispatcher.router.counts(),
                 demand=demand,
+                waiting=self.dispatcher.waiting(),
                 replica_id=replica_id,
                 replica_state=state,
             )
@@ -200,7 +200,7 @@
             return
         state = self.replicator.replica.state
         self.withdraw(state.withdrawals.values())
-        self.durable_withdrawals = set(state.withdrawals)
+        self.withdraw(self.replicator.log.withdrawals.values())
         published = self.replicator.replica.published
         self._update(published.rows, published.version)
         self.tell()
@@ -213,7 +213,10 @@
                 events.emit(events.KEY_WITHDRAWN, key=key_hash[:12])
             self.on_withdrawn(fresh)
             found = tuple(self.catalog.withdrawals[h] for h in fresh)
-            self.links.broadcast(messages.WithdrawalBatch(found))
+            batch = messages.WithdrawalBatch(found)
+            if self.replicator is not None:
+                self.replicator.offer(replicator_module.KeepWithdrawals(batch))
+            self.links.broadcast(batch)
             self.tell()
         return fresh
 
@@ -252,6 +255,7 @@
             self.dispatcher.router.hear_counts(sender, heartbeat.counts, now)
             demand = {d.customer: d.requests for d in heartbeat.demand}
             self.dispatcher.limits.hear(sender, demand)
+            self.dispatcher.share.hear(sender, heartbeat.waiting, now)
         self.readiness.note_known(heartbeat.version, now)
         if heartbeat.version > self.catalog.version:
             self._ask_rows(sender, now)
--- a/primrosehitch/state.py
+++ b/primrosehitch/state.py
@@ -17,6 +17,8 @@
 EDITS_KEPT = 20_000
 CLAIMS_KEPT_WINDOWS = 1_440
 ORDERS_KEPT = 1_000
+WINDOWS_KEPT = 60
+STARTS_KEPT = 4
 KEY_TABLE = "key"
 
 OPEN = "open"
@@ -167,10 +169,16 @@
         mark = self.marks.get(source, 0)
         if batch.sequence > mark:
             self.marks[source] = batch.sequence
+            self._expire_marks(batch.gateway)
             for row in batch.rows:
                 self._count(batch.window, row)
         return messages.BatchMark(*source, self.marks.get(source, 0))
 
+    def _expire_marks(self, gateway: str) -> None:
+        starts = sorted(i for g, i in self.marks if g == gateway)
+        for incarnation in starts[:-STARTS_KEPT]:
+            del self.marks[gateway, incarnation]
+
     def _count(self, window: int, row: messages.UsageRow) -> None:
         corrects = 0
         if window <= self.closed_through:
@@ -201,6 +209,18 @@
             self.windows[window] = messages.Window(window, CLOSED, tuple(rows))
         self.closed_through = close.window
         self._expire_claims()
+        self._expire_windows()
+
+    def _expire_windows(self) -> None:
+        oldest = self.closed_through - WINDOWS_KEPT
+        old = [
+            number
+            for number, window in self.windows.items()
+            if number < oldest and window.state == REPORTED
+        ]
+        for number in old:
+            for row in self.windows.pop(number).rows:
+                self.reported.discard((number, row.customer))
 
     def _window_reported(self, report: messages.WindowReported) -> None:
         self.reported.add((report.window, report.customer))
--- a/primrosehitch_lab/bed.py
+++ b/primrosehitch_lab/bed.py
@@ -17,6 +17,7 @@
 from primrosehitch import catalog
 from primrosehitch import directory as directory_module
 from primrosehitch import fairqueue
+from primrosehitch import fairshare
 from primrosehitch import messages
 from primrosehitch import routing
 from primrosehitch_lab import load as load_module
@@ -44,7 +45,11 @@
     def choose(
         self, gateway: "Gateway", ticket: fairqueue.Ticket, now: int
     ) -> str | None:
-        """Return the router's choice."""
+        """Return the router's choice within the gateway's part."""
+        if not ticket.boosted and not gateway.share.may_start(
+            POOL, ticket.tier, gateway.admission, now
+        ):
+            return None
         return gateway.router.choose(POOL, ticket, now)
 
 
@@ -230,6 +235,7 @@
             domain, self.directory, random.Random(number)
         )
         self.admission = admission_module.Admission(bed.max_waiting)
+        self.share = fairshare.FairShare(self.router)
         self.runs: dict[fairqueue.Ticket, Run] = {}
         self.reports: dict[str, int] = {}
 
@@ -433,11 +439,12 @@
         self.at(HEARTBEAT_MS, self._heartbeats)
         for sender in self.gateways:
             counts = sender.router.counts()
+            waiting = tuple(fairshare.told(POOL, sender.admission))
             for other in self.gateways:
                 if other is not sender:
-                    other.router.hear_counts(
-                        sender.name, counts, int(self.now)
-                    )
+                    now = int(self.now)
+                    other.router.hear_counts(sender.name, counts, now)
+                    other.share.hear(sender.name, waiting, now)
 
     # -- accounts ----------------------------------------------------------
 
--- a/primrosehitch_lab/soak.py
+++ b/primrosehitch_lab/soak.py
@@ -564,10 +564,20 @@
         errors.require(not missing, f"withdrawn {missing}", "soak.end")
         self._check_usage(state)
 
+    def _reported_and_forgotten(self, state: state_module.State) -> int:
+        """Return output tokens of windows that only the reports hold."""
+        return sum(
+            row["output_tokens"]
+            for (number, _), body in self.figures.items()
+            if number not in state.windows
+            for row in json.loads(body)["rows"]
+        )
+
     def _check_usage(self, state: state_module.State) -> None:
         counted = sum(r.output_tokens for r in state.open_usage.values())
         for window in state.windows.values():
             counted += sum(r.output_tokens for r in window.rows)
+        counted += self._reported_and_forgotten(state)
         mark = state.marks.get(("gw", 1), 0)
         errors.require(
             mark >= self.marked["gw"], "counted batches kept", "soak.usage"
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,126 @@
+"""The command line, run as an operator runs it."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import conftest
+import pytest
+
+from primrosehitch_lab import fleet as fleet_module
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+
+def run(shared, *arguments, key=fleet_module.OPERATOR_KEY):
+    environment = {
+        **os.environ,
+        "PRIMROSEHITCH_GATEWAY": shared.http["g4"] if shared else "",
+        "PRIMROSEHITCH_KEY": key,
+    }
+    return subprocess.run(
+        [sys.executable, "-m", "primrosehitch.cli", *arguments],
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+@pytest.fixture
+def declared(tmp_path):
+    path = tmp_path / "declaration.json"
+    text = json.dumps(conftest.DECLARATION, indent=1)
+    path.write_text("// the table\n" + text)
+    return path
+
+
+def test_status_endpoints_keys_and_table(shared):
+    status = json.loads(run(shared, "status").stdout)
+    assert status["instance"] == "g4" and status["ready"]
+    assert "booking" not in run(shared, "endpoints").stdout.splitlines()[0]
+    assert "e1" in run(shared, "endpoints").stdout
+    made = json.loads(run(shared, "keys", "create", "ana").stdout)
+    assert made["key"].startswith("ph-")
+    assert made["key_id"] in run(shared, "keys", "list").stdout
+    gone = json.loads(run(shared, "keys", "withdraw", made["key_id"]).stdout)
+    assert gone["withdrawn"] and gone["durable"]
+    assert "quote" in run(shared, "table", "show").stdout
+
+
+def test_plan_and_apply(shared, declared):
+    assert "base version" in run(shared, "plan", str(declared)).stdout
+    answer = run(shared, "apply", str(declared), "--edit_id", "cli-1")
+    assert json.loads(answer.stdout)["accepted"]
+    again = run(shared, "apply", str(declared), "--edit_id", "cli-1")
+    first, second = json.loads(answer.stdout), json.loads(again.stdout)
+    assert first["version"] == second["version"]
+    stale = run(shared, "apply", str(declared), "--base_version", "1")
+    assert stale.returncode == 1
+    assert "version-conflict" in stale.stderr
+
+
+def test_burn_as_table_json_and_plot(shared, tmp_path):
+    assert "attainment" in run(shared, "report", "burn").stdout
+    rows = json.loads(run(shared, "report", "burn", "--as_json").stdout)
+    assert {r["class_name"] for r in rows} == {"desk", "quote"}
+    plot = tmp_path / "burn.png"
+    run(shared, "report", "burn", "--plot", str(plot))
+    assert plot.read_bytes().startswith(b"\x89PNG")
+
+
+def test_csv_goes_out_and_comes_back(shared, declared, tmp_path):
+    table = tmp_path / "grants.csv"
+    table.write_text(run(None, "table", "export", str(declared)).stdout)
+    loaded = run(None, "table", "load", str(declared), "--csv", str(table))
+    document = json.loads(loaded.stdout)
+    assert document["grants"] == conftest.DECLARATION["grants"]
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["settings.json", "caballeriza/declaration.json"],
+)
+def test_check_takes_the_examples(name):
+    assert "ok" in run(None, "check", str(EXAMPLES / name)).stdout
+
+
+FAULTS = [
+    (("check", "/nonexistent.json"), "/nonexistent.json"),
+    (("status",), "name a gateway"),
+    (("status", "--gateway", "127.0.0.1:9"), "127.0.0.1:9"),
+]
+
+
+@pytest.mark.parametrize("arguments,text", FAULTS)
+def test_faults_are_named_without_a_traceback(arguments, text):
+    result = run(None, *arguments)
+    assert result.returncode != 0
+    assert text in result.stderr
+    assert "Traceback" not in result.stderr
+
+
+def test_a_wrong_operator_key_is_refused(shared):
+    result = run(shared, "status", key="wrong")
+    assert result.returncode == 1
+    assert "unauthorised" in result.stderr
+
+
+@pytest.mark.parametrize(
+    "text,expected",
+    [("{", "not JSON"), ('{"name": "g1"}', "required")],
+)
+def test_the_daemon_names_a_bad_settings_file(tmp_path, text, expected):
+    path = tmp_path / "bad.json"
+    path.write_text(text)
+    result = subprocess.run(
+        [sys.executable, "-m", "primrosehitch.daemon", str(path)],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert result.returncode == 1
+    assert expected in result.stderr and str(path) in result.stderr
+    assert "Traceback" not in result.stderr
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -73,6 +73,18 @@
     assert log_module.Log(medium).last_index == 3
 
 
+def test_withdrawn_keys_outlast_truncation_and_snapshots(medium):
+    log = filled(medium)
+    batch = messages.WithdrawalBatch((messages.Withdrawal("k", "op", 1),))
+    log.keep_withdrawals(batch)
+    log.keep_withdrawals(batch)
+    log.truncate(2)
+    log.sync()
+    assert list(log_module.Log(medium).withdrawals) == ["k"]
+    log.install(messages.SnapshotMeta(1, 1, ("a/1",), (), b""))
+    assert list(log_module.Log(medium).withdrawals) == ["k"]
+
+
 def test_identity_lasts(medium):
     log = log_module.Log(medium)
     assert log.identity() is None
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -283,6 +283,12 @@
 
     fleet.wait_for(denied, "both keys denied everywhere", 3)
 
+    def kept():
+        leader = fleet.status(fleet.leader())["replica"]
+        return leader["withdrawn_keys"] >= 2
+
+    fleet.wait_for(kept, "the quorum to keep both", 5)
+
 
 def test_a_leaving_endpoint_gets_nothing_new_after_two_seconds(fleet):
     fleet.control("e1", {"leaving": True})
@@ -399,3 +405,53 @@
         by_path.setdefault(entry["path"], set()).add(entry["body"])
     assert all(len(bodies) == 1 for bodies in by_path.values())
     assert found["different"] == []
+
+
+def with_pool(minimum):
+    document = json.loads(json.dumps(conftest.DECLARATION))
+    document["pools"] = {
+        "p": {"kind": "engine", "minimum": minimum, "maximum": minimum + 4}
+    }
+    return document
+
+
+def test_orders_across_a_kill_have_one_sender_at_a_time(fleet):
+    fleet.control("platform", {"drop_order": True})
+    porcelain.apply(fleet.target("g4"), with_pool(4))
+
+    def orders():
+        return fleet.control("platform")["orders"]
+
+    fleet.wait_for(lambda: len(orders()) >= 2, "orders sent again", 15)
+    old = fleet.leader()
+    fleet.kill(old)
+    fleet.wait_for(
+        lambda: orders()[-1]["sender"] != old, "the new leader's orders", 15
+    )
+    fleet.control("platform", {"drop_order": False})
+    time.sleep(2)
+    found = orders()
+    fences = [o["fence"] for o in found]
+    assert fences == sorted(fences)
+    senders = {}
+    for order in found:
+        senders.setdefault(order["fence"], set()).add(order["sender"])
+    assert all(len(s) == 1 for s in senders.values())
+    first, later = found[0], found[-1]
+    assert first["order_id"] in {
+        o["order_id"] for o in found if o["sender"] != old
+    }, "an order without an answer is sent again under its identifier"
+    assert {o["verb"] for o in found} == {"start"}
+    assert later["fence"] > first["fence"]
+
+
+def test_cheap_endpoints_that_are_not_to_be_had_become_steady(fleet):
+    fleet.control("platform", {"no_cheap": True})
+    porcelain.apply(fleet.target("g4"), with_pool(5))
+
+    def steady():
+        return any(not o["cheap"] for o in fleet.control("platform")["orders"])
+
+    fleet.wait_for(steady, "a steady endpoint to be ordered", 20)
+    cheap = [o for o in fleet.control("platform")["orders"] if o["cheap"]]
+    assert len(cheap) <= 12
