Slim heartbeats outside the cell; announcements slow down with size

Change: peers outside the cell get heartbeats without counts; gateways answer an announcement with when to come again, and suspicion follows the announced period.

--- a/primrosehitch/directory.py
+++ b/primrosehitch/directory.py
@@ -3,15 +3,16 @@
 Pure. An announcement carries an incarnation and a sequence; within an
 incarnation leaving is final, whatever arrives later. Silence makes an
 endpoint suspect, then removed. A reclaim notice of one cheap endpoint
-drains all cheap ones of its failure domain at once.
+drains all cheap ones of its failure domain at once. Where many announce
+themselves to a cell, the gateways ask them to do so less often.
 """
 
 from typing import NamedTuple
 
 from primrosehitch import messages
 
-SUSPECT_MS = 3000
-REMOVED_MS = 10_000
+SUSPECT_PERIODS = 3
+REMOVED_PERIODS = 10
 RECLAIM_HOLD_MS = 30_000
 TOMBSTONE_MS = 60_000
 
@@ -21,6 +22,11 @@
 GONE = "gone"
 
 
+BASE_PERIOD_MS = 1000
+MAX_PERIOD_MS = 5000
+ANNOUNCEMENTS_PER_S = 50
+
+
 class Change(NamedTuple):
     """An endpoint's new status."""
 
@@ -88,6 +94,11 @@
                 del self.endpoints[endpoint.name]
         return changes
 
+    def period_ms(self) -> int:
+        """Return how often an endpoint shall announce itself, in ms."""
+        wanted = 1000 * len(self.endpoints) // ANNOUNCEMENTS_PER_S
+        return max(BASE_PERIOD_MS, min(MAX_PERIOD_MS, wanted))
+
     def ready(self, name: str) -> Endpoint | None:
         """Return an endpoint that may get new work, or None."""
         endpoint = self.endpoints.get(name)
@@ -117,15 +128,17 @@
 
     def _status(self, endpoint: Endpoint, now: int) -> str:
         silent = now - endpoint.heard
-        if silent > REMOVED_MS:
-            return GONE
         announcement = endpoint.announcement
+        period = announcement.period_ms
+        if silent > REMOVED_PERIODS * period:
+            return GONE
         held = self.reclaimed.get(announcement.domain, -1)
         if announcement.leaving or announcement.reclaimed:
             return LEAVING
         if announcement.cheap and now < held:
             return LEAVING
-        return SUSPECT if silent > SUSPECT_MS else READY
+        late = silent > SUSPECT_PERIODS * period
+        return SUSPECT if late else READY
 
 
 __all__ = ["Change", "Directory", "Endpoint"]
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -171,11 +171,24 @@
         self.sent_bytes += len(frame)
         return True
 
-    def broadcast(self, message: tuple) -> None:
-        """Queue a message for all peers."""
+    def broadcast(
+        self,
+        message: tuple,
+        outside: tuple | None = None,
+        cell: frozenset[str] | set[str] = frozenset(),
+    ) -> None:
+        """Queue a message for all peers.
+
+        Args:
+            message: the message.
+            outside: another one for peers outside the cell.
+            cell: the names of the peers in the cell.
+        """
         frame = pack(message)
+        other = frame if outside is None else pack(outside)
         for target in self.queues:
-            self.send_frame(target, frame)
+            inside = outside is None or target in cell
+            self.send_frame(target, frame if inside else other)
 
     async def run(self) -> None:
         """Listen and dial until cancelled."""
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1058,6 +1058,7 @@
     fenced: bool = False
     age_ms: int = 0
     resumes: bool = False
+    period_ms: int = 1000
 
 
 def _write_announcement(b: Any, m: Announcement) -> None:
@@ -1078,6 +1079,7 @@
     b.fenced = m.fenced
     b.ageMs = m.age_ms
     b.resumes = m.resumes
+    b.periodMs = m.period_ms
 
 
 def _read_announcement(r: Any) -> Announcement:
@@ -1099,6 +1101,7 @@
         r.fenced,
         r.ageMs,
         r.resumes,
+        r.periodMs,
     )
 
 
--- a/primrosehitch/operators.py
+++ b/primrosehitch/operators.py
@@ -38,7 +38,7 @@
 MAX_DECLARATION_BYTES = 32 << 20
 MAX_ANNOUNCEMENT_BYTES = 256 << 10
 KEY_BYTES = 24
-ANNOUNCED = messages.Announcement()._fields
+MIN_PERIOD_MS = 100
 
 Handler = Callable[[Any, web.Call], Awaitable[None]]
 
@@ -455,7 +455,11 @@
                 )
             )
         self.spread.announce(announcement)
-        await web.answer_json(call, 200, {"heard_by": self.settings.name})
+        value = {
+            "heard_by": self.settings.name,
+            "next_ms": self.spread.directory.period_ms(),
+        }
+        await web.answer_json(call, 200, value)
 
     _HANDLERS: dict[tuple[str, str], Handler] = {
         ("GET", "/admin/declaration"): _get_declaration,
@@ -490,6 +494,7 @@
     "prefixes": list,
     "fenced": bool,
     "resumes": bool,
+    "period_ms": int,
 }
 _ANNOUNCED_REQUIRED = {
     "name",
@@ -501,7 +506,12 @@
     "models",
     "slots",
 }
-MAX_NUMBERS = {"slots": 1 << 31, "running": 1 << 31, "waiting": 1 << 31}
+MAX_NUMBERS = {
+    "slots": 1 << 31,
+    "running": 1 << 31,
+    "waiting": 1 << 31,
+    "period_ms": 60_001,
+}
 
 
 def parse_announcement(value: dict[str, Any]) -> messages.Announcement:
@@ -541,7 +551,8 @@
 
 
 def _check_range(value: int, name: str) -> None:
-    if not 0 <= value < MAX_NUMBERS.get(name, 1 << 63):
+    lowest = MIN_PERIOD_MS if name == "period_ms" else 0
+    if not lowest <= value < MAX_NUMBERS.get(name, 1 << 63):
         raise web.RefusedError(
             web.bad_input("bad-announcement", f"{name}: out of range")
         )
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -311,6 +311,7 @@
   fenced @14 :Bool;
   ageMs @15 :UInt64;
   resumes @16 :Bool;
+  periodMs @17 :UInt32 = 1000;
 }
 
 struct AnnouncementBatch {
--- a/primrosehitch/spread.py
+++ b/primrosehitch/spread.py
@@ -174,23 +174,24 @@
             messages.Demand(name, requests)
             for name, requests in self.dispatcher.limits.demands(now)
         )
-        self.links.broadcast(
-            messages.Heartbeat(
-                incarnation=self.incarnation,
-                sequence=self.sequence,
-                version=self.catalog.version,
-                withdrawals=len(self.catalog.withdrawals),
-                withdrawals_digest=self.catalog.withdrawals_digest,
-                leader=self.replicator.leader() if self.replicator else "",
-                term=term,
-                leaving=self.leaving,
-                counts=self.dispatcher.router.counts(),
-                demand=demand,
-                waiting=self.dispatcher.waiting(),
-                replica_id=replica_id,
-                replica_state=state,
-            )
+        slim = messages.Heartbeat(
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            version=self.catalog.version,
+            withdrawals=len(self.catalog.withdrawals),
+            withdrawals_digest=self.catalog.withdrawals_digest,
+            leader=self.replicator.leader() if self.replicator else "",
+            term=term,
+            leaving=self.leaving,
+            replica_id=replica_id,
+            replica_state=state,
+        )
+        full = slim._replace(
+            counts=self.dispatcher.router.counts(),
+            demand=demand,
+            waiting=self.dispatcher.waiting(),
         )
+        self.links.broadcast(full, slim, self.cell)
 
     # -- changes here ------------------------------------------------------
 
--- a/primrosehitch_lab/engine.py
+++ b/primrosehitch_lab/engine.py
@@ -79,7 +79,7 @@
         """Announce for ever."""
         while True:
             await self._announce()
-            await asyncio.sleep(standin.ANNOUNCE_S)
+            await asyncio.sleep(self.announcer.period_s)
 
     async def _announce(self) -> None:
         current = {
--- a/primrosehitch_lab/services.py
+++ b/primrosehitch_lab/services.py
@@ -43,7 +43,7 @@
         while True:
             current = {"leaving": bool(self.faults.get("leaving"))}
             await self.announcer.announce(current)
-            await asyncio.sleep(standin.ANNOUNCE_S)
+            await asyncio.sleep(self.announcer.period_s)
 
     async def _act(self, body: bytes, send: Any) -> None:
         number = len(self.runs) + 1
--- a/primrosehitch_lab/slopes.py
+++ b/primrosehitch_lab/slopes.py
@@ -41,6 +41,7 @@
 EDITS = 12
 PORT = 25000
 ROUNDS = 2000
+HTTP_ANNOUNCEMENTS = 500
 
 
 class Row(NamedTuple):
@@ -439,11 +440,62 @@
             }
             fleet.bring_up(document)
             time.sleep(SETTLE_S)
-            return _quiet_rows(fleet, nodes) + _edit_time_rows(fleet, nodes)
+            rows = _quiet_rows(fleet, nodes)
+            rows += _edit_time_rows(fleet, nodes)
+            if nodes == min(NODES):
+                rows.append(_announce_http_row(fleet, list(fleet.http)[-1]))
+            return rows
         finally:
             fleet.stop()
 
 
+def _announce_http_row(fleet: fleet_module.Fleet, name: str) -> Row:
+    """Return what one announcement over HTTP costs a gateway."""
+    head = {"authorization": f"Bearer {fleet_module.TOKEN}"}
+    pid = fleet.processes[name].pid
+    with httpcore.ConnectionPool() as pool:
+        before = _cpu_s(pid)
+        for i in range(HTTP_ANNOUNCEMENTS):
+            value = announcement(0, i + 1)._asdict()
+            body = json.dumps({**value, "age_ms": 0}).encode()
+            pool.request(
+                "POST",
+                f"http://{fleet.http[name]}/endpoints/announce",
+                headers={**head, "content-length": str(len(body))},
+                content=body,
+            )
+        took = (_cpu_s(pid) - before) / HTTP_ANNOUNCEMENTS * 1e6
+    return Row("announcement over HTTP", 1, took, "us")
+
+
+def _snapshot_rows() -> list[Row]:
+    rows = []
+    for size in (1000, 5000, 21000):
+        state = state_module.State()
+        edit = messages.Edit("base", 0, "op", declaration_rows(size))
+        _apply(state, edit)
+        start = time.perf_counter()
+        image = state.image()
+        took = (time.perf_counter() - start) * 1000
+        rows.append(Row("snapshot made, by customers", size, took, "ms"))
+        megabytes = len(image) / 1e6
+        rows.append(Row("snapshot's size", size, megabytes, "MB"))
+    return rows
+
+
+def _heartbeat_rows() -> list[Row]:
+    rows = []
+    for size in (0, 50, 200):
+        counts = tuple(
+            messages.EndpointCount(f"engine-{i}", 1, 0) for i in range(size)
+        )
+        heartbeat = messages.Heartbeat(1 << 50, 1 << 20, 1 << 14, 9, 1 << 60)
+        full = heartbeat._replace(leader="g0", term=9, counts=counts)
+        value = float(len(messages.encode(full)))
+        rows.append(Row("heartbeat by busy engines", size, value, "bytes"))
+    return rows
+
+
 def _quiet_rows(fleet: fleet_module.Fleet, nodes: int) -> list[Row]:
     leader = fleet.leader()
     last = list(fleet.http)[-1]
@@ -491,7 +543,8 @@
 
 def run(nodes: tuple[int, ...] = NODES) -> list[Row]:
     """Measure all slopes and return the rows."""
-    rows = _time_rows() + _catch_up_rows() + _memory_rows()
+    rows = _time_rows() + _catch_up_rows() + _snapshot_rows()
+    rows += _heartbeat_rows() + _memory_rows()
     for count in nodes:
         rows += _fleet_rows(count)
     return rows
--- a/primrosehitch_lab/standin.py
+++ b/primrosehitch_lab/standin.py
@@ -78,6 +78,7 @@
         self.fixed["incarnation"] = time.time_ns() // 1000
         self.sequence = 0
         self.silent = False
+        self.period_s = ANNOUNCE_S
 
     async def announce(self, current: Any) -> bool:
         """Announce once; return whether a gateway heard it."""
@@ -112,6 +113,10 @@
             httpcore.ProtocolError,
         ):
             return False
+        if response.status == 200:
+            next_ms = json.loads(response.content)["next_ms"]
+            self.fixed["period_ms"] = next_ms
+            self.period_s = next_ms / 1000
         return response.status == 200
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -96,6 +96,7 @@
     ({"models": [1]}, 400),
     ({"address": "nowhere"}, 400),
     ({"incarnation": 2**70}, 400),
+    ({"period_ms": 0}, 400),
     ({"kind": "unheard-of"}, 401),
 ]
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -272,15 +272,25 @@
 
 def test_silence_is_suspected_then_removed():
     pool = Pool(1)
-    assert pool.directory.tick(directory_module.SUSPECT_MS) == []
-    changes = pool.directory.tick(directory_module.SUSPECT_MS + 1)
+    assert pool.directory.tick(3000) == []
+    changes = pool.directory.tick(3001)
     assert changes == [("e0", directory_module.SUSPECT)]
-    changes = pool.directory.tick(directory_module.REMOVED_MS + 1)
+    changes = pool.directory.tick(10_001)
     assert changes == [("e0", directory_module.GONE)]
     pool.announce("e0", 20_000, 2)
     assert pool.directory.ready("e0")
 
 
+def test_many_endpoints_are_asked_to_announce_less_often():
+    assert Pool(13).directory.period_ms() == 1000
+    assert Pool(200).directory.period_ms() == 4000
+    pool = Pool(1)
+    pool.announce("e0", 1, 2, period_ms=4000)
+    assert pool.directory.tick(12_001) == []
+    changes = pool.directory.tick(12_002)
+    assert changes == [("e0", directory_module.SUSPECT)]
+
+
 # -- planner ----------------------------------------------------------------
 
 POOL = catalog.Pool("p", "engine", 4, 12, 0.6, 1.0, 0.3)
--- a/tools/generate_messages.py
+++ b/tools/generate_messages.py
@@ -93,6 +93,8 @@
     kind = field.proto.slot.type.which()
     if kind != "list":
         annotation, default = SCALARS[kind]
+        if kind.startswith("uint"):
+            default = str(getattr(field.proto.slot.defaultValue, kind))
         read = f"bytes(r.{name})" if kind == "data" else f"r.{name}"
         return annotation, default, f"b.{name} = m.{py}", read
     element = field.proto.slot.type.list.elementType
