--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -994,6 +994,7 @@
     replica_state: str = ""
     replica_id: str = ""
     waiting: tuple["WaitingCount", ...] = ()
+    all_counts: bool = False
 
 
 def _write_heartbeat(b: Any, m: Heartbeat) -> None:
@@ -1017,6 +1018,7 @@
     items = b.init("waiting", len(m.waiting))
     for i, item in enumerate(m.waiting):
         _write_waiting_count(items[i], item)
+    b.allCounts = m.all_counts
 
 
 def _read_heartbeat(r: Any) -> Heartbeat:
@@ -1035,6 +1037,7 @@
         r.replicaState,
         r.replicaId,
         tuple(_read_waiting_count(x) for x in r.waiting),
+        r.allCounts,
     )
 
 
--- a/primrosehitch/routing.py
+++ b/primrosehitch/routing.py
@@ -61,12 +61,16 @@
 
 
 class Load:
-    """What this gateway knows of one endpoint's load and speed."""
+    """What this gateway knows of one endpoint's load and speed.
 
-    def __init__(self) -> None:
+    Args:
+        heard: when each other gateway was last heard, in ms.
+    """
+
+    def __init__(self, heard: dict[str, int]) -> None:
+        self.heard = heard
         self.running: dict[int, int] = {}
         self.peers: dict[str, dict[int, int]] = {}
-        self.peers_at: dict[str, int] = {}
         self.history: collections.deque[Sent] = collections.deque()
         self.slowness = 1.0
         self.failures = 0
@@ -85,7 +89,7 @@
         """Return running requests of all gateways up to a tier."""
         total = self.own(tier)
         for gateway, counts in self.peers.items():
-            if now - self.peers_at[gateway] <= STALE_PEER_MS:
+            if now - self.heard[gateway] <= STALE_PEER_MS:
                 total += _up_to(counts, tier)
         return total
 
@@ -122,6 +126,8 @@
         )
         self.listed: dict[str, tuple[str, ...]] = {}
         self.ms_per_token: dict[str, float] = {}
+        self.heard: dict[str, int] = {}
+        self.changed: set[str] = set()
 
     # -- endpoints ---------------------------------------------------------
 
@@ -157,7 +163,7 @@
         """Return what is known of an endpoint's load."""
         load = self.loads.get(name)
         if load is None:
-            load = self.loads[name] = Load()
+            load = self.loads[name] = Load(self.heard)
         return load
 
     def hear_counts(
@@ -165,27 +171,42 @@
         gateway: str,
         counts: tuple[messages.EndpointCount, ...],
         now: int,
+        complete: bool = True,
     ) -> None:
-        """Take in what another gateway runs at each endpoint."""
-        fresh: dict[str, dict[int, int]] = {}
+        """Take in what another gateway runs at each endpoint.
+
+        Args:
+            gateway: the other gateway.
+            counts: its running requests by endpoint and tier.
+            now: the current time in ms.
+            complete: whether endpoints not named run nothing, rather
+                than what they ran before.
+        """
+        self.heard[gateway] = now
+        if complete:
+            for load in self.loads.values():
+                load.peers.pop(gateway, None)
         for count in counts:
-            fresh.setdefault(count.endpoint, {})[count.tier] = count.running
-        for name, load in self.loads.items():
-            load.peers[gateway] = fresh.pop(name, {})
-            load.peers_at[gateway] = now
-        for name, running in fresh.items():
-            load = self.load(name)
-            load.peers[gateway] = running
-            load.peers_at[gateway] = now
+            running = self.load(count.endpoint).peers.setdefault(gateway, {})
+            running[count.tier] = count.running
+
+    def counts(self, complete: bool) -> tuple[messages.EndpointCount, ...]:
+        """Return this gateway's running requests, for its peers.
 
-    def counts(self) -> tuple[messages.EndpointCount, ...]:
-        """Return this gateway's running requests, for its peers."""
-        return tuple(
+        Args:
+            complete: all of them, rather than those at endpoints where
+                something changed since the last call.
+        """
+        names = self.loads if complete else self.changed
+        found = tuple(
             messages.EndpointCount(name, running, tier)
-            for name, load in self.loads.items()
-            for tier, running in load.running.items()
-            if running
+            for name in names
+            if name in self.loads
+            for tier, running in self.loads[name].running.items()
+            if running or not complete
         )
+        self.changed.clear()
+        return found
 
     # -- choice ------------------------------------------------------------
 
@@ -312,6 +333,7 @@
         load = self.load(name)
         tier = ticket.effective_tier
         load.running[tier] = load.running.get(tier, 0) + 1
+        self.changed.add(name)
         if load.failures >= FAILURES_ASIDE:
             load.probing = True
         expected = self._expected(pool, load, ticket)
@@ -347,6 +369,7 @@
         load = self.load(name)
         tier = ticket.effective_tier
         load.running[tier] = max(0, load.running.get(tier, 0) - 1)
+        self.changed.add(name)
         load.awaiting.pop(ticket.request_id, None)
         load.probing = False
         self._note_history(load, now)
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -291,6 +291,7 @@
   replicaState @11 :Text;
   replicaId @12 :Text;
   waiting @13 :List(WaitingCount);
+  allCounts @14 :Bool;
 }
 
 struct Announcement {
--- a/primrosehitch/spread.py
+++ b/primrosehitch/spread.py
@@ -26,6 +26,7 @@
 from primrosehitch import timers
 
 WATCH_MS = 250
+COMPLETE_EVERY = 8
 ASK_AGAIN_MS = 500
 ROWS_CHUNK = 2000
 
@@ -186,8 +187,10 @@
             replica_id=replica_id,
             replica_state=state,
         )
+        complete = self.sequence % COMPLETE_EVERY == 1
         full = slim._replace(
-            counts=self.dispatcher.router.counts(),
+            counts=self.dispatcher.router.counts(complete),
+            all_counts=complete,
             demand=demand,
             waiting=self.dispatcher.waiting(),
         )
@@ -253,7 +256,9 @@
         if heartbeat.leader:
             self.readiness.note_contact(now)
         if sender in self.cell:
-            self.dispatcher.router.hear_counts(sender, heartbeat.counts, now)
+            self.dispatcher.router.hear_counts(
+                sender, heartbeat.counts, now, heartbeat.all_counts
+            )
             demand = {d.customer: d.requests for d in heartbeat.demand}
             self.dispatcher.limits.hear(sender, demand)
             self.dispatcher.share.hear(sender, heartbeat.waiting, now)
--- a/primrosehitch_lab/bed.py
+++ b/primrosehitch_lab/bed.py
@@ -438,7 +438,7 @@
     def _heartbeats(self) -> None:
         self.at(HEARTBEAT_MS, self._heartbeats)
         for sender in self.gateways:
-            counts = sender.router.counts()
+            counts = sender.router.counts(complete=True)
             waiting = tuple(fairshare.told(POOL, sender.admission))
             for other in self.gateways:
                 if other is not sender:
--- a/primrosehitch_lab/slopes.py
+++ b/primrosehitch_lab/slopes.py
@@ -458,12 +458,13 @@
         for i in range(HTTP_ANNOUNCEMENTS):
             value = announcement(0, i + 1)._asdict()
             body = json.dumps({**value, "age_ms": 0}).encode()
-            pool.request(
+            response = pool.request(
                 "POST",
                 f"http://{fleet.http[name]}/endpoints/announce",
                 headers={**head, "content-length": str(len(body))},
                 content=body,
             )
+            assert response.status == 200, response.content
         took = (_cpu_s(pid) - before) / HTTP_ANNOUNCEMENTS * 1e6
     return Row("announcement over HTTP", 1, took, "us")
 
@@ -485,6 +486,7 @@
 
 def _heartbeat_rows() -> list[Row]:
     rows = []
+    router = make_router(200)
     for size in (0, 50, 200):
         counts = tuple(
             messages.EndpointCount(f"engine-{i}", 1, 0) for i in range(size)
@@ -492,7 +494,15 @@
         heartbeat = messages.Heartbeat(1 << 50, 1 << 20, 1 << 14, 9, 1 << 60)
         full = heartbeat._replace(leader="g0", term=9, counts=counts)
         value = float(len(messages.encode(full)))
-        rows.append(Row("heartbeat by busy engines", size, value, "bytes"))
+        rows.append(Row("heartbeat by engines named", size, value, "bytes"))
+        data = messages.encode(full)
+
+        def hear(i: int, data: bytes = data) -> None:
+            told = messages.decode(messages.Heartbeat, data)
+            router.hear_counts("g2", told.counts, i, complete=False)
+
+        took = time_each(hear, 400)
+        rows.append(Row("heartbeat heard, by engines", size, took, "us"))
     return rows
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -201,6 +201,31 @@
     assert spent <= 1000 * retry.EARNED_PER_REQUEST + retry.BUDGET_MAX
 
 
+def test_changed_counts_lead_to_the_same_as_complete_ones():
+    one, two, three = Pool(3), Pool(3), Pool(3)
+    rng = random.Random(3)
+    running = []
+    for step in range(200):
+        if running and rng.random() < 0.5:
+            name, item = running.pop(rng.randrange(len(running)))
+            one.router.finished(name, item, False, step)
+        else:
+            name, item = one.choose(rng.choice((DESK, LOW)), request=str(step))
+            if name is not None:
+                running.append((name, item))
+        if step % 5 == 0:
+            changed = one.router.counts(complete=False)
+            two.router.hear_counts("g1", changed, step, complete=False)
+            complete = one.router.counts(complete=True)
+            three.router.hear_counts("g1", complete, step)
+            for name in ("e0", "e1", "e2"):
+                for tier in (0, 1, 2, None):
+                    wanted = one.router.load(name).own(tier)
+                    for pool in (two, three):
+                        load = pool.router.load(name)
+                        assert load.used(tier, step) == wanted
+
+
 # -- sharing among gateways -------------------------------------------------
 
 
