Split the log, the operators' side and the server into small modules

Cause: log.py, operators.py and the uvicorn set-up had grown or stood twice (duplicates: the server's configuration three times, the stand-ins' record of calls twice, the gateway's ticket twice, the grants' columns twice).

--- /dev/null
+++ b/primrosehitch/announcements.py
@@ -0,0 +1,92 @@
+"""Reading what an endpoint announces of itself, checked field by field."""
+
+from typing import Any
+
+from primrosehitch import messages
+from primrosehitch import settings as settings_module
+from primrosehitch import web
+
+MIN_PERIOD_MS = 100
+
+_ANNOUNCED_TYPES: dict[str, Any] = {
+    "name": str,
+    "incarnation": int,
+    "sequence": int,
+    "address": str,
+    "domain": str,
+    "kind": str,
+    "models": list,
+    "slots": int,
+    "cheap": bool,
+    "running": int,
+    "waiting": int,
+    "leaving": bool,
+    "reclaimed": bool,
+    "prefixes": list,
+    "fenced": bool,
+    "resumes": bool,
+    "period_ms": int,
+}
+_ANNOUNCED_REQUIRED = {
+    "name",
+    "incarnation",
+    "sequence",
+    "address",
+    "domain",
+    "kind",
+    "models",
+    "slots",
+}
+MAX_NUMBERS = {
+    "slots": 1 << 31,
+    "running": 1 << 31,
+    "waiting": 1 << 31,
+    "period_ms": 60_001,
+}
+
+
+def parse_announcement(value: dict[str, Any]) -> messages.Announcement:
+    """Return the announcement that a JSON object holds.
+
+    Unknown fields are passed over, so that newer endpoints may say more.
+
+    Raises:
+        RefusedError: a field is missing or of the wrong type.
+    """
+    missing = _ANNOUNCED_REQUIRED - set(value)
+    if missing:
+        raise web.RefusedError(
+            web.bad_input("bad-announcement", f"missing {sorted(missing)}")
+        )
+    fields: dict[str, Any] = {}
+    for name, kind in _ANNOUNCED_TYPES.items():
+        if name in value:
+            web.check_type(value[name], kind, name)
+            fields[name] = value[name]
+            if kind is int:
+                _check_range(value[name], name)
+    for name in ("models", "prefixes"):
+        items = fields.get(name, [])
+        if not all(isinstance(i, str) for i in items):
+            raise web.RefusedError(
+                web.bad_input("bad-announcement", f"{name}: not strings")
+            )
+        fields[name] = tuple(items)
+    try:
+        settings_module.parse_address(fields["address"])
+    except ValueError:
+        raise web.RefusedError(
+            web.bad_input("bad-announcement", "address: not ip:port")
+        ) from None
+    return messages.Announcement(**fields)
+
+
+def _check_range(value: int, name: str) -> None:
+    lowest = MIN_PERIOD_MS if name == "period_ms" else 0
+    if not lowest <= value < MAX_NUMBERS.get(name, 1 << 63):
+        raise web.RefusedError(
+            web.bad_input("bad-announcement", f"{name}: out of range")
+        )
+
+
+__all__ = ["parse_announcement"]
--- a/primrosehitch/cli.py
+++ b/primrosehitch/cli.py
@@ -16,14 +16,6 @@
 
 ADDRESS_VARIABLE = "PRIMROSEHITCH_GATEWAY"
 KEY_VARIABLE = "PRIMROSEHITCH_KEY"
-GRANTS = (
-    "customer",
-    "class",
-    "weight",
-    "requests_per_s",
-    "concurrency",
-    "tokens_per_min",
-)
 BURN = (
     "class_name",
     "tier",
@@ -99,7 +91,9 @@
     def show(self, gateway: str = "") -> str:
         """Show the table in force."""
         document = porcelain.current(_target(gateway))["declaration"]
-        return porcelain.table(document["grants"], GRANTS)
+        return porcelain.table(
+            document["grants"], declaration_module.GRANT_FIELDS
+        )
 
     def export(self, file: str) -> str:
         """Print the grants of a declaration FILE as CSV."""
--- a/primrosehitch/daemon.py
+++ b/primrosehitch/daemon.py
@@ -1,17 +1,14 @@
 """primrosehitchd: one instance, from settings to a clean stop."""
 
-import contextlib
 import pathlib
 import random
 import signal
 import sys
 import time
 from typing import Any
-from typing import Iterator
 
 import anyio
 import anyio.abc
-import uvicorn
 
 from primrosehitch import catalog as catalog_module
 from primrosehitch import claims as claims_module
@@ -31,6 +28,7 @@
 from primrosehitch import readiness as readiness_module
 from primrosehitch import replicator as replicator_module
 from primrosehitch import routing
+from primrosehitch import server as server_module
 from primrosehitch import settings as settings_module
 from primrosehitch import spread as spread_module
 from primrosehitch import timers
@@ -41,16 +39,6 @@
 FLUSH_LIMIT_S = 5.0
 POLL_S = 0.05
 CLAIMS_FLUSH_MS = 1000
-KEEP_ALIVE_S = 30
-
-
-class Server(uvicorn.Server):
-    """A uvicorn server that leaves signals to the daemon."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Take no signals."""
-        yield
 
 
 class Daemon:
@@ -190,7 +178,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
-        server = self._make_server()
+        server = server_module.make_server(self.app, self.settings.http)
         async with anyio.create_task_group() as group:
             group.start_soon(self._serve_forever, server, group.cancel_scope)
             group.start_soon(self.timers.run)
@@ -217,27 +205,8 @@
             group.cancel_scope.cancel()
         events.emit(events.STOPPED, instance=self.settings.name)
 
-    def _make_server(self) -> Server:
-        host, port = self.settings.http
-        config = uvicorn.Config(
-            self.app,
-            host=host,
-            port=port,
-            log_config=None,
-            access_log=False,
-            lifespan="off",
-            interface="asgi3",
-            proxy_headers=False,
-            http="httptools",
-            timeout_keep_alive=KEEP_ALIVE_S,
-            server_header=False,
-            ws="none",
-            backlog=2048,
-        )
-        return Server(config)
-
     async def _serve_forever(
-        self, server: Server, scope: anyio.CancelScope
+        self, server: server_module.Server, scope: anyio.CancelScope
     ) -> None:
         await server.serve()
         if not server.should_exit:
@@ -250,7 +219,7 @@
             async for _ in signals:
                 return
 
-    async def _drain(self, server: Server) -> None:
+    async def _drain(self, server: server_module.Server) -> None:
         events.emit(events.DRAINING, instance=self.settings.name)
         self.readiness.draining = True
         await anyio.sleep(self.settings.drain_grace_s)
--- a/primrosehitch/declaration.py
+++ b/primrosehitch/declaration.py
@@ -173,6 +173,7 @@
 
 
 __all__ = [
+    "GRANT_FIELDS",
     "check",
     "difference",
     "from_rows",
--- a/primrosehitch/gateway.py
+++ b/primrosehitch/gateway.py
@@ -142,7 +142,7 @@
             raise web.RefusedError(
                 web.bad_input("unknown-model", f"no model {model!r}", 404)
             )
-        ticket = self._ticket(exchange, caller, document, model)
+        ticket = self._model_ticket(exchange, caller, document, model)
         exchange.streaming = document.get("stream") is True
         outgoing = upstream_module.Outgoing(
             "POST",
@@ -155,7 +155,7 @@
         work = relay_module.Work(model, outgoing, True, True)
         await self._run(exchange, caller, ticket, work)
 
-    def _ticket(
+    def _model_ticket(
         self,
         exchange: relay_module.Exchange,
         caller: Caller,
@@ -168,14 +168,7 @@
             spec = self.catalog.items["model"][model]
             wanted = spec.get("default_output_tokens", DEFAULT_OUTPUT_TOKENS)
         prompt_tokens = 1 + len(text) // CHARS_PER_TOKEN
-        ticket = fairqueue.Ticket(
-            exchange.call.request_id,
-            caller.service_class,
-            caller.grant.customer,
-            caller.grant.weight,
-            float(prompt_tokens + wanted),
-            exchange.started,
-        )
+        ticket = _ticket(exchange, caller, float(prompt_tokens + wanted))
         ticket.prompt_tokens = prompt_tokens
         ticket.prefixes = prefix_hashes(text)
         return ticket
@@ -194,14 +187,7 @@
         caller = self._identify_for_route(call, route)
         body = await web.read_body(call, self.settings.max_body_bytes)
         self._check_no_key(call, caller.key, body)
-        ticket = fairqueue.Ticket(
-            call.request_id,
-            caller.service_class,
-            caller.grant.customer,
-            caller.grant.weight,
-            1.0,
-            exchange.started,
-        )
+        ticket = _ticket(exchange, caller, 1.0)
         target = "/" + name + ("/" + rest if rest else "")
         if call.query:
             target += "?" + call.query.decode("latin-1")
@@ -454,6 +440,19 @@
         self.burn.note(ended, ticket.service_class, clock.wall_s())
 
 
+def _ticket(
+    exchange: relay_module.Exchange, caller: Caller, estimate: float
+) -> fairqueue.Ticket:
+    return fairqueue.Ticket(
+        exchange.call.request_id,
+        caller.service_class,
+        caller.grant.customer,
+        caller.grant.weight,
+        estimate,
+        exchange.started,
+    )
+
+
 def request_id_of(headers: list[headers_module.Header]) -> str:
     """Return the identifier for a request, the caller's if it is sane."""
     for name, value in headers:
--- /dev/null
+++ b/primrosehitch/medium.py
@@ -0,0 +1,171 @@
+"""Where bytes are kept: named files that last once synced.
+
+The memory medium serves tests and forgets what was not synced when it
+is told to crash.
+"""
+
+import contextlib
+import errno
+import os
+import pathlib
+from typing import Iterator
+from typing import Protocol
+
+from primrosehitch import errors
+
+
+class Medium(Protocol):
+    """Named byte files that last once synced."""
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's bytes, or None where there is none."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes to the end of a file."""
+
+    def sync(self, name: str) -> None:
+        """Return once all appended bytes will outlast a crash."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Swap a file's whole content, atomically and durably."""
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes, durably."""
+
+
+class MemoryMedium:
+    """A medium in memory that can lose what was not synced."""
+
+    def __init__(self) -> None:
+        self.durable: dict[str, bytes] = {}
+        self.pending: dict[str, bytes] = {}
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's bytes, or None where there is none."""
+        if name not in self.durable and name not in self.pending:
+            return None
+        return self.durable.get(name, b"") + self.pending.get(name, b"")
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes that a crash may lose or tear."""
+        self.pending[name] = self.pending.get(name, b"") + data
+
+    def sync(self, name: str) -> None:
+        """Make all appended bytes durable."""
+        self.durable[name] = self.read(name) or b""
+        self.pending.pop(name, None)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Swap a file's content."""
+        self.pending.pop(name, None)
+        self.durable[name] = data
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes."""
+        self.replace(name, (self.read(name) or b"")[:size])
+
+    def crash(self, kept: float) -> None:
+        """Lose unsynced bytes but for a leading part.
+
+        Args:
+            kept: the fraction, 0 to 1, of unsynced bytes that survive.
+        """
+        for name, data in self.pending.items():
+            part = data[: int(len(data) * kept)]
+            self.durable[name] = self.durable.get(name, b"") + part
+        self.pending = {}
+
+
+class DiskMedium:
+    """A medium in one folder.
+
+    Args:
+        folder: the data folder, made where it is missing.
+    """
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        folder.mkdir(parents=True, exist_ok=True)
+        self.handles: dict[str, int] = {}
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's bytes, or None where there is none."""
+        with contextlib.suppress(FileNotFoundError):
+            return (self.folder / name).read_bytes()
+        return None
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes; they last after ``sync``."""
+        with self._full_disk_named(name):
+            handle = self._handle(name)
+            view = memoryview(data)
+            while view:
+                view = view[os.write(handle, view) :]
+
+    def sync(self, name: str) -> None:
+        """Call fsync on the file."""
+        with self._full_disk_named(name):
+            os.fsync(self._handle(name))
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Write a new file beside the old one and rename it."""
+        with self._full_disk_named(name):
+            temporary = self.folder / (name + ".new")
+            handle = os.open(
+                temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600
+            )
+            try:
+                view = memoryview(data)
+                while view:
+                    view = view[os.write(handle, view) :]
+                os.fsync(handle)
+            finally:
+                os.close(handle)
+            os.replace(temporary, self.folder / name)
+            self._sync_folder()
+            self._forget(name)
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes, durably."""
+        handle = self._handle(name)
+        os.ftruncate(handle, size)
+        os.fsync(handle)
+
+    def close(self) -> None:
+        """Close all files."""
+        for name in list(self.handles):
+            self._forget(name)
+
+    def _handle(self, name: str) -> int:
+        if name not in self.handles:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self.handles[name] = os.open(self.folder / name, flags, 0o600)
+            self._sync_folder()
+        return self.handles[name]
+
+    def _forget(self, name: str) -> None:
+        handle = self.handles.pop(name, None)
+        if handle is not None:
+            os.close(handle)
+
+    def _sync_folder(self) -> None:
+        handle = os.open(self.folder, os.O_RDONLY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+    @contextlib.contextmanager
+    def _full_disk_named(self, name: str) -> Iterator[None]:
+        try:
+            yield
+        except OSError as exc:
+            if exc.errno not in (errno.ENOSPC, errno.EDQUOT):
+                raise
+            path = str(self.folder / name)
+            raise errors.LogFullError(
+                "no space left in the data folder", "log.append", path
+            ) from exc
+
+
+__all__ = ["DiskMedium", "Medium", "MemoryMedium"]
--- a/primrosehitch/operators.py
+++ b/primrosehitch/operators.py
@@ -15,6 +15,7 @@
 
 import anyio
 
+from primrosehitch import announcements
 from primrosehitch import catalog as catalog_module
 from primrosehitch import clock
 from primrosehitch import declaration as declaration_module
@@ -22,13 +23,13 @@
 from primrosehitch import events
 from primrosehitch import gateway as gateway_module
 from primrosehitch import headers as headers_module
-from primrosehitch import membership as membership_module
 from primrosehitch import messages
 from primrosehitch import outcomes
 from primrosehitch import replicator as replicator_module
 from primrosehitch import settings as settings_module
 from primrosehitch import spread as spread_module
 from primrosehitch import state as state_module
+from primrosehitch import views as views_module
 from primrosehitch import web
 
 EDIT_S = 4.0
@@ -38,9 +39,8 @@
 MAX_DECLARATION_BYTES = 32 << 20
 MAX_ANNOUNCEMENT_BYTES = 256 << 10
 KEY_BYTES = 24
-MIN_PERIOD_MS = 100
 
-Handler = Callable[[Any, web.Call], Awaitable[None]]
+Handler = Callable[[web.Call], Awaitable[None]]
 
 
 class Operators:
@@ -67,18 +67,22 @@
         self.spread = spread
         self.gateway = gateway
         self.replicator = replicator
+        self.views = views_module.Views(
+            settings, catalog, spread, gateway, replicator
+        )
+        self.handlers = self._handlers()
 
     async def serve(self, call: web.Call) -> None:
         """Answer a call under /admin or /endpoints."""
         try:
-            handler = self._HANDLERS.get((call.method, call.path))
+            handler = self.handlers.get((call.method, call.path))
             if handler is None:
                 raise web.RefusedError(
                     web.bad_input("no-such-path", f"no {call.path}", 404)
                 )
             if call.path.startswith("/admin"):
                 self._check_operator(call)
-            await handler(self, call)
+            await handler(call)
         except web.RefusedError as exc:
             await web.answer_refusal(call, exc.refusal)
         except errors.SettingsError as exc:
@@ -117,7 +121,7 @@
         _check_fields(value, {"declaration"}, {"edit_id", "base_version"})
         document = declaration_module.check(value["declaration"], "request")
         base = value.get("base_version", self.catalog.version)
-        _check_type(base, int, "base_version")
+        web.check_type(base, int, "base_version")
         rows: tuple[messages.Row, ...] = ()
         await self._catch_up(base)
         if base == self.catalog.version:
@@ -186,27 +190,13 @@
         names = [self.settings.name, *self.spread.members.members]
         return {
             "in_force": [n for n in names if n not in missing],
-            "unconfirmed": [self._unconfirmed(n) for n in missing],
+            "unconfirmed": [self.views.unconfirmed(n) for n in missing],
         }
 
     def _reachable(self, name: str) -> bool:
         own = name == self.settings.name
         return own or self.spread.members.is_alive(name)
 
-    def _unconfirmed(self, name: str) -> dict[str, Any]:
-        member = self.spread.members.members.get(name)
-        if member is None:
-            return {"instance": name, "domain": self.settings.domain}
-        silent = None
-        if member.last_heard >= 0:
-            silent = round((clock.now_ms() - member.last_heard) / 1000, 1)
-        return {
-            "instance": name,
-            "domain": member.domain,
-            "status": member.status,
-            "last_heard_s_ago": silent,
-        }
-
     # -- keys --------------------------------------------------------------
 
     async def _grant_key(self, call: web.Call) -> None:
@@ -334,116 +324,12 @@
                 )
             )
 
-    async def _status(self, call: web.Call) -> None:
-        now = clock.now_ms()
-        readiness = self.gateway.readiness
-        refusal = readiness.refusal(now)
-        value: dict[str, Any] = {
-            "instance": self.settings.name,
-            "domain": self.settings.domain,
-            "version": self.catalog.version,
-            "withdrawn_keys": len(self.catalog.withdrawals),
-            "leader": self.spread.leader(),
-            "ready": readiness.ready(now),
-            "not_ready_reason": refusal.reason if refusal else None,
-            "members": [self._member_value(m) for m in self._members()],
-            "endpoints": len(self.spread.directory.endpoints),
-            "replica": self._replica_value(),
-        }
-        await web.answer_json(call, 200, value)
-
-    def _members(self) -> list[membership_module.Member]:
-        return list(self.spread.members.members.values())
-
-    def _member_value(
-        self, member: membership_module.Member
-    ) -> dict[str, Any]:
-        value = self._unconfirmed(member.name)
-        value["version"] = member.heartbeat.version
-        value["withdrawn_keys"] = member.heartbeat.withdrawals
-        for peer in self.settings.peers:
-            if peer.name == member.name:
-                value["http"] = str(peer.http)
-        return value
-
-    def _replica_value(self) -> dict[str, Any] | None:
-        replicator = self.replicator
-        if replicator is None:
-            return None
-        raft = replicator.raft
-        return {
-            "id": replicator.identity.replica,
-            "cluster": replicator.identity.cluster,
-            "role": raft.role,
-            "term": raft.term,
-            "commit": raft.commit,
-            "log_entries": len(replicator.log.entries),
-            "withdrawn_keys": len(replicator.replica.state.withdrawals),
-            "voters": list(raft.voters),
-            "learners": list(raft.learners),
-            "in_charge": replicator.in_charge(),
-            "repaired": replicator.repaired(),
-            "failed": replicator.failed or None,
-        }
-
-    async def _endpoints(self, call: web.Call) -> None:
-        items = []
-        for endpoint in self.spread.directory.endpoints.values():
-            value = endpoint.announcement._asdict()
-            del value["prefixes"]
-            value["status"] = endpoint.status
-            items.append(value)
-        await web.answer_json(call, 200, {"endpoints": items})
-
-    # -- reports -----------------------------------------------------------
-
-    async def _burn(self, call: web.Call) -> None:
-        since = float(call.parameters().get("since", "0") or 0)
-        value = {
-            "instance": self.settings.name,
-            "buckets": self.gateway.burn.export(since),
-            "classes": [
-                c._asdict() for c in self.catalog.items["class"].values()
-            ],
-        }
-        await web.answer_json(call, 200, value)
-
-    async def _usage(self, call: web.Call) -> None:
-        if self.replicator is None:
-            raise web.RefusedError(
-                web.bad_input("no-data-folder", "ask a replica", 409)
-            )
-        state = self.replicator.replica.state
-        windows = [
-            {
-                "window": w.window,
-                "state": w.state,
-                "rows": [r._asdict() for r in w.rows],
-            }
-            for w in state.windows.values()
-        ]
-        open_rows = [
-            {"window": key[0], **row._asdict()}
-            for key, row in sorted(state.open_usage.items())
-        ]
-        value = {"windows": windows, "open": open_rows}
-        await web.answer_json(call, 200, value)
-
-    async def _orders(self, call: web.Call) -> None:
-        if self.replicator is None:
-            raise web.RefusedError(
-                web.bad_input("no-data-folder", "ask a replica", 409)
-            )
-        orders = self.replicator.replica.state.orders.values()
-        value = {"orders": [o._asdict() for o in orders]}
-        await web.answer_json(call, 200, value)
-
     # -- endpoints ---------------------------------------------------------
 
     async def _announce(self, call: web.Call) -> None:
         body = await web.read_body(call, MAX_ANNOUNCEMENT_BYTES)
         value = web.parse_json(body)
-        announcement = parse_announcement(value)
+        announcement = announcements.parse_announcement(value)
         token = self.settings.announce_tokens.get(announcement.kind)
         given = headers_module.caller_key(call.headers)
         if token is None or not secrets.compare_digest(
@@ -461,101 +347,22 @@
         }
         await web.answer_json(call, 200, value)
 
-    _HANDLERS: dict[tuple[str, str], Handler] = {
-        ("GET", "/admin/declaration"): _get_declaration,
-        ("POST", "/admin/declaration"): _apply,
-        ("GET", "/admin/keys"): _list_keys,
-        ("POST", "/admin/keys"): _grant_key,
-        ("POST", "/admin/keys/withdraw"): _withdraw_key,
-        ("POST", "/admin/init"): _init,
-        ("GET", "/admin/status"): _status,
-        ("GET", "/admin/endpoints"): _endpoints,
-        ("GET", "/admin/burn"): _burn,
-        ("GET", "/admin/usage"): _usage,
-        ("GET", "/admin/orders"): _orders,
-        ("POST", "/endpoints/announce"): _announce,
-    }
-
-
-_ANNOUNCED_TYPES: dict[str, Any] = {
-    "name": str,
-    "incarnation": int,
-    "sequence": int,
-    "address": str,
-    "domain": str,
-    "kind": str,
-    "models": list,
-    "slots": int,
-    "cheap": bool,
-    "running": int,
-    "waiting": int,
-    "leaving": bool,
-    "reclaimed": bool,
-    "prefixes": list,
-    "fenced": bool,
-    "resumes": bool,
-    "period_ms": int,
-}
-_ANNOUNCED_REQUIRED = {
-    "name",
-    "incarnation",
-    "sequence",
-    "address",
-    "domain",
-    "kind",
-    "models",
-    "slots",
-}
-MAX_NUMBERS = {
-    "slots": 1 << 31,
-    "running": 1 << 31,
-    "waiting": 1 << 31,
-    "period_ms": 60_001,
-}
-
-
-def parse_announcement(value: dict[str, Any]) -> messages.Announcement:
-    """Return the announcement that a JSON object holds.
-
-    Unknown fields are passed over, so that newer endpoints may say more.
-
-    Raises:
-        RefusedError: a field is missing or of the wrong type.
-    """
-    missing = _ANNOUNCED_REQUIRED - set(value)
-    if missing:
-        raise web.RefusedError(
-            web.bad_input("bad-announcement", f"missing {sorted(missing)}")
-        )
-    fields: dict[str, Any] = {}
-    for name, kind in _ANNOUNCED_TYPES.items():
-        if name in value:
-            _check_type(value[name], kind, name)
-            fields[name] = value[name]
-            if kind is int:
-                _check_range(value[name], name)
-    for name in ("models", "prefixes"):
-        items = fields.get(name, [])
-        if not all(isinstance(i, str) for i in items):
-            raise web.RefusedError(
-                web.bad_input("bad-announcement", f"{name}: not strings")
-            )
-        fields[name] = tuple(items)
-    try:
-        settings_module.parse_address(fields["address"])
-    except ValueError:
-        raise web.RefusedError(
-            web.bad_input("bad-announcement", "address: not ip:port")
-        ) from None
-    return messages.Announcement(**fields)
-
-
-def _check_range(value: int, name: str) -> None:
-    lowest = MIN_PERIOD_MS if name == "period_ms" else 0
-    if not lowest <= value < MAX_NUMBERS.get(name, 1 << 63):
-        raise web.RefusedError(
-            web.bad_input("bad-announcement", f"{name}: out of range")
-        )
+    def _handlers(self) -> dict[tuple[str, str], Handler]:
+        views = self.views
+        return {
+            ("GET", "/admin/declaration"): self._get_declaration,
+            ("POST", "/admin/declaration"): self._apply,
+            ("GET", "/admin/keys"): self._list_keys,
+            ("POST", "/admin/keys"): self._grant_key,
+            ("POST", "/admin/keys/withdraw"): self._withdraw_key,
+            ("POST", "/admin/init"): self._init,
+            ("GET", "/admin/status"): views.status,
+            ("GET", "/admin/endpoints"): views.endpoints,
+            ("GET", "/admin/burn"): views.burn,
+            ("GET", "/admin/usage"): views.usage,
+            ("GET", "/admin/orders"): views.orders,
+            ("POST", "/endpoints/announce"): self._announce,
+        }
 
 
 def _check_fields(
@@ -568,17 +375,9 @@
         raise web.RefusedError(web.bad_input("bad-request", text))
 
 
-def _check_type(value: Any, kind: type, name: str) -> None:
-    wrong_bool = kind is int and isinstance(value, bool)
-    if not isinstance(value, kind) or wrong_bool:
-        raise web.RefusedError(
-            web.bad_input("bad-request", f"{name}: not {kind.__name__}")
-        )
-
-
 def _edit_id(value: dict[str, Any]) -> str:
     edit_id = value.get("edit_id") or uuid.uuid4().hex
-    _check_type(edit_id, str, "edit_id")
+    web.check_type(edit_id, str, "edit_id")
     return edit_id
 
 
@@ -613,4 +412,4 @@
     )
 
 
-__all__ = ["Operators", "parse_announcement"]
+__all__ = ["Operators"]
--- /dev/null
+++ b/primrosehitch/views.py
@@ -0,0 +1,163 @@
+"""What operators look at: status, endpoints, usage, orders, burn."""
+
+from typing import Any
+
+from primrosehitch import catalog as catalog_module
+from primrosehitch import clock
+from primrosehitch import gateway as gateway_module
+from primrosehitch import membership as membership_module
+from primrosehitch import replicator as replicator_module
+from primrosehitch import settings as settings_module
+from primrosehitch import spread as spread_module
+from primrosehitch import state as state_module
+from primrosehitch import web
+
+
+class Views:
+    """Answers questions about one instance; changes nothing.
+
+    Args:
+        settings: the instance's settings.
+        catalog: the configuration in force.
+        spread: what the other instances say.
+        gateway: the callers' side.
+        replicator: this instance's replica, or None.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        catalog: catalog_module.Catalog,
+        spread: spread_module.Spread,
+        gateway: gateway_module.Gateway,
+        replicator: replicator_module.Replicator | None,
+    ):
+        self.settings = settings
+        self.catalog = catalog
+        self.spread = spread
+        self.gateway = gateway
+        self.replicator = replicator
+
+    def unconfirmed(self, name: str) -> dict[str, Any]:
+        """Return an instance that does not confirm, and since when."""
+        member = self.spread.members.members.get(name)
+        if member is None:
+            return {"instance": name, "domain": self.settings.domain}
+        silent = None
+        if member.last_heard >= 0:
+            silent = round((clock.now_ms() - member.last_heard) / 1000, 1)
+        return {
+            "instance": name,
+            "domain": member.domain,
+            "status": member.status,
+            "last_heard_s_ago": silent,
+        }
+
+    async def status(self, call: web.Call) -> None:
+        """Answer with what this instance knows of all."""
+        now = clock.now_ms()
+        readiness = self.gateway.readiness
+        refusal = readiness.refusal(now)
+        value: dict[str, Any] = {
+            "instance": self.settings.name,
+            "domain": self.settings.domain,
+            "version": self.catalog.version,
+            "withdrawn_keys": len(self.catalog.withdrawals),
+            "leader": self.spread.leader(),
+            "ready": readiness.ready(now),
+            "not_ready_reason": refusal.reason if refusal else None,
+            "members": [self._member_value(m) for m in self._members()],
+            "endpoints": len(self.spread.directory.endpoints),
+            "replica": self._replica_value(),
+        }
+        await web.answer_json(call, 200, value)
+
+    def _members(self) -> list[membership_module.Member]:
+        return list(self.spread.members.members.values())
+
+    def _member_value(
+        self, member: membership_module.Member
+    ) -> dict[str, Any]:
+        value = self.unconfirmed(member.name)
+        value["version"] = member.heartbeat.version
+        value["withdrawn_keys"] = member.heartbeat.withdrawals
+        for peer in self.settings.peers:
+            if peer.name == member.name:
+                value["http"] = str(peer.http)
+        return value
+
+    def _replica_value(self) -> dict[str, Any] | None:
+        replicator = self.replicator
+        if replicator is None:
+            return None
+        raft = replicator.raft
+        return {
+            "id": replicator.identity.replica,
+            "cluster": replicator.identity.cluster,
+            "role": raft.role,
+            "term": raft.term,
+            "commit": raft.commit,
+            "log_entries": len(replicator.log.entries),
+            "withdrawn_keys": len(replicator.replica.state.withdrawals),
+            "voters": list(raft.voters),
+            "learners": list(raft.learners),
+            "in_charge": replicator.in_charge(),
+            "repaired": replicator.repaired(),
+            "failed": replicator.failed or None,
+        }
+
+    async def endpoints(self, call: web.Call) -> None:
+        """Answer with the endpoints known here."""
+        items = []
+        for endpoint in self.spread.directory.endpoints.values():
+            value = endpoint.announcement._asdict()
+            del value["prefixes"]
+            value["status"] = endpoint.status
+            items.append(value)
+        await web.answer_json(call, 200, {"endpoints": items})
+
+    async def burn(self, call: web.Call) -> None:
+        """Answer with this gateway's service-level buckets."""
+        since = float(call.parameters().get("since", "0") or 0)
+        value = {
+            "instance": self.settings.name,
+            "buckets": self.gateway.burn.export(since),
+            "classes": [
+                c._asdict() for c in self.catalog.items["class"].values()
+            ],
+        }
+        await web.answer_json(call, 200, value)
+
+    async def usage(self, call: web.Call) -> None:
+        """Answer with the usage windows in the state."""
+        state = self._state()
+        windows = [
+            {
+                "window": w.window,
+                "state": w.state,
+                "rows": [r._asdict() for r in w.rows],
+            }
+            for w in state.windows.values()
+        ]
+        open_rows = [
+            {"window": key[0], **row._asdict()}
+            for key, row in sorted(state.open_usage.items())
+        ]
+        value = {"windows": windows, "open": open_rows}
+        await web.answer_json(call, 200, value)
+
+    async def orders(self, call: web.Call) -> None:
+        """Answer with the platform orders in the state."""
+        orders = self._state().orders.values()
+        value = {"orders": [o._asdict() for o in orders]}
+        await web.answer_json(call, 200, value)
+
+    def _state(self) -> state_module.State:
+        if self.replicator is None:
+            raise web.RefusedError(
+                web.bad_input("no-data-folder", "ask a replica", 409)
+            )
+        return self.replicator.replica.state
+
+
+__all__ = ["Views"]
--- a/primrosehitch/web.py
+++ b/primrosehitch/web.py
@@ -125,6 +125,15 @@
     return value
 
 
+def check_type(value: Any, kind: type, name: str) -> None:
+    """Refuse a value of a JSON body that is of the wrong type."""
+    wrong_bool = kind is int and isinstance(value, bool)
+    if not isinstance(value, kind) or wrong_bool:
+        raise RefusedError(
+            bad_input("bad-request", f"{name}: not {kind.__name__}")
+        )
+
+
 async def answer_json(
     call: Call,
     status: int,
@@ -175,6 +184,7 @@
     "answer_json",
     "answer_refusal",
     "bad_input",
+    "check_type",
     "make_call",
     "parse_json",
     "read_body",
--- a/primrosehitch_lab/bench.py
+++ b/primrosehitch_lab/bench.py
@@ -18,7 +18,6 @@
 from typing import NamedTuple
 
 import httpcore
-import uvicorn
 
 from primrosehitch import porcelain
 from primrosehitch_lab import fleet as fleet_module
@@ -95,20 +94,7 @@
 async def serve(role: str, address: str, target: str) -> None:
     """Run the source or the bare relay until stopped."""
     app = source if role == "source" else bare_relay(target)
-    host, _, port = address.rpartition(":")
-    config = uvicorn.Config(
-        app,
-        host=host,
-        port=int(port),
-        log_config=None,
-        access_log=False,
-        lifespan="off",
-        interface="asgi3",
-        proxy_headers=False,
-        http="httptools",
-        ws="none",
-    )
-    await uvicorn.Server(config).serve()
+    await standin.serve(app, address)
 
 
 class Cost(NamedTuple):
--- a/primrosehitch_lab/engine.py
+++ b/primrosehitch_lab/engine.py
@@ -116,7 +116,7 @@
     async def _complete(
         self, scope: Any, body: bytes, receive: Any, send: Any
     ) -> None:
-        self._remember(scope, body)
+        standin.remember(self.seen, scope, body)
         value = json.loads(body)
         sequence = self._sequence(scope, value)
         queue = self.queues[sequence.identifier] = asyncio.Queue()
@@ -134,21 +134,6 @@
             self.model.cancel(sequence.identifier)
             self.queues.pop(sequence.identifier, None)
 
-    def _remember(self, scope: Any, body: bytes) -> None:
-        headers = [
-            (n.decode("latin-1"), v.decode("latin-1"))
-            for n, v in scope["headers"]
-        ]
-        self.seen.append(
-            {
-                "path": scope["path"],
-                "query": scope["query_string"].decode("latin-1"),
-                "headers": headers,
-                "body": body.decode("latin-1")[:2000],
-            }
-        )
-        del self.seen[:-500]
-
     def _sequence(self, scope: Any, value: Any) -> model_module.Sequence:
         self.numbers += 1
         prompt = json.dumps(value.get("messages") or value.get("prompt"))
--- a/primrosehitch_lab/services.py
+++ b/primrosehitch_lab/services.py
@@ -32,7 +32,7 @@
             value = {"runs": self.runs, "seen": self.seen}
             await standin.answer(send, 200, value)
             return
-        self._remember(scope, body)
+        standin.remember(self.seen, scope, body)
         if scope["method"] == "POST":
             await self._act(body, send)
         else:
@@ -53,20 +53,6 @@
             await standin.drop(send)
         await standin.answer(send, 201, {"number": number})
 
-    def _remember(self, scope: Any, body: bytes) -> None:
-        headers = [
-            (n.decode("latin-1"), v.decode("latin-1"))
-            for n, v in scope["headers"]
-        ]
-        self.seen.append(
-            {
-                "path": scope["path"],
-                "query": scope["query_string"].decode("latin-1"),
-                "headers": headers,
-                "body": body.decode("latin-1"),
-            }
-        )
-
 
 class Platform:
     """Takes start and stop orders and usage reports.
--- a/primrosehitch_lab/slopes.py
+++ b/primrosehitch_lab/slopes.py
@@ -26,6 +26,7 @@
 from primrosehitch import directory as directory_module
 from primrosehitch import fairqueue
 from primrosehitch import log as log_module
+from primrosehitch import medium as medium_module
 from primrosehitch import messages
 from primrosehitch import porcelain
 from primrosehitch import replica as replica_module
@@ -355,7 +356,7 @@
 def _catch_up_rows() -> list[Row]:
     rows = []
     for size in (1000, 5000, 20000):
-        medium = log_module.MemoryMedium()
+        medium = medium_module.MemoryMedium()
         log = log_module.Log(medium)
         row = messages.Row("customer", "c", "{}")
         for i in range(1, size + 1):
--- a/primrosehitch_lab/soak.py
+++ b/primrosehitch_lab/soak.py
@@ -19,7 +19,9 @@
 
 from primrosehitch import controller
 from primrosehitch import errors
+from primrosehitch import frames
 from primrosehitch import log as log_module
+from primrosehitch import medium as medium_module
 from primrosehitch import messages
 from primrosehitch import raft as raft_module
 from primrosehitch import replica as replica_module
@@ -60,7 +62,7 @@
     def __init__(self, soak: "Soak", name: str):
         self.soak = soak
         self.name = name
-        self.medium = log_module.MemoryMedium()
+        self.medium = medium_module.MemoryMedium()
         self.offset = soak.rng.randrange(10**6)
         self.rate = 1 + soak.rng.uniform(-DRIFT, DRIFT)
         self.running = False
@@ -103,7 +105,7 @@
         if not self.replica.log.dirty:
             kept = 1.0
         if self.replica.log.dirty and self.soak.rng.random() < 0.5:
-            frame = log_module.pack_frame(bytes(self.replica.log.unsynced))
+            frame = frames.pack_frame(bytes(self.replica.log.unsynced))
             self.medium.append(log_module.LOG_FILE, frame)
         self.medium.crash(kept)
 
@@ -317,7 +319,7 @@
         self.lost_at = self.now
         self.counts["disks"] += 1
         node.running = False
-        node.medium = log_module.MemoryMedium()
+        node.medium = medium_module.MemoryMedium()
         self.at(self.rng.randint(100, 3000), lambda: self._start(node))
 
     def _heal(self) -> None:
--- a/primrosehitch_lab/standin.py
+++ b/primrosehitch_lab/standin.py
@@ -7,9 +7,13 @@
 from typing import Any
 
 import httpcore
-import uvicorn
+
+from primrosehitch import server as server_module
+from primrosehitch import settings as settings_module
 
 ANNOUNCE_S = 1.0
+KEPT_CALLS = 500
+KEPT_BODY = 2000
 CALL_TIMEOUT = {"connect": 1.0, "read": 5.0, "write": 1.0, "pool": 1.0}
 
 
@@ -62,6 +66,22 @@
     return ""
 
 
+def remember(seen: list[Any], scope: Any, body: bytes) -> None:
+    """Note all that reached a stand-in, for tests to look through."""
+    headers = [
+        (n.decode("latin-1"), v.decode("latin-1")) for n, v in scope["headers"]
+    ]
+    seen.append(
+        {
+            "path": scope["path"],
+            "query": scope["query_string"].decode("latin-1"),
+            "headers": headers,
+            "body": body.decode("latin-1")[:KEPT_BODY],
+        }
+    )
+    del seen[:-KEPT_CALLS]
+
+
 class Announcer:
     """Announces one endpoint to the gateways, in turn.
 
@@ -122,25 +142,21 @@
 
 async def serve(app: Any, address: str, *tasks: Any) -> None:
     """Serve an ASGI application and run tasks beside it."""
-    host, _, port = address.rpartition(":")
-    config = uvicorn.Config(
-        app,
-        host=host,
-        port=int(port),
-        log_config=None,
-        access_log=False,
-        lifespan="off",
-        interface="asgi3",
-        proxy_headers=False,
-        http="httptools",
-        ws="none",
-        timeout_graceful_shutdown=1,
+    server = server_module.make_server(
+        app, settings_module.parse_address(address)
     )
-    server = uvicorn.Server(config)
     running = [asyncio.create_task(task) for task in tasks]
     await server.serve()
     for task in running:
         task.cancel()
 
 
-__all__ = ["Announcer", "answer", "drop", "header", "read_body", "serve"]
+__all__ = [
+    "Announcer",
+    "answer",
+    "drop",
+    "header",
+    "read_body",
+    "remember",
+    "serve",
+]
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -8,7 +8,9 @@
 import pytest
 
 from primrosehitch import errors
+from primrosehitch import frames
 from primrosehitch import log as log_module
+from primrosehitch import medium as medium_module
 from primrosehitch import messages
 
 
@@ -19,9 +21,9 @@
 @pytest.fixture(params=["memory", "disk"])
 def medium(request, tmp_path):
     if request.param == "memory":
-        yield log_module.MemoryMedium()
+        yield medium_module.MemoryMedium()
         return
-    disk = log_module.DiskMedium(tmp_path)
+    disk = medium_module.DiskMedium(tmp_path)
     yield disk
     disk.close()
 
@@ -137,7 +139,7 @@
     st.floats(0, 1),
 )
 def test_a_crash_keeps_all_synced_frames_and_no_part_of_a_frame(sizes, kept):
-    medium = log_module.MemoryMedium()
+    medium = medium_module.MemoryMedium()
     log = log_module.Log(medium)
     for size in sizes[:-1]:
         first = log.last_index + 1
@@ -145,9 +147,7 @@
         log.sync()
     synced = log.last_index
     log.append([entry(synced + 1 + i) for i in range(sizes[-1])])
-    medium.append(
-        log_module.LOG_FILE, log_module.pack_frame(bytes(log.unsynced))
-    )
+    medium.append(log_module.LOG_FILE, frames.pack_frame(bytes(log.unsynced)))
     medium.crash(kept)
     again = log_module.Log(medium)
     assert again.last_index in (synced, synced + sizes[-1])
@@ -155,7 +155,7 @@
 
 @given(st.binary(max_size=400))
 def test_any_bytes_are_a_log_or_a_clear_error(data):
-    medium = log_module.MemoryMedium()
+    medium = medium_module.MemoryMedium()
     medium.replace(log_module.LOG_FILE, data)
     try:
         log = log_module.Log(medium)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -45,7 +45,7 @@
     ),
     Mutant(
         "damage in the middle stops",
-        "log.py",
+        "frames.py",
         "            _refuse_damage(data, start, peer)\n",
         "",
         "tests/test_log.py",
