--- a/primrosehitch_lab/bench.py
+++ b/primrosehitch_lab/bench.py
@@ -20,6 +20,7 @@
 import httpcore
 
 from primrosehitch import porcelain
+from primrosehitch import upstream
 from primrosehitch_lab import fleet as fleet_module
 from primrosehitch_lab import standin
 
@@ -30,6 +31,8 @@
 EVENTS = 400
 EVENT_GAP_S = 0.004
 ROUNDS = 5
+MEMORY_REQUESTS = 12_000
+MEMORY_STEP = 2000
 TARGET_RATIO = 1.25
 EVENT = (
     b'data: {"id":"chatcmpl-%s","object":"chat.completion.chunk",'
@@ -58,9 +61,14 @@
 
 
 def bare_relay(target: str) -> Any:
-    """Return an ASGI application that only relays to a target."""
+    """Return an ASGI application that only relays to a target.
+
+    Its pool keeps as many idle connections as the router's, since each
+    costs a look at every request.
+    """
     pool = httpcore.AsyncConnectionPool(
-        max_connections=2000, max_keepalive_connections=2000
+        max_connections=upstream.MAX_CONNECTIONS,
+        max_keepalive_connections=upstream.IDLE_CONNECTIONS,
     )
 
     async def app(scope: Any, receive: Any, send: Any) -> None:
@@ -182,8 +190,8 @@
         process.wait()
 
 
-def run() -> list[Any]:
-    """Measure both in turn and return rows with the ratios."""
+def run() -> tuple[list[Any], list[Any]]:
+    """Measure both in turn; return ratios, and the router's memory."""
     target = f"{fleet_module.HOST}:{PORT}"
     relay = f"{fleet_module.HOST}:{PORT + 1}"
     deployment = {
@@ -209,8 +217,10 @@
             key = porcelain.create_key(fleet.target("g1"), "a")["key"]
             stop = _announce(fleet.http["g1"], target)
             rows = _rounds(fleet, relay, relay_pid, key)
+            pid = fleet.processes["g1"].pid
+            memory = memory_rows(fleet.http["g1"], key, pid)
             stop()
-            return rows
+            return rows, memory
         finally:
             fleet.stop()
 
@@ -245,6 +255,22 @@
     return stop
 
 
+def resident_kb(pid: int) -> int:
+    """Return a process's resident memory in KB."""
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(text.split("VmRSS:")[1].split()[0])
+
+
+def memory_rows(address: str, key: str, pid: int) -> list[Any]:
+    """Return the router's memory as requests add up."""
+    rows = []
+    for done in range(0, MEMORY_REQUESTS + 1, MEMORY_STEP):
+        if done:
+            asyncio.run(_short(address, key, MEMORY_STEP))
+        rows.append({"requests": done, "resident_kb": resident_kb(pid)})
+    return rows
+
+
 def _rounds(
     fleet: fleet_module.Fleet, relay: str, relay_pid: int, key: str
 ) -> list[Any]:
--- a/primrosehitch_lab/cli.py
+++ b/primrosehitch_lab/cli.py
@@ -57,8 +57,8 @@
         from primrosehitch import porcelain
         from primrosehitch_lab import bench
 
-        rows = bench.run()
-        return porcelain.table(rows, tuple(rows[0]))
+        parts = [porcelain.table(r, tuple(r[0])) for r in bench.run()]
+        return "\n\n".join(parts)
 
     def bench_serve(self, role: str, address: str, target: str) -> None:
         """Run a part of the benchmark."""
