Never call a sent request not run; check a booking's answer is its own

Causes, found by reading and shown by two tests that failed first: - 'sent' was set when the response's head came, so a key withdrawn while an engine was still silent got 'not-run' for a request that was there; - only answers that were relayed had their identifier checked, not those of calls that may not be repeated.

Change: 'sent' is set before the call and taken back only if nothing left; the head of every answer is checked. A crossed booking answer is 'unknown'.

--- a/primrosehitch/relay.py
+++ b/primrosehitch/relay.py
@@ -204,7 +204,6 @@
                 return
             except upstream_module.UpstreamError as exc:
                 failed = True
-                self.exchange.sent = self.exchange.sent or exc.sent
                 self._check_retry(exc, attempt)
             except streams.StreamError as exc:
                 failed = True
@@ -283,12 +282,21 @@
                 "endpoint went", "relay.place", endpoint, False
             )
         outgoing = self._outgoing(known.announcement)
+        before = self.exchange.sent
+        self.exchange.sent = True
+        try:
+            await self._send_and_relay(endpoint, outgoing)
+        except upstream_module.UpstreamError as exc:
+            self.exchange.sent = before or exc.sent
+            raise
+
+    async def _send_and_relay(
+        self, endpoint: str, outgoing: upstream_module.Outgoing
+    ) -> None:
         if not self.work.repeatable:
-            self.exchange.sent = True
             await self._whole(endpoint, outgoing)
             return
         async with self.gateway.upstream.stream(outgoing) as response:
-            self.exchange.sent = True
             self._check_head(response, endpoint)
             if self.exchange.streaming and response.status == 200:
                 await self._stream(endpoint, response)
@@ -329,11 +337,8 @@
     async def _whole(
         self, endpoint: str, outgoing: upstream_module.Outgoing
     ) -> None:
-        try:
-            answer = await self.gateway.upstream.call(outgoing)
-        except upstream_module.UpstreamError as exc:
-            self.exchange.sent = exc.sent
-            raise
+        answer = await self.gateway.upstream.call(outgoing)
+        self._check_head(answer, endpoint)
         self.exchange.answer = answer
         if self.exchange.withdrawn is not None:
             raise web.RefusedError(self._withdrawn_refusal())
--- a/primrosehitch_lab/services.py
+++ b/primrosehitch_lab/services.py
@@ -51,7 +51,10 @@
         await asyncio.sleep(float(self.faults.get("delay_s", 0)))
         if self.faults.get("drop"):
             await standin.drop(send)
-        await standin.answer(send, 201, {"number": number})
+        headers = []
+        if self.faults.get("crossed"):
+            headers.append((b"x-request-id", b"of-another"))
+        await standin.answer(send, 201, {"number": number}, headers)
 
 
 class Platform:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -455,3 +455,30 @@
     fleet.wait_for(steady, "a steady endpoint to be ordered", 20)
     cheap = [o for o in fleet.control("platform")["orders"] if o["cheap"]]
     assert len(cheap) <= 12
+
+
+def test_a_withdrawn_key_never_makes_a_sent_request_not_run(fleet):
+    for name in ("e1", "e2", "e3"):
+        fleet.control(name, {"stall": True})
+    made = porcelain.create_key(fleet.target("g1"), "ana")
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        job = pool.submit(
+            callers.chat, fleet.http["g4"], made["key"], stream=False
+        )
+        fleet.wait_for(
+            lambda: any(fleet.control(e)["running"] for e in ("e1", "e2")),
+            "the request to reach an engine",
+            3,
+        )
+        porcelain.withdraw_key(fleet.target("g1"), made["key_id"])
+        answer = job.result()
+    assert answer.status == 401
+    assert answer.error["outcome"] == "incomplete"
+
+
+def test_a_crossed_booking_answer_is_unknown_not_passed_on(fleet):
+    fleet.control("s1", {"crossed": True})
+    answer = callers.book(fleet.http["g1"], fleet.key, "crossed")
+    assert answer.error["outcome"] == "unknown"
+    assert b"number" not in answer.body
+    assert len(fleet.control("s1")["runs"]) == 1
