Answer refused bookings at once; keep places from lower tiers

Change: what claims keep is handed over by a task of its own; a resend right behind the first call waits up to a second for its outcome; a class below one that was kept from a place does not get it, unless the ticket had ruled out endpoints itself.

--- a/primrosehitch/admission.py
+++ b/primrosehitch/admission.py
@@ -6,7 +6,8 @@
 will start. The reserve is always admitted, or a burst that keeps the
 queue full would starve the class at the door. Serving order is by tier,
 but a class that has waited long for a start, or has earned one by its
-floor, gets the next free place.
+floor, gets the next free place. A place that a higher tier may not take
+here, since it is another gateway's turn, is not for a lower one either.
 """
 
 from typing import Callable
@@ -231,9 +232,11 @@
         self.rate_samples += 1
 
     def _start_one(self, now: int, place: Place) -> Started | None:
+        lowest = None
         for queue, boosted in self._serving_order(now):
             ticket = queue.queue.peek()
-            if ticket is None:
+            below = lowest is not None and queue.tier > lowest
+            if ticket is None or (below and not boosted):
                 continue
             ticket.boosted = boosted
             endpoint = place(ticket)
@@ -243,6 +246,8 @@
                 self._note_start(queue, now)
                 return Started(ticket, endpoint)
             ticket.boosted = False
+            if not boosted and not ticket.excluded:
+                lowest = queue.tier
         return None
 
     def _serving_order(self, now: int) -> list[tuple[ClassQueue, bool]]:
--- a/primrosehitch/claims.py
+++ b/primrosehitch/claims.py
@@ -20,11 +20,12 @@
 from primrosehitch import web
 
 CLAIM_S = 2.0
-RECORD_S = 5.0
+RETRY_S = 1.0
+POLL_S = 0.1
+IN_PROGRESS_WAIT_S = 1.0
 KEPT_BODY_BYTES = 256 << 10
 IN_PROGRESS_RETRY_S = 1.0
 NO_QUORUM_RETRY_S = 2.0
-BACKLOG = 10_000
 STEP = "claim"
 
 
@@ -50,6 +51,7 @@
         self.proposer = proposer
         self.holder_alive = holder_alive
         self.backlog: dict[str, tuple] = {}
+        self.work = anyio.Event()
 
     async def claim(
         self, customer: str, idempotency_key: str, request: bytes
@@ -74,19 +76,37 @@
             holder=self.gateway,
             incarnation=self.incarnation,
         )
+        known = await self._propose(claim)
+        with anyio.move_on_after(IN_PROGRESS_WAIT_S):
+            while self._runs_elsewhere(claim, known):
+                await anyio.sleep(POLL_S)
+                known = await self._propose(claim)
+        if known.claim_id == claim_id and known.state == state_module.OPEN:
+            return known
+        self._check_earlier(claim, known)
+        return known
+
+    async def _propose(self, claim: messages.Claim) -> messages.Claim:
         try:
-            known = await self.proposer.propose(claim, CLAIM_S)
+            return await self.proposer.propose(claim, CLAIM_S)
         except errors.ProposalError as exc:
             if exc.maybe_applied:
-                self.release(claim_id)
+                self.release(claim.claim_id)
             raise web.RefusedError(_no_quorum()) from exc
         except BaseException:
-            self.release(claim_id)
+            self.release(claim.claim_id)
             raise
-        if known.claim_id == claim_id and known.state == state_module.OPEN:
-            return known
-        self._check_earlier(claim, known)
-        return known
+
+    def _runs_elsewhere(
+        self, wanted: messages.Claim, known: messages.Claim
+    ) -> bool:
+        """Return whether the same call has just begun under its key."""
+        return (
+            known.state == state_module.OPEN
+            and known.claim_id != wanted.claim_id
+            and known.fingerprint == wanted.fingerprint
+            and self.holder_alive(known.holder, known.incarnation)
+        )
 
     def is_ours(self, claim: messages.Claim) -> bool:
         """Return whether a claim is granted and still to be run here."""
@@ -113,14 +133,16 @@
         """Record that a call may have run and its outcome is not known."""
         self._keep(claim_id, messages.ClaimOutcome(claim_id, known=False))
 
-    async def settle(self, claim_id: str) -> None:
-        """Wait until what was kept for a claim is in the log.
+    async def run(self) -> None:
+        """Hand over what is kept, at once and until it is in the log.
 
-        Gives up after a while; the backlog goes on trying.
+        No caller waits for it: an answer, or a refusal, goes out first.
         """
-        with anyio.move_on_after(RECORD_S):
-            while claim_id in self.backlog:
-                await self._hand_over(claim_id)
+        while True:
+            with anyio.move_on_after(RETRY_S):
+                await self.work.wait()
+            self.work = anyio.Event()
+            await self.flush()
 
     async def flush(self) -> None:
         """Hand over what is in the backlog, oldest first."""
@@ -129,6 +151,7 @@
 
     def _keep(self, claim_id: str, command: tuple) -> None:
         self.backlog[claim_id] = command
+        self.work.set()
 
     async def _hand_over(self, claim_id: str) -> None:
         command = self.backlog.get(claim_id)
--- a/primrosehitch/daemon.py
+++ b/primrosehitch/daemon.py
@@ -38,7 +38,6 @@
 INBOX_MESSAGES = 4096
 FLUSH_LIMIT_S = 5.0
 POLL_S = 0.05
-CLAIMS_FLUSH_MS = 1000
 
 
 class Daemon:
@@ -186,7 +185,7 @@
             group.start_soon(self.spread.run, self.timers, self.inbox)
             group.start_soon(self.dispatcher.run, self.timers)
             group.start_soon(self._flush_usage)
-            group.start_soon(self._flush_claims)
+            group.start_soon(self.claims.run)
             if self.replicator is not None:
                 group.start_soon(self.replicator.run, self.timers)
                 controller = controller_module.Controller(
@@ -265,10 +264,6 @@
         self.meter.accepted(mark.sequence)
         return True
 
-    async def _flush_claims(self) -> None:
-        async for _ in self.timers.subscribe(CLAIMS_FLUSH_MS):
-            await self.claims.flush()
-
 
 def main() -> None:
     """Run the daemon with the settings file named on the command line."""
--- a/primrosehitch/gateway.py
+++ b/primrosehitch/gateway.py
@@ -215,6 +215,7 @@
         ticket: fairqueue.Ticket,
         work: relay_module.Work,
     ) -> None:
+        self._check_endpoint(work.pool)
         content = b"\0".join(
             (
                 work.outgoing.method.encode(),
@@ -242,7 +243,6 @@
                     self.claims.record_unknown(claim_id)
                 else:
                     self._record(claim_id, exchange.answer)
-            await self.claims.settle(claim_id)
 
     def _record(self, claim_id: str, answer: upstream_module.Answer) -> None:
         content_type = b""
@@ -265,8 +265,7 @@
         ticket: fairqueue.Ticket,
         work: relay_module.Work,
     ) -> None:
-        if not self.dispatcher.router.available(work.pool):
-            self._refuse_no_endpoint(work.pool)
+        self._check_endpoint(work.pool)
         now = clock.now_ms()
         refusal = self.dispatcher.limits.admit(caller.grant, now)
         if refusal is not None:
@@ -313,7 +312,9 @@
                 window,
             )
 
-    def _refuse_no_endpoint(self, pool: str) -> None:
+    def _check_endpoint(self, pool: str) -> None:
+        if self.dispatcher.router.available(pool):
+            return
         raise web.RefusedError(
             outcomes.not_run(
                 "no-endpoint",
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -47,6 +47,18 @@
     assert [t.tier for t in started] == [0, 1, 2]
 
 
+def test_a_lower_tier_takes_no_place_that_a_higher_one_may_not():
+    admission = admission_module.Admission(100)
+    high, low = ticket(CLASSES[0]), ticket(CLASSES[2])
+    for item in (high, low):
+        admission.offer(item, 0)
+    started = admission.pump(1, lambda t: None if t is high else "e1")
+    assert list(started) == []
+    high.excluded = frozenset(["e1"])
+    started = admission.pump(1, lambda t: None if t is high else "e1")
+    assert [s.ticket for s in started] == [low]
+
+
 def test_every_class_starts_within_five_seconds_under_a_high_burst():
     admission = admission_module.Admission(50)
     starts = collections.defaultdict(list)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,151 @@
+"""Claims at one gateway, over a fake way into the log."""
+
+import time
+
+import anyio
+import pytest
+
+from primrosehitch import claims as claims_module
+from primrosehitch import errors
+from primrosehitch import messages
+from primrosehitch import state as state_module
+from primrosehitch import web
+
+
+class FakeLog:
+    """Applies commands to a state machine, unless it is out of reach."""
+
+    def __init__(self):
+        self.state = state_module.State()
+        self.reachable = True
+        self.maybe = True
+
+    async def propose(self, command, limit_s):
+        if not self.reachable:
+            await anyio.sleep(0.01)
+            raise errors.ProposalError("no quorum", "", self.maybe)
+        kind = type(command).__name__
+        body = messages.encode(command)
+        return self.state.apply(messages.Entry(1, 1, kind, body))
+
+
+def gateway(log, name="g1", alive=True):
+    return claims_module.Claims(name, 1, log, lambda *holder: alive)
+
+
+def claim(claims, key="k", content=b"x"):
+    async def run():
+        return await claims.claim("ana", key, content)
+
+    return anyio.run(run)
+
+
+def refusal_of(claims, **more):
+    with pytest.raises(web.RefusedError) as caught:
+        claim(claims, **more)
+    return caught.value.refusal
+
+
+def test_a_claim_is_granted_once_and_its_outcome_replayed():
+    log = FakeLog()
+    one, two = gateway(log), gateway(log, "g2")
+    first = claim(one)
+    assert one.is_ours(first)
+    one.record(first.claim_id, 201, "a/b", b"body")
+    anyio.run(one.flush)
+    again = claim(two)
+    assert not two.is_ours(again)
+    assert (again.status, again.body) == (201, b"body")
+
+
+FAULTS = [
+    ("open", True, "in-progress", "unknown"),
+    ("open", False, "outcome-unknown", "unknown"),
+    ("unknown", True, "outcome-unknown", "unknown"),
+]
+
+
+@pytest.mark.parametrize("state,alive,reason,outcome", FAULTS)
+def test_a_resend_is_told_what_is_known(state, alive, reason, outcome):
+    log = FakeLog()
+    one, two = gateway(log), gateway(log, "g2", alive)
+    first = claim(one)
+    if state == "unknown":
+        one.record_unknown(first.claim_id)
+        anyio.run(one.flush)
+    refusal = refusal_of(two)
+    assert (refusal.reason, refusal.outcome) == (reason, outcome)
+
+
+def test_a_resend_right_behind_gets_the_outcome():
+    log = FakeLog()
+    one, two = gateway(log), gateway(log, "g2")
+    first = claim(one)
+
+    async def run():
+        found = []
+
+        async def resend():
+            found.append(await two.claim("ana", "k", b"x"))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(resend)
+            await anyio.sleep(0.2)
+            one.record(first.claim_id, 201, "", b"late")
+            await one.flush()
+        return found[0]
+
+    assert anyio.run(run).body == b"late"
+
+
+def test_another_call_under_the_same_key_is_refused_at_once():
+    log = FakeLog()
+    claim(gateway(log))
+    start = time.monotonic()
+    refusal = refusal_of(gateway(log, "g2"), content=b"other")
+    assert refusal.status == 422
+    assert time.monotonic() - start < claims_module.IN_PROGRESS_WAIT_S
+
+
+def test_without_a_quorum_nothing_is_granted_and_the_claim_is_released():
+    log = FakeLog()
+    claims = gateway(log)
+    log.reachable = False
+    refusal = refusal_of(claims)
+    assert (refusal.outcome, refusal.reason) == ("not-run", "no-quorum")
+    assert refusal.retry_after_s > 0
+    log.reachable = True
+    anyio.run(claims.flush)
+    assert not claims.backlog
+    assert len(log.state.released) == 1
+    assert claims.is_ours(claim(claims))
+
+
+def test_giving_up_a_claim_waits_for_nothing():
+    log = FakeLog()
+    claims = gateway(log)
+    granted = claim(claims)
+    log.reachable = False
+    start = time.monotonic()
+    claims.release(granted.claim_id)
+    assert time.monotonic() - start < 0.05
+    assert claims.work.is_set()
+
+
+def test_what_is_kept_is_handed_over_once_the_log_is_back():
+    log = FakeLog()
+    claims = gateway(log)
+    granted = claim(claims)
+    log.reachable = False
+
+    async def run():
+        with anyio.move_on_after(1.0):
+            async with anyio.create_task_group() as group:
+                group.start_soon(claims.run)
+                claims.record(granted.claim_id, 201, "", b"kept")
+                await anyio.sleep(0.1)
+                log.reachable = True
+                claims.release("another")
+
+    anyio.run(run)
+    assert log.state.claims["ana", "k"].state == state_module.DONE
