Take 3 and 3.0 for the same weight

Cause: a table that went out as CSV and came back showed every weight as changed in a plan, tried as OPERATING.md says; a test failed first.

--- a/primrosehitch/declaration.py
+++ b/primrosehitch/declaration.py
@@ -169,7 +169,12 @@
 
 
 def _dump(value: Any) -> str:
-    return json.dumps(value, sort_keys=True, separators=(",", ":"))
+    """Return one text for a row, however its numbers were written."""
+    plain = {
+        k: int(v) if isinstance(v, float) and v.is_integer() else v
+        for k, v in value.items()
+    }
+    return json.dumps(plain, sort_keys=True, separators=(",", ":"))
 
 
 __all__ = [
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -102,6 +102,16 @@
     text = declaration.grants_to_csv(document)
     grants = declaration.grants_from_csv(text, "x.csv")
     assert grants == document["grants"]
+    loaded = json.loads(json.dumps({**document, "grants": grants}))
+    assert declaration.to_rows(loaded) == declaration.to_rows(document)
+
+
+def test_a_number_written_otherwise_is_no_change():
+    whole = json.loads(json.dumps(conftest.DECLARATION))
+    whole["grants"][0]["weight"] = 3
+    broken = json.loads(json.dumps(whole))
+    broken["grants"][0]["weight"] = 3.0
+    assert declaration.to_rows(whole) == declaration.to_rows(broken)
 
 
 BAD_CSV = [
