Fuzz the HTTP edges; fewer twins in the lab

Causes: any JSON body at the operators' calls found a customer that is a list answered with 500; reading for the same kind found half characters (lone surrogates), which could not be encoded. Both tests failed first.

Change: types checked, texts that are not Unicode refused as bad-request; a prompt's hash replaces half characters. procfs.py for what bench and slopes both read; views are handed to the operators' side; planner.cost_per_hour, called by nothing, is gone.

--- a/primrosehitch/daemon.py
+++ b/primrosehitch/daemon.py
@@ -33,6 +33,7 @@
 from primrosehitch import spread as spread_module
 from primrosehitch import timers
 from primrosehitch import usage as usage_module
+from primrosehitch import views as views_module
 from primrosehitch import web
 
 INBOX_MESSAGES = 4096
@@ -100,9 +101,12 @@
             self.claims,
             self.meter,
         )
-        self.operators = operators_module.Operators(
+        views = views_module.Views(
             settings, self.catalog, self.spread, self.gateway, self.replicator
         )
+        self.operators = operators_module.Operators(
+            settings, self.catalog, self.spread, self.replicator, views
+        )
         self.spread.on_withdrawn = self.gateway.cut
         if self.replicator is not None:
             self.replicator.on_change = self.spread.publish
--- a/primrosehitch/gateway.py
+++ b/primrosehitch/gateway.py
@@ -490,7 +490,7 @@
     whole = min(len(text) // PREFIX_CHARS, PREFIXES_MAX)
     for i in range(whole):
         block = text[i * PREFIX_CHARS : (i + 1) * PREFIX_CHARS]
-        state.update(block.encode())
+        state.update(block.encode("utf-8", "replace"))
         hashes.append(state.hexdigest())
     return tuple(hashes)
 
--- a/primrosehitch/operators.py
+++ b/primrosehitch/operators.py
@@ -21,7 +21,6 @@
 from primrosehitch import declaration as declaration_module
 from primrosehitch import errors
 from primrosehitch import events
-from primrosehitch import gateway as gateway_module
 from primrosehitch import headers as headers_module
 from primrosehitch import messages
 from primrosehitch import outcomes
@@ -50,8 +49,8 @@
         settings: the instance's settings.
         catalog: the configuration in force.
         spread: what the other instances say.
-        gateway: the callers' side, for reports.
         replicator: this instance's replica, or None.
+        views: answers to questions.
     """
 
     def __init__(
@@ -59,17 +58,14 @@
         settings: settings_module.Settings,
         catalog: catalog_module.Catalog,
         spread: spread_module.Spread,
-        gateway: gateway_module.Gateway,
         replicator: replicator_module.Replicator | None,
+        views: views_module.Views,
     ):
         self.settings = settings
         self.catalog = catalog
         self.spread = spread
-        self.gateway = gateway
         self.replicator = replicator
-        self.views = views_module.Views(
-            settings, catalog, spread, gateway, replicator
-        )
+        self.views = views
         self.handlers = self._handlers()
 
     async def serve(self, call: web.Call) -> None:
@@ -90,6 +86,9 @@
             await web.answer_refusal(call, refusal)
         except errors.ProposalError as exc:
             await web.answer_refusal(call, _unproposed(exc))
+        except UnicodeError:
+            refusal = web.bad_input("bad-request", "a text is not Unicode")
+            await web.answer_refusal(call, refusal)
         except web.CallerGoneError:
             return
         except Exception as exc:
@@ -203,6 +202,7 @@
         value = web.parse_json(await web.read_body(call, 65536))
         _check_fields(value, {"customer"}, {"edit_id", "key_hash"})
         customer = value["customer"]
+        web.check_type(customer, str, "customer")
         if customer not in self.catalog.items["customer"]:
             raise web.RefusedError(
                 web.bad_input("unknown-customer", f"no {customer!r}", 404)
--- a/primrosehitch/planner.py
+++ b/primrosehitch/planner.py
@@ -258,15 +258,6 @@
     return total - most_cheap >= pool.minimum
 
 
-def cost_per_hour(pool: catalog.Pool, present: Iterable[Present]) -> float:
-    """Return what a pool's endpoints cost in an hour."""
-    return sum(
-        pool.cheap_price if p.cheap else pool.steady_price
-        for p in present
-        if p.kind == pool.kind
-    )
-
-
 def order_of(wish: Wish, order_id: str, term: int) -> messages.Order:
     """Return the order that a wish becomes."""
     return messages.Order(
@@ -287,7 +278,6 @@
     "Present",
     "Wish",
     "cheapest_mix",
-    "cost_per_hour",
     "order_of",
     "wanted_count",
 ]
--- a/primrosehitch_lab/bench.py
+++ b/primrosehitch_lab/bench.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import pathlib
 import subprocess
 import sys
@@ -22,6 +21,7 @@
 from primrosehitch import porcelain
 from primrosehitch import upstream
 from primrosehitch_lab import fleet as fleet_module
+from primrosehitch_lab import procfs
 from primrosehitch_lab import standin
 
 PORT = 26500
@@ -112,13 +112,6 @@
     event: float
 
 
-def cpu_s(pid: int) -> float:
-    """Return the processor time a process has used, in seconds."""
-    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
-    fields = text.rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 async def _post(pool: Any, address: str, key: str, body: bytes) -> bytes:
     response = await pool.request(
         "POST",
@@ -169,13 +162,13 @@
 def measure(address: str, key: str, pid: int) -> Cost:
     """Return what a relay spends, after a short warm-up."""
     asyncio.run(_short(address, key, 160))
-    before = cpu_s(pid)
+    before = procfs.cpu_s(pid)
     asyncio.run(_short(address, key, SHORT_REQUESTS))
-    request = (cpu_s(pid) - before) / SHORT_REQUESTS * 1e6
-    before = cpu_s(pid)
+    request = (procfs.cpu_s(pid) - before) / SHORT_REQUESTS * 1e6
+    before = procfs.cpu_s(pid)
     events = asyncio.run(_streams(address, key))
     assert events == STREAMS * EVENTS, events
-    spent = (cpu_s(pid) - before) * 1e6 - STREAMS * request
+    spent = (procfs.cpu_s(pid) - before) * 1e6 - STREAMS * request
     return Cost(request, spent / events)
 
 
@@ -255,19 +248,13 @@
     return stop
 
 
-def resident_kb(pid: int) -> int:
-    """Return a process's resident memory in KB."""
-    text = pathlib.Path(f"/proc/{pid}/status").read_text()
-    return int(text.split("VmRSS:")[1].split()[0])
-
-
 def memory_rows(address: str, key: str, pid: int) -> list[Any]:
     """Return the router's memory as requests add up."""
     rows = []
     for done in range(0, MEMORY_REQUESTS + 1, MEMORY_STEP):
         if done:
             asyncio.run(_short(address, key, MEMORY_STEP))
-        rows.append({"requests": done, "resident_kb": resident_kb(pid)})
+        rows.append({"requests": done, "resident_kb": procfs.resident_kb(pid)})
     return rows
 
 
--- a/primrosehitch_lab/slopes.py
+++ b/primrosehitch_lab/slopes.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import random
-import resource
 import statistics
 import subprocess
 import sys
@@ -33,6 +32,7 @@
 from primrosehitch import routing
 from primrosehitch import state as state_module
 from primrosehitch_lab import fleet as fleet_module
+from primrosehitch_lab import procfs
 
 NODES = (7, 21, 49)
 CELL = 7
@@ -100,16 +100,11 @@
 # -- in a process of its own, for memory ----------------------------------
 
 
-def _resident_kb() -> float:
-    text = pathlib.Path("/proc/self/statm").read_text()
-    return int(text.split()[1]) * resource.getpagesize() / 1024
-
-
 def memory_of(kind: str, size: int) -> float:
     """Return the growth of this process in KB for items of a kind."""
-    before = _resident_kb()
+    before = procfs.resident_kb(os.getpid())
     held = _build(kind, size)
-    after = _resident_kb()
+    after = procfs.resident_kb(os.getpid())
     assert held
     return after - before
 
@@ -388,12 +383,6 @@
     messages_sent: float
 
 
-def _cpu_s(pid: int) -> float:
-    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
-    fields = text.rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def _metrics(address: str) -> dict[str, float]:
     with httpcore.ConnectionPool() as pool:
         text = pool.request("GET", f"http://{address}/metrics").content
@@ -404,7 +393,7 @@
 def _snapshot(fleet: fleet_module.Fleet, name: str) -> Node:
     found = _metrics(fleet.http[name])
     return Node(
-        _cpu_s(fleet.processes[name].pid),
+        procfs.cpu_s(fleet.processes[name].pid),
         found["primrosehitch_link_bytes"],
         found["primrosehitch_link_messages"],
     )
@@ -455,7 +444,7 @@
     head = {"authorization": f"Bearer {fleet_module.TOKEN}"}
     pid = fleet.processes[name].pid
     with httpcore.ConnectionPool() as pool:
-        before = _cpu_s(pid)
+        before = procfs.cpu_s(pid)
         for i in range(HTTP_ANNOUNCEMENTS):
             value = announcement(0, i + 1)._asdict()
             body = json.dumps({**value, "age_ms": 0}).encode()
@@ -466,7 +455,7 @@
                 content=body,
             )
             assert response.status == 200, response.content
-        took = (_cpu_s(pid) - before) / HTTP_ANNOUNCEMENTS * 1e6
+        took = (procfs.cpu_s(pid) - before) / HTTP_ANNOUNCEMENTS * 1e6
     return Row("announcement over HTTP", 1, took, "us")
 
 
@@ -521,10 +510,7 @@
         cpu = 100 * (now.cpu_s - then.cpu_s) / spent
         sent = (now.bytes_sent - then.bytes_sent) / spent / 1000
         count = (now.messages_sent - then.messages_sent) / spent
-        status = pathlib.Path(
-            f"/proc/{fleet.processes[name].pid}/status"
-        ).read_text()
-        resident = int(status.split("VmRSS:")[1].split()[0]) / 1024
+        resident = procfs.resident_kb(fleet.processes[name].pid) / 1024
         rows += [
             Row(f"{role}: processor", nodes, cpu, "% of a core"),
             Row(f"{role}: sent", nodes, sent, "KB/s"),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -28,6 +28,27 @@
 
 
 MUTANTS = [
+    Mutant(
+        "a place kept from a higher tier is kept from lower ones",
+        "admission.py",
+        "            if ticket is None or (below and not boosted):",
+        "            if ticket is None:",
+        "tests/test_admission.py",
+    ),
+    Mutant(
+        "a resend right behind waits for the outcome",
+        "claims.py",
+        "            while self._runs_elsewhere(claim, known):",
+        "            while False:",
+        "tests/test_claims.py",
+    ),
+    Mutant(
+        "gateways keep to their part of the places",
+        "fairshare.py",
+        "        return self.router.running(pool, tier) < part.places",
+        "        return True",
+        "tests/test_policy.py",
+    ),
     Mutant(
         "sync before acknowledgement",
         "log.py",
@@ -242,9 +263,8 @@
     Mutant(
         "fair turn among customers",
         "fairqueue.py",
-        "        time = self.virtual.get(customer, self.floor) + tokens / "
-        "weight",
-        "        time = self.virtual.get(customer, self.floor)",
+        "        time = self.virtual.get(customer, oldest) + tokens / weight",
+        "        time = self.virtual.get(customer, oldest)",
         "tests/test_admission.py",
     ),
     Mutant(
