Look for old marks only when a gateway starts; drop dead code

Cause: read again as a whole, each usage batch walked all marks, though only a new start of a gateway can leave one too many; with 420 gateways that walk came 420 times a second at the leader. Dispatcher's refuse_waiting and bench's TARGET_RATIO were called by nothing.

Change: the walk comes with the first batch of a start; four starts are kept as before (ten starts left marks 7 to 10). No test changed.

--- a/primrosehitch/dispatcher.py
+++ b/primrosehitch/dispatcher.py
@@ -102,15 +102,6 @@
             admission.note_completion(now)
         self.pump(pool)
 
-    def refuse_waiting(
-        self, tickets: list[fairqueue.Ticket], refusal: outcomes.Refusal
-    ) -> None:
-        """Refuse certain tickets if they still wait."""
-        for ticket in tickets:
-            for admission in self.pools.values():
-                if ticket in self.waiters and admission.cancel(ticket):
-                    self._settle(ticket, refusal)
-
     def pump(self, pool: str) -> None:
         """Start what can be started in one pool."""
         admission = self._admission(pool)
--- a/primrosehitch/state.py
+++ b/primrosehitch/state.py
@@ -168,15 +168,16 @@
         source = (batch.gateway, batch.incarnation)
         mark = self.marks.get(source, 0)
         if batch.sequence > mark:
+            if source not in self.marks:
+                self._expire_marks(batch.gateway)
             self.marks[source] = batch.sequence
-            self._expire_marks(batch.gateway)
             for row in batch.rows:
                 self._count(batch.window, row)
         return messages.BatchMark(*source, self.marks.get(source, 0))
 
     def _expire_marks(self, gateway: str) -> None:
         starts = sorted(i for g, i in self.marks if g == gateway)
-        for incarnation in starts[:-STARTS_KEPT]:
+        for incarnation in starts[: 1 - STARTS_KEPT]:
             del self.marks[gateway, incarnation]
 
     def _count(self, window: int, row: messages.UsageRow) -> None:
--- a/primrosehitch_lab/bench.py
+++ b/primrosehitch_lab/bench.py
@@ -33,7 +33,6 @@
 ROUNDS = 5
 MEMORY_REQUESTS = 12_000
 MEMORY_STEP = 2000
-TARGET_RATIO = 1.25
 EVENT = (
     b'data: {"id":"chatcmpl-%s","object":"chat.completion.chunk",'
     b'"choices":[{"index":0,"delta":{"content":"word "}}]}\n\n'
