--- /dev/null
+++ b/primrosehitch/balancer.py
@@ -0,0 +1,354 @@
+"""Which endpoint serves a request.
+
+Pure. Each endpoint's predicted time to the answer's first byte is worked
+out from what this edge has under way there, from the load that the
+endpoint told in its last answer, from what other edges say they have
+under way, and from the parts of the prompt it is thought to hold.
+Endpoints that fail are put aside for a growing time.
+"""
+
+from collections import OrderedDict
+import random
+from typing import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+from primrosehitch import messages
+from primrosehitch import registry
+
+# Weight of a new observation in running means.
+MEAN_WEIGHT = 0.2
+# First guess of how long a plain call takes, in ms.
+CALL_MS = 25.0
+# First guess of prompt tokens that an engine reads in a ms.
+TOKENS_PER_MS = 40.0
+# First guess of the time to a first event beside reading the prompt.
+ENGINE_BASE_MS = 40.0
+# How much one running request slows another at an engine, in ms.
+RUNNING_MS = 1.0
+# A told load says little of an endpoint after this time, in ms.
+LOAD_FRESH_MS = 600
+# One way to another failure domain and back costs this much more, in ms.
+OTHER_DOMAIN_MS = 2.0
+# An endpoint that fails is put aside this long at first, then doubling.
+ASIDE_MIN_MS = 400
+ASIDE_MAX_MS = 8000
+FAILURES_ASIDE = 2
+# Weight of one answer in an endpoint's share of failures, and what that
+# share is worth beside the predicted time, in ms.
+ERROR_WEIGHT = 0.1
+ERRORS_MS = 100.0
+# How long an endpoint that rejected a request is taken to be full.
+FULL_MS = 150
+# A prompt's parts stay in memory while no more than this part of an
+# engine's memory was read since.
+KEPT_PART = 0.7
+# An engine that is thought to hold a part because it comes first in the
+# order that all edges share is believed a little less than one seen.
+PRESUMED_PART = 0.8
+
+
+class Part(NamedTuple):
+    """A part of a prompt and its size."""
+
+    identifier: str
+    tokens: int
+
+
+class Ask(NamedTuple):
+    """What a request needs.
+
+    Attributes:
+        service: the service.
+        parts: of the prompt, in order; the last is the request's own.
+        prompt_tokens: the whole prompt; 0 for plain calls.
+        output_tokens: how many are expected.
+    """
+
+    service: str
+    parts: tuple[Part, ...] = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+class Told(NamedTuple):
+    """What an endpoint said of its load, and when, in ms."""
+
+    running: int
+    waiting: int
+    slots: int
+    at: int
+
+
+class Endpoint:
+    """What this edge knows of one start of an endpoint.
+
+    Args:
+        record: what it told of itself.
+        kv_tokens: the size of an engine's memory, 0 for plain services.
+    """
+
+    def __init__(self, record: messages.EndpointRecord, kv_tokens: int):
+        self.record = record
+        self.kv_tokens = kv_tokens
+        self.inflight = 0
+        self.reading_tokens = 0
+        self.held_tokens = 0
+        self.told: Told | None = None
+        self.others = 0
+        self.others_reading = 0
+        self.call_ms = CALL_MS
+        self.slow = 1.0
+        self.failures = 0
+        self.errors = 0.0
+        self.aside_until = 0
+        self.full_until = 0
+        self.parts: OrderedDict[str, int] = OrderedDict()
+        self.parts_tokens = 0
+
+    def load(self, now: int) -> float:
+        """Return how many requests are thought to be there."""
+        mine = self.inflight + self.others
+        told = self.told
+        if told is None or now - told.at > LOAD_FRESH_MS:
+            return mine
+        return max(mine, told.running + told.waiting)
+
+    def note_parts(self, parts: tuple[Part, ...]) -> None:
+        """Note that the parts of a prompt were read there."""
+        for part in parts:
+            if part.identifier in self.parts:
+                self.parts.move_to_end(part.identifier)
+                continue
+            self.parts[part.identifier] = part.tokens
+            self.parts_tokens += part.tokens
+        limit = KEPT_PART * self.kv_tokens
+        while self.parts_tokens > limit and self.parts:
+            _, tokens = self.parts.popitem(last=False)
+            self.parts_tokens -= tokens
+
+    def held(self, parts: tuple[Part, ...], presumed: int) -> float:
+        """Return how many leading tokens need not be read again.
+
+        Args:
+            parts: of a prompt, in order.
+            presumed: how many leading parts are thought to be there
+                even if not seen.
+        """
+        tokens = 0.0
+        for i, part in enumerate(parts):
+            if part.identifier in self.parts:
+                tokens += part.tokens
+            elif i < presumed:
+                tokens += PRESUMED_PART * part.tokens
+            else:
+                break
+        return tokens
+
+
+class Choice(NamedTuple):
+    """An endpoint, and the predicted time to its first byte, in ms."""
+
+    endpoint: Endpoint
+    predicted_ms: float
+    reading_tokens: int
+
+
+class Balancer:
+    """All endpoints that this edge may send to.
+
+    Args:
+        domain: the edge's own failure domain.
+        rng: breaks ties.
+    """
+
+    def __init__(self, domain: str, rng: random.Random):
+        self.domain = domain
+        self.rng = rng
+        self.endpoints: dict[str, Endpoint] = {}
+        self.by_service: dict[str, list[Endpoint]] = {}
+        self.tokens_per_ms: dict[str, float] = {}
+
+    # -- membership --------------------------------------------------------
+
+    def update(self, record: messages.EndpointRecord, kv_tokens: int) -> None:
+        """Take in an endpoint's newest record."""
+        known = self.endpoints.get(record.id)
+        if known is not None and known.record.born == record.born:
+            known.record = record
+        elif record.state != registry.LEFT:
+            self.endpoints[record.id] = Endpoint(record, kv_tokens)
+        if record.state == registry.LEFT:
+            self.endpoints.pop(record.id, None)
+        self._index()
+
+    def _index(self) -> None:
+        self.by_service = {}
+        for endpoint in self.endpoints.values():
+            if endpoint.record.state == registry.READY:
+                self.by_service.setdefault(endpoint.record.service, []).append(
+                    endpoint
+                )
+
+    # -- choice ------------------------------------------------------------
+
+    def usable(
+        self, service: str, tried: Iterable[str], now: int
+    ) -> list[Endpoint]:
+        """Return endpoints that may be sent to.
+
+        Those put aside are returned only if there are no others.
+        """
+        skipped = set(tried)
+        ready = [
+            e
+            for e in self.by_service.get(service, ())
+            if e.record.id not in skipped
+        ]
+        return [e for e in ready if e.aside_until <= now] or ready
+
+    def choose(
+        self, ask: Ask, tried: Iterable[str], now: int
+    ) -> Choice | None:
+        """Return the endpoint predicted to answer first, or None."""
+        best: Choice | None = None
+        usable = self.usable(ask.service, tried, now)
+        favourites = self._favourites(ask, usable)
+        for endpoint in usable:
+            presumed = favourites.get(endpoint.record.id, 0)
+            choice = self._predict(endpoint, ask, presumed, now)
+            if best is None or choice.predicted_ms < best.predicted_ms:
+                best = choice
+        return best
+
+    def _favourites(self, ask: Ask, usable: list[Endpoint]) -> dict[str, int]:
+        """Return how many leading parts each endpoint should hold.
+
+        All edges order the endpoints alike for a part, so that they read
+        it at the same one without talking about it.
+        """
+        favourites: dict[str, int] = {}
+        if not usable:
+            return favourites
+        for i, part in enumerate(ask.parts[:-1]):
+            first = max(
+                usable,
+                key=lambda e: _rank(part, e),
+            )
+            favourites[first.record.id] = i + 1
+        return favourites
+
+    def _predict(
+        self, endpoint: Endpoint, ask: Ask, presumed: int, now: int
+    ) -> Choice:
+        load = endpoint.load(now)
+        slots = max(1, endpoint.record.slots)
+        away = ERRORS_MS * endpoint.errors
+        if endpoint.full_until > now:
+            away += FULL_MS
+        if endpoint.record.domain != self.domain:
+            away += OTHER_DOMAIN_MS
+        if not ask.prompt_tokens:
+            queue = max(0.0, load + 1 - slots) / slots
+            spread = load / slots
+            wait = endpoint.call_ms * (1 + queue + 0.5 * spread)
+            jitter = self.rng.random()
+            return Choice(endpoint, wait + away + jitter, 0)
+        held = endpoint.held(ask.parts, presumed)
+        unread = max(0.0, ask.prompt_tokens - held)
+        rate = self.tokens_per_ms.get(ask.service, TOKENS_PER_MS)
+        ahead = endpoint.reading_tokens + endpoint.others_reading
+        reading = (unread + ahead) / rate
+        full = max(0.0, load + 1 - slots) * ENGINE_BASE_MS
+        running = load * RUNNING_MS
+        predicted = (ENGINE_BASE_MS + reading + running) * endpoint.slow
+        predicted += full + away + self._memory_ms(endpoint, ask)
+        return Choice(endpoint, predicted, int(unread))
+
+    def _memory_ms(self, endpoint: Endpoint, ask: Ask) -> float:
+        """Return the expected wait for memory at an engine."""
+        if not endpoint.kv_tokens:
+            return 0.0
+        wanted = endpoint.held_tokens + ask.prompt_tokens + ask.output_tokens
+        over = wanted / endpoint.kv_tokens - KEPT_PART
+        return max(0.0, over) * 2000.0
+
+    # -- observations ------------------------------------------------------
+
+    def begin(self, choice: Choice, ask: Ask) -> None:
+        """Note that a request is sent."""
+        endpoint = choice.endpoint
+        endpoint.inflight += 1
+        endpoint.reading_tokens += choice.reading_tokens
+        endpoint.held_tokens += ask.prompt_tokens + ask.output_tokens
+        if ask.parts:
+            endpoint.note_parts(ask.parts)
+
+    def first_byte(self, choice: Choice, ask: Ask, took_ms: float) -> None:
+        """Note that an answer began."""
+        endpoint = choice.endpoint
+        endpoint.reading_tokens -= choice.reading_tokens
+        endpoint.failures = 0
+        endpoint.errors -= ERROR_WEIGHT * endpoint.errors
+        if not ask.prompt_tokens:
+            endpoint.call_ms += MEAN_WEIGHT * (took_ms - endpoint.call_ms)
+            return
+        expected = max(1.0, choice.predicted_ms / endpoint.slow)
+        ratio = min(8.0, max(0.25, took_ms / expected))
+        endpoint.slow += MEAN_WEIGHT * (ratio - endpoint.slow)
+
+    def finish(self, choice: Choice, ask: Ask, began: bool) -> None:
+        """Note that a request ended, however it did.
+
+        Args:
+            choice: what was chosen for it.
+            ask: the request.
+            began: whether ``first_byte`` was called.
+        """
+        endpoint = choice.endpoint
+        endpoint.inflight -= 1
+        endpoint.held_tokens -= ask.prompt_tokens + ask.output_tokens
+        if not began:
+            endpoint.reading_tokens -= choice.reading_tokens
+
+    def failed(self, endpoint: Endpoint, now: int) -> None:
+        """Note a failure; repeated ones put the endpoint aside."""
+        endpoint.failures += 1
+        beyond = endpoint.failures - FAILURES_ASIDE
+        if beyond >= 0:
+            pause = min(ASIDE_MAX_MS, ASIDE_MIN_MS << min(beyond, 8))
+            endpoint.aside_until = now + pause
+
+    def erred(self, endpoint: Endpoint) -> None:
+        """Note an answer that is a failure of the endpoint's own."""
+        endpoint.errors += ERROR_WEIGHT * (1 - endpoint.errors)
+
+    def rejected(self, endpoint: Endpoint, now: int) -> None:
+        """Note that an endpoint was full a moment ago."""
+        endpoint.full_until = now + FULL_MS
+
+    def unreachable(self, endpoint: Endpoint, now: int) -> None:
+        """Note that no connection opened: put aside at once."""
+        endpoint.failures = max(endpoint.failures, FAILURES_ASIDE - 1)
+        self.failed(endpoint, now)
+
+    def note_told(self, endpoint: Endpoint, told: Told) -> None:
+        """Take in the load that an endpoint told."""
+        endpoint.told = told
+
+
+def _rank(part: Part, endpoint: Endpoint) -> int:
+    """Return an endpoint's place in the order of a part."""
+    text = f"{part.identifier} {endpoint.record.id}"
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+__all__ = [
+    "Ask",
+    "Balancer",
+    "Choice",
+    "Endpoint",
+    "Part",
+    "Told",
+]
--- a/primrosehitch/clock.py
+++ b/primrosehitch/clock.py
@@ -16,4 +16,9 @@
     return time.time()
 
 
-__all__ = ["now_ms", "wall_s"]
+def wall_ms() -> int:
+    """Return milliseconds since the Unix epoch."""
+    return time.time_ns() // 1_000_000
+
+
+__all__ = ["now_ms", "wall_ms", "wall_s"]
--- a/primrosehitch/daemon.py
+++ b/primrosehitch/daemon.py
@@ -57,7 +57,7 @@
         send, self.inbox = anyio.create_memory_object_stream[
             links_module.Received
         ](INBOX_MESSAGES)
-        self.links = links_module.Links(settings, self.incarnation, send)
+        self.links = links_module.make_links(settings, self.incarnation, send)
         self.catalog = catalog_module.Catalog()
         self.directory = directory_module.Directory()
         self.readiness = readiness_module.Readiness(
@@ -72,7 +72,7 @@
         self.meter = usage_module.Meter(settings.name, self.incarnation)
         self.replicator = self._open_replica(rng)
         members = membership_module.Members(
-            {p.name: p.domain for p in self.links.peers}
+            {p.name: p.domain for p in settings.peers if settings.linked(p)}
         )
         self.spread = spread_module.Spread(
             settings.name,
--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -81,6 +81,47 @@
     },
 )
 
+ListenFile = TypedDict(
+    "ListenFile",
+    {
+        "front": NotRequired[str],
+        "ready": NotRequired[str],
+        "control": NotRequired[str],
+    },
+)
+
+BoundsFile = TypedDict(
+    "BoundsFile",
+    {
+        "retry_ratio": NotRequired[float],
+        "retry_slack": NotRequired[float],
+        "retry_window_s": NotRequired[float],
+        "usage_window_s": NotRequired[float],
+        "usage_late_s": NotRequired[float],
+        "grace_s": NotRequired[float],
+        "lease_ms": NotRequired[float],
+        "machines_lost": NotRequired[int],
+    },
+)
+
+InstanceFile = TypedDict(
+    "InstanceFile",
+    {
+        "name": str,
+        "domain": str,
+        "host": str,
+        "ports": list[int],
+        "seeds": list[str],
+        "listen": "ListenFile",
+        "data_folder": NotRequired[str | None],
+        "bootstrap": NotRequired[bool],
+        "secret": NotRequired[str],
+        "platform": NotRequired[str | None],
+        "metrics_port": NotRequired[int],
+        "bounds": NotRequired["BoundsFile"],
+    },
+)
+
 Peer = TypedDict(
     "Peer",
     {
@@ -130,10 +171,13 @@
 
 
 __all__ = [
+    "BoundsFile",
     "ClassSpec",
     "CustomerSpec",
     "Declaration",
     "GrantSpec",
+    "InstanceFile",
+    "ListenFile",
     "ModelSpec",
     "Outside",
     "Peer",
--- /dev/null
+++ b/primrosehitch/eventframes.py
@@ -0,0 +1,80 @@
+"""Whole events of a stream, with the identifier to resume behind.
+
+Pure. An endpoint may stop in the middle of an event; only whole events
+are passed on, so that another run can go on behind the last of them.
+Events that a resumed run repeats are dropped by their identifiers.
+"""
+
+import re
+
+MAX_EVENT_BYTES = 1 << 20
+
+_END = re.compile(rb"\r?\n\r?\n")
+_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+
+
+class EventTooLargeError(Exception):
+    """An event is larger than is kept."""
+
+
+class EventFrames:
+    """Cuts a stream into whole events.
+
+    Args:
+        last_id: identifier of the last event the caller holds, or b"".
+    """
+
+    def __init__(self, last_id: bytes = b""):
+        self.last_id = last_id
+        self.partial = b""
+        self.events = 0
+        self.resumed = False
+
+    @property
+    def whole(self) -> bool:
+        """Whether no half event is kept."""
+        return not self.partial
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole new events that bytes complete.
+
+        Raises:
+            EventTooLargeError: an event does not end.
+        """
+        data = self.partial + data if self.partial else data
+        passed = []
+        start = 0
+        for match in _END.finditer(data):
+            event = data[start : match.end()]
+            start = match.end()
+            if self._is_new(event):
+                passed.append(event)
+        self.partial = data[start:]
+        if len(self.partial) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(f"{len(self.partial)} bytes")
+        self.events += len(passed)
+        return b"".join(passed)
+
+    def restart(self) -> None:
+        """Drop a half event before another run goes on."""
+        self.partial = b""
+        self.resumed = True
+
+    def _is_new(self, event: bytes) -> bool:
+        match = _ID.search(event)
+        if match is None:
+            return True
+        identifier = match.group(1)
+        if self.resumed and not _follows(identifier, self.last_id):
+            return False
+        self.last_id = identifier
+        return True
+
+
+def _follows(identifier: bytes, last: bytes) -> bool:
+    if not (identifier.isdigit() and last.isdigit()):
+        return identifier != last
+    return int(identifier) > int(last)
+
+
+__all__ = ["EventFrames", "EventTooLargeError"]
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -39,6 +39,15 @@
     "The process stood still; it refreshes before it serves.",
     "Look for an overloaded or paused VM if it recurs.",
 )
+SETTINGS_READ = Event(
+    1005, "settings-read", "A changed settings file was read.", NONE
+)
+SETTINGS_REFUSED = Event(
+    1006,
+    "settings-refused",
+    "A changed settings file is not acceptable; the old ones stay.",
+    "Correct the file; the text names the path.",
+)
 LINK_UP = Event(1101, "link-up", "A link to a peer was opened.", NONE)
 LINK_DOWN = Event(
     1102,
@@ -81,6 +90,24 @@
 VERSION_IN_FORCE = Event(
     1301, "version-in-force", "A configuration version is in force.", NONE
 )
+TABLE_REFUSED = Event(
+    1303,
+    "table-refused",
+    "A table of routes is not acceptable; the text names the path.",
+    "Correct the table and send it again.",
+)
+TABLE_UNCERTAIN = Event(
+    1304,
+    "table-uncertain",
+    "A change or read of the table could not be confirmed in time.",
+    "Look at events 1201 and 1102 of the control instances.",
+)
+CONTROL_CHANGED = Event(
+    1305,
+    "control-changed",
+    "An edge takes its table and endpoints from another instance.",
+    NONE,
+)
 KEY_WITHDRAWN = Event(
     1302, "key-withdrawn", "A withdrawn key stopped working here.", NONE
 )
@@ -91,6 +118,18 @@
     "A caller's request got an answer of our own.",
     "See the reason in docs/INTERFACES.md.",
 )
+FORWARDED = Event(
+    1411,
+    "forwarded",
+    "A request on a route ended: outcome, endpoints tried, times.",
+    "For `no-answer` and `broken-off` look for 1511 with the same id.",
+)
+FORWARD_REFUSED = Event(
+    1412,
+    "forward-refused",
+    "A request on a route was refused and was never sent.",
+    "See the reason in docs/OPERATIONS.md.",
+)
 ENDPOINT_CHANGED = Event(
     1501, "endpoint-changed", "An endpoint came, is leaving or went.", NONE
 )
@@ -100,6 +139,18 @@
     "An endpoint failed repeatedly and gets no work until a probe passes.",
     "Look at that endpoint if it stays aside.",
 )
+ENDPOINT_FAILED = Event(
+    1511,
+    "endpoint-failed",
+    "An exchange with an endpoint failed.",
+    "Look at that endpoint if it recurs.",
+)
+CALL_REFUSED = Event(
+    1512,
+    "call-refused",
+    "A call of an endpoint or an operator could not be read.",
+    "Look at the sender; the text says what is wrong.",
+)
 ORDER_SENT = Event(1601, "order-sent", "The platform got an order.", NONE)
 ORDER_FAILED = Event(
     1602,
@@ -119,6 +170,12 @@
     "The usage interface did not accept a report; it is sent again.",
     "Check the usage interface if it lasts.",
 )
+LINES_DROPPED = Event(
+    1902,
+    "lines-dropped",
+    "Log lines were dropped to keep the volume bounded.",
+    NONE,
+)
 TASK_FAILED = Event(
     1901,
     "task-failed",
@@ -141,7 +198,7 @@
     eliot.log_message(message_type=event.name, event=event.number, **fields)
 
 
-def open_log(stream: IO[str]) -> None:
+def open_log(stream: IO[Any]) -> None:
     """Write all further events to a stream, one JSON object a line."""
     eliot.to_file(stream)
 
--- a/primrosehitch/jsonc.py
+++ b/primrosehitch/jsonc.py
@@ -53,7 +53,7 @@
 
 _VALIDATORS = {
     name: jsonschema.Draft202012Validator(_schema(name))
-    for name in ("settings", "declaration")
+    for name in ("settings", "declaration", "instance")
 }
 
 
@@ -62,7 +62,7 @@
 
     Args:
         value: a decoded document.
-        schema: ``settings`` or ``declaration``.
+        schema: ``settings``, ``declaration`` or ``instance``.
         source: the document's name for errors.
 
     Raises:
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -4,6 +4,13 @@
 on the connections that peers dial. Both ends prove knowledge of the
 deployment secret by an HMAC over both nonces. Sending never waits: a
 full queue drops the message, and all protocols above tolerate loss.
+
+The dialing end sends a ping now and then and breaks the connection when
+the pong stays out, since a path can fall silent without a reset.
+
+Peers are listed in the settings, or come and go: then an instance's
+name is the address of its links, and one that proves knowledge of the
+secret becomes a peer by dialing.
 """
 
 import hashlib
@@ -14,6 +21,7 @@
 
 import anyio
 import anyio.abc
+from anyio.streams.memory import MemoryObjectReceiveStream
 from anyio.streams.memory import MemoryObjectSendStream
 
 from primrosehitch import errors
@@ -30,6 +38,14 @@
 IDLE_LIMIT_S = 5.0
 RETRY_S = 0.2
 BATCH_MESSAGES = 64
+# A path that answers no ping for this long is taken to be cut. It is
+# shorter than an election, so that a link is back before one starts.
+PING_S = 0.4
+SILENT_S = 1.3
+CONNECT_S = 0.9
+
+
+Queue = tuple[MemoryObjectSendStream[bytes], MemoryObjectReceiveStream[bytes]]
 
 
 class Received(NamedTuple):
@@ -45,6 +61,16 @@
     return FRAME.pack(len(body), messages.NUMBERS[type(message)]) + body
 
 
+class LinkPeer(NamedTuple):
+    """The other end of a link."""
+
+    name: str
+    address: settings_module.Address
+
+
+PONG = pack(messages.Pong())
+
+
 class FrameDecoder:
     """Finds whole messages in the bytes of a link."""
 
@@ -127,28 +153,57 @@
     """All links of one instance.
 
     Args:
-        settings: the instance's settings.
+        name: the instance's name.
+        listen: where peers dial.
+        secret: the deployment's.
         incarnation: number of this start of the instance.
         inbox: where received messages go.
+        open_to_new: whether whoever proves the secret becomes a peer.
     """
 
     def __init__(
         self,
-        settings: settings_module.Settings,
+        name: str,
+        listen: settings_module.Address,
+        secret: bytes,
         incarnation: int,
         inbox: MemoryObjectSendStream[Received],
+        open_to_new: bool = False,
     ):
-        self.settings = settings
+        self.name = name
+        self.listen = listen
+        self.secret = secret
         self.incarnation = incarnation
         self.inbox = inbox
+        self.open_to_new = open_to_new
         self.sent_messages = 0
         self.sent_bytes = 0
-        self.peers = [p for p in settings.peers if settings.linked(p)]
-        self.up: dict[str, bool] = {p.name: False for p in self.peers}
-        self.queues = {
-            p.name: anyio.create_memory_object_stream[bytes](QUEUE_MESSAGES)
-            for p in self.peers
-        }
+        self.peers: dict[str, LinkPeer] = {}
+        self.up: dict[str, bool] = {}
+        self.queues: dict[str, Queue] = {}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.group: anyio.abc.TaskGroup | None = None
+
+    def add(self, peer: LinkPeer) -> None:
+        """Keep a link with a peer from now on."""
+        if peer.name in self.peers or peer.name == self.name:
+            return
+        self.peers[peer.name] = peer
+        self.up[peer.name] = False
+        self.queues[peer.name] = anyio.create_memory_object_stream[bytes](
+            QUEUE_MESSAGES
+        )
+        if self.group is not None:
+            self.group.start_soon(self._dial_forever, peer)
+
+    def remove(self, name: str) -> None:
+        """Give up the link with a peer."""
+        self.peers.pop(name, None)
+        self.up.pop(name, None)
+        self.queues.pop(name, None)
+        scope = self.scopes.pop(name, None)
+        if scope is not None:
+            scope.cancel()
 
     def send(self, target: str, message: tuple) -> bool:
         """Queue a message for a peer.
@@ -161,7 +216,7 @@
     def send_frame(self, target: str, frame: bytes) -> bool:
         """Queue a packed message for a peer."""
         queue = self.queues.get(target)
-        if queue is None or not self.up[target]:
+        if queue is None or not self.up.get(target):
             return False
         try:
             queue[0].send_nowait(frame)
@@ -192,60 +247,90 @@
 
     async def run(self) -> None:
         """Listen and dial until cancelled."""
-        host, port = self.settings.peer
+        host, port = self.listen
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port
         )
         async with listener, anyio.create_task_group() as group:
-            for peer in self.peers:
+            self.group = group
+            for peer in self.peers.values():
                 group.start_soon(self._dial_forever, peer)
             await listener.serve(self._accept, group)
 
     # -- dialing -----------------------------------------------------------
 
-    async def _dial_forever(self, peer: settings_module.Peer) -> None:
-        while True:
-            try:
-                await self._dial(peer)
-            except (
-                OSError,
-                TimeoutError,
-                errors.LinkError,
-                anyio.BrokenResourceError,
-                anyio.EndOfStream,
-            ) as exc:
-                self._note_down(peer, exc)
-            await anyio.sleep(RETRY_S)
-
-    def _note_down(self, peer: settings_module.Peer, exc: Exception) -> None:
-        if self.up[peer.name]:
-            events.emit(events.LINK_DOWN, peer=peer.name, error=str(exc))
-        self.up[peer.name] = False
-
-    async def _dial(self, peer: settings_module.Peer) -> None:
-        with anyio.fail_after(HANDSHAKE_S):
+    async def _dial_forever(self, peer: LinkPeer) -> None:
+        with anyio.CancelScope() as scope:
+            self.scopes[peer.name] = scope
+            while True:
+                try:
+                    await self._dial(peer)
+                except (
+                    OSError,
+                    TimeoutError,
+                    errors.LinkError,
+                    anyio.BrokenResourceError,
+                    anyio.ClosedResourceError,
+                    anyio.EndOfStream,
+                ) as exc:
+                    self._note_down(peer, exc)
+                await anyio.sleep(RETRY_S)
+
+    def _note_down(self, peer: LinkPeer, exc: Exception) -> None:
+        if self.up.get(peer.name):
+            text = str(exc) or type(exc).__name__
+            events.emit(events.LINK_DOWN, peer=peer.name, error=text)
+            self.up[peer.name] = False
+
+    async def _dial(self, peer: LinkPeer) -> None:
+        with anyio.fail_after(CONNECT_S):
             stream = await anyio.connect_tcp(*peer.address)
         async with stream:
+            reader = MessageReader(stream)
             with anyio.fail_after(HANDSHAKE_S):
-                await self._introduce(stream, peer.name)
+                await self._introduce(stream, reader, peer.name)
             events.emit(events.LINK_UP, peer=peer.name)
             self.up[peer.name] = True
             try:
-                await self._pump(stream, peer.name)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._pump, stream, peer.name)
+                    group.start_soon(self._ping, peer.name)
+                    await self._await_pongs(reader, peer.name)
+            except* (
+                OSError,
+                TimeoutError,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                anyio.EndOfStream,
+            ) as found:
+                text = "".join(repr(e) for e in found.exceptions)
+                raise errors.LinkError(text, "link.pump", peer.name) from None
             finally:
                 self._drain_queue(peer.name)
 
+    async def _ping(self, peer: str) -> None:
+        while True:
+            self.send(peer, messages.Ping())
+            await anyio.sleep(PING_S)
+
+    async def _await_pongs(self, reader: MessageReader, peer: str) -> None:
+        while True:
+            with anyio.fail_after(SILENT_S):
+                await reader.some()
+
     async def _introduce(
-        self, stream: anyio.abc.SocketStream, peer: str
+        self,
+        stream: anyio.abc.SocketStream,
+        reader: MessageReader,
+        peer: str,
     ) -> None:
-        reader = MessageReader(stream)
         challenge = await reader.one()
         if not isinstance(challenge, messages.Challenge):
             raise errors.LinkError("no challenge", "link.hello", peer)
         nonce = os.urandom(16)
-        name = self.settings.name
+        name = self.name
         mac = proof(
-            self.settings.secret,
+            self.secret,
             b"dial",
             challenge.nonce,
             nonce,
@@ -255,9 +340,7 @@
         hello = messages.Hello(name, self.incarnation, VERSION, nonce, mac)
         await stream.send(pack(hello))
         welcome = await reader.one()
-        expected = proof(
-            self.settings.secret, b"accept", challenge.nonce, nonce
-        )
+        expected = proof(self.secret, b"accept", challenge.nonce, nonce)
         genuine = isinstance(
             welcome, messages.Welcome
         ) and hmac.compare_digest(welcome.proof, expected)
@@ -277,6 +360,8 @@
                 await stream.send(b"".join(parts))
 
     def _drain_queue(self, peer: str) -> None:
+        if peer not in self.queues:
+            return
         source = self.queues[peer][1]
         try:
             while True:
@@ -308,7 +393,10 @@
             with anyio.fail_after(IDLE_LIMIT_S):
                 found = await reader.some()
             for message in found:
-                await self.inbox.send(Received(sender, message))
+                if isinstance(message, messages.Ping):
+                    await stream.send(PONG)
+                else:
+                    await self.inbox.send(Received(sender, message))
 
     async def _greet(
         self,
@@ -321,25 +409,58 @@
         if not isinstance(hello, messages.Hello):
             raise errors.LinkError("no hello", "link.greet")
         expected = proof(
-            self.settings.secret,
+            self.secret,
             b"dial",
             nonce,
             hello.nonce,
             hello.sender.encode(),
-            self.settings.name.encode(),
+            self.name.encode(),
         )
-        known = hello.sender in self.queues
+        known = self.open_to_new or hello.sender in self.queues
         if not known or not hmac.compare_digest(hello.proof, expected):
             events.emit(events.LINK_REFUSED, peer=hello.sender)
             raise errors.LinkError("not proven", "link.greet", hello.sender)
-        mac = proof(self.settings.secret, b"accept", nonce, hello.nonce)
+        if hello.sender not in self.queues:
+            self.add(_peer_by_address(hello.sender))
+        mac = proof(self.secret, b"accept", nonce, hello.nonce)
         await stream.send(pack(messages.Welcome(mac, VERSION)))
         return hello.sender
 
 
+def make_links(
+    settings: settings_module.Settings,
+    incarnation: int,
+    inbox: MemoryObjectSendStream[Received],
+) -> Links:
+    """Return the links of an instance whose settings list its peers."""
+    links = Links(
+        settings.name, settings.peer, settings.secret, incarnation, inbox
+    )
+    for peer in settings.peers:
+        if settings.linked(peer):
+            links.add(LinkPeer(peer.name, peer.address))
+    return links
+
+
+def _peer_by_address(name: str) -> LinkPeer:
+    """Return the peer whose name is its address.
+
+    Raises:
+        LinkError: the name is no address.
+    """
+    try:
+        return LinkPeer(name, settings_module.parse_address(name))
+    except ValueError as exc:
+        raise errors.LinkError(
+            "the name is no address", "link.greet", name
+        ) from exc
+
+
 __all__ = [
     "FrameDecoder",
+    "LinkPeer",
     "Links",
+    "make_links",
     "MessageReader",
     "Received",
     "pack",
--- a/primrosehitch/log.py
+++ b/primrosehitch/log.py
@@ -164,6 +164,10 @@
         data = frames.pack_frame(messages.encode(identity))
         self.medium.replace(IDENTITY_FILE, data)
 
+    def close(self) -> None:
+        """Let go of the files."""
+        self.medium.close()
+
     def _record(self, message: tuple) -> None:
         number = messages.NUMBERS[type(message)]
         self.unsynced += frames.pack_record(number, messages.encode(message))
--- a/primrosehitch/medium.py
+++ b/primrosehitch/medium.py
@@ -32,6 +32,9 @@
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to a size in bytes, durably."""
 
+    def close(self) -> None:
+        """Let go of all files."""
+
 
 class MemoryMedium:
     """A medium in memory that can lose what was not synced."""
@@ -64,6 +67,9 @@
         """Cut a file to a size in bytes."""
         self.replace(name, (self.read(name) or b"")[:size])
 
+    def close(self) -> None:
+        """Keep everything as it is."""
+
     def crash(self, kept: float) -> None:
         """Lose unsynced bytes but for a leading part.
 
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -838,6 +838,10 @@
     marks: tuple["BatchMark", ...] = ()
     orders: tuple["Order", ...] = ()
     closed_through: int = 0
+    table_version: int = 0
+    table_body: bytes = b""
+    sealed: tuple["SealWindow", ...] = ()
+    done: tuple["WindowDone", ...] = ()
 
 
 def _write_state_image(b: Any, m: StateImage) -> None:
@@ -868,6 +872,14 @@
     for i, item in enumerate(m.orders):
         _write_order(items[i], item)
     b.closedThrough = m.closed_through
+    b.tableVersion = m.table_version
+    b.tableBody = m.table_body
+    items = b.init("sealed", len(m.sealed))
+    for i, item in enumerate(m.sealed):
+        _write_seal_window(items[i], item)
+    items = b.init("done", len(m.done))
+    for i, item in enumerate(m.done):
+        _write_window_done(items[i], item)
 
 
 def _read_state_image(r: Any) -> StateImage:
@@ -883,6 +895,10 @@
         tuple(_read_batch_mark(x) for x in r.marks),
         tuple(_read_order(x) for x in r.orders),
         r.closedThrough,
+        r.tableVersion,
+        bytes(r.tableBody),
+        tuple(_read_seal_window(x) for x in r.sealed),
+        tuple(_read_window_done(x) for x in r.done),
     )
 
 
@@ -1260,6 +1276,427 @@
     )
 
 
+class Ping(NamedTuple):
+    """Message ``Ping`` of the schema."""
+
+    sent_ms: int = 0
+
+
+def _write_ping(b: Any, m: Ping) -> None:
+    b.sentMs = m.sent_ms
+
+
+def _read_ping(r: Any) -> Ping:
+    return Ping(
+        r.sentMs,
+    )
+
+
+class Pong(NamedTuple):
+    """Message ``Pong`` of the schema."""
+
+    sent_ms: int = 0
+
+
+def _write_pong(b: Any, m: Pong) -> None:
+    b.sentMs = m.sent_ms
+
+
+def _read_pong(r: Any) -> Pong:
+    return Pong(
+        r.sentMs,
+    )
+
+
+class Presence(NamedTuple):
+    """Message ``Presence`` of the schema."""
+
+    name: str = ""
+    link: str = ""
+    control: str = ""
+    domain: str = ""
+    replica: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+    wall_ms: int = 0
+    edge: bool = False
+    peers: tuple[str, ...] = ()
+    edges: int = 0
+    leaving: bool = False
+
+
+def _write_presence(b: Any, m: Presence) -> None:
+    b.name = m.name
+    b.link = m.link
+    b.control = m.control
+    b.domain = m.domain
+    b.replica = m.replica
+    b.incarnation = m.incarnation
+    b.sequence = m.sequence
+    b.wallMs = m.wall_ms
+    b.edge = m.edge
+    b.peers = list(m.peers)
+    b.edges = m.edges
+    b.leaving = m.leaving
+
+
+def _read_presence(r: Any) -> Presence:
+    return Presence(
+        r.name,
+        r.link,
+        r.control,
+        r.domain,
+        r.replica,
+        r.incarnation,
+        r.sequence,
+        r.wallMs,
+        r.edge,
+        tuple(r.peers),
+        r.edges,
+        r.leaving,
+    )
+
+
+class ControlStatus(NamedTuple):
+    """Message ``ControlStatus`` of the schema."""
+
+    version: int = 0
+    fresh: bool = False
+    true_ms: int = 0
+    edges: int = 0
+    peers: tuple[str, ...] = ()
+    registry: int = 0
+    domains: tuple[str, ...] = ()
+
+
+def _write_control_status(b: Any, m: ControlStatus) -> None:
+    b.version = m.version
+    b.fresh = m.fresh
+    b.trueMs = m.true_ms
+    b.edges = m.edges
+    b.peers = list(m.peers)
+    b.registry = m.registry
+    b.domains = list(m.domains)
+
+
+def _read_control_status(r: Any) -> ControlStatus:
+    return ControlStatus(
+        r.version,
+        r.fresh,
+        r.trueMs,
+        r.edges,
+        tuple(r.peers),
+        r.registry,
+        tuple(r.domains),
+    )
+
+
+class Subscribe(NamedTuple):
+    """Message ``Subscribe`` of the schema."""
+
+    version: int = 0
+    registry: int = 0
+    wall_ms: int = 0
+
+
+def _write_subscribe(b: Any, m: Subscribe) -> None:
+    b.version = m.version
+    b.registry = m.registry
+    b.wallMs = m.wall_ms
+
+
+def _read_subscribe(r: Any) -> Subscribe:
+    return Subscribe(
+        r.version,
+        r.registry,
+        r.wallMs,
+    )
+
+
+class Table(NamedTuple):
+    """Message ``Table`` of the schema."""
+
+    version: int = 0
+    body: bytes = b""
+
+
+def _write_table(b: Any, m: Table) -> None:
+    b.version = m.version
+    b.body = m.body
+
+
+def _read_table(r: Any) -> Table:
+    return Table(
+        r.version,
+        bytes(r.body),
+    )
+
+
+class TableResult(NamedTuple):
+    """Message ``TableResult`` of the schema."""
+
+    accepted: bool = False
+    version: int = 0
+
+
+def _write_table_result(b: Any, m: TableResult) -> None:
+    b.accepted = m.accepted
+    b.version = m.version
+
+
+def _read_table_result(r: Any) -> TableResult:
+    return TableResult(
+        r.accepted,
+        r.version,
+    )
+
+
+class ReadRequest(NamedTuple):
+    """Message ``ReadRequest`` of the schema."""
+
+    number: int = 0
+
+
+def _write_read_request(b: Any, m: ReadRequest) -> None:
+    b.number = m.number
+
+
+def _read_read_request(r: Any) -> ReadRequest:
+    return ReadRequest(
+        r.number,
+    )
+
+
+class ReadReply(NamedTuple):
+    """Message ``ReadReply`` of the schema."""
+
+    number: int = 0
+    confirmed: bool = False
+    index: int = 0
+
+
+def _write_read_reply(b: Any, m: ReadReply) -> None:
+    b.number = m.number
+    b.confirmed = m.confirmed
+    b.index = m.index
+
+
+def _read_read_reply(r: Any) -> ReadReply:
+    return ReadReply(
+        r.number,
+        r.confirmed,
+        r.index,
+    )
+
+
+class EndpointRecord(NamedTuple):
+    """Message ``EndpointRecord`` of the schema."""
+
+    id: str = ""
+    born: int = 0
+    sequence: int = 0
+    service: str = ""
+    address: str = ""
+    domain: str = ""
+    slots: int = 0
+    state: str = ""
+    cold_ms: int = 0
+    spot: bool = False
+    leaves_ms: int = 0
+
+
+def _write_endpoint_record(b: Any, m: EndpointRecord) -> None:
+    b.id = m.id
+    b.born = m.born
+    b.sequence = m.sequence
+    b.service = m.service
+    b.address = m.address
+    b.domain = m.domain
+    b.slots = m.slots
+    b.state = m.state
+    b.coldMs = m.cold_ms
+    b.spot = m.spot
+    b.leavesMs = m.leaves_ms
+
+
+def _read_endpoint_record(r: Any) -> EndpointRecord:
+    return EndpointRecord(
+        r.id,
+        r.born,
+        r.sequence,
+        r.service,
+        r.address,
+        r.domain,
+        r.slots,
+        r.state,
+        r.coldMs,
+        r.spot,
+        r.leavesMs,
+    )
+
+
+class EndpointUpdate(NamedTuple):
+    """Message ``EndpointUpdate`` of the schema."""
+
+    records: tuple["EndpointRecord", ...] = ()
+    whole: bool = False
+
+
+def _write_endpoint_update(b: Any, m: EndpointUpdate) -> None:
+    items = b.init("records", len(m.records))
+    for i, item in enumerate(m.records):
+        _write_endpoint_record(items[i], item)
+    b.whole = m.whole
+
+
+def _read_endpoint_update(r: Any) -> EndpointUpdate:
+    return EndpointUpdate(
+        tuple(_read_endpoint_record(x) for x in r.records),
+        r.whole,
+    )
+
+
+class CustomerCount(NamedTuple):
+    """Message ``CustomerCount`` of the schema."""
+
+    customer: str = ""
+    requests: int = 0
+
+
+def _write_customer_count(b: Any, m: CustomerCount) -> None:
+    b.customer = m.customer
+    b.requests = m.requests
+
+
+def _read_customer_count(r: Any) -> CustomerCount:
+    return CustomerCount(
+        r.customer,
+        r.requests,
+    )
+
+
+class WindowTally(NamedTuple):
+    """Message ``WindowTally`` of the schema."""
+
+    edge: str = ""
+    incarnation: int = 0
+    window: int = 0
+    counts: tuple["CustomerCount", ...] = ()
+
+
+def _write_window_tally(b: Any, m: WindowTally) -> None:
+    b.edge = m.edge
+    b.incarnation = m.incarnation
+    b.window = m.window
+    items = b.init("counts", len(m.counts))
+    for i, item in enumerate(m.counts):
+        _write_customer_count(items[i], item)
+
+
+def _read_window_tally(r: Any) -> WindowTally:
+    return WindowTally(
+        r.edge,
+        r.incarnation,
+        r.window,
+        tuple(_read_customer_count(x) for x in r.counts),
+    )
+
+
+class TallyBatch(NamedTuple):
+    """Message ``TallyBatch`` of the schema."""
+
+    tallies: tuple["WindowTally", ...] = ()
+
+
+def _write_tally_batch(b: Any, m: TallyBatch) -> None:
+    items = b.init("tallies", len(m.tallies))
+    for i, item in enumerate(m.tallies):
+        _write_window_tally(items[i], item)
+
+
+def _read_tally_batch(r: Any) -> TallyBatch:
+    return TallyBatch(
+        tuple(_read_window_tally(x) for x in r.tallies),
+    )
+
+
+class SealWindow(NamedTuple):
+    """Message ``SealWindow`` of the schema."""
+
+    window: int = 0
+    counts: tuple["CustomerCount", ...] = ()
+
+
+def _write_seal_window(b: Any, m: SealWindow) -> None:
+    b.window = m.window
+    items = b.init("counts", len(m.counts))
+    for i, item in enumerate(m.counts):
+        _write_customer_count(items[i], item)
+
+
+def _read_seal_window(r: Any) -> SealWindow:
+    return SealWindow(
+        r.window,
+        tuple(_read_customer_count(x) for x in r.counts),
+    )
+
+
+class WindowDone(NamedTuple):
+    """Message ``WindowDone`` of the schema."""
+
+    window: int = 0
+
+
+def _write_window_done(b: Any, m: WindowDone) -> None:
+    b.window = m.window
+
+
+def _read_window_done(r: Any) -> WindowDone:
+    return WindowDone(
+        r.window,
+    )
+
+
+class ServiceDemand(NamedTuple):
+    """Message ``ServiceDemand`` of the schema."""
+
+    service: str = ""
+    domain: str = ""
+    busy: float = 0.0
+
+
+def _write_service_demand(b: Any, m: ServiceDemand) -> None:
+    b.service = m.service
+    b.domain = m.domain
+    b.busy = m.busy
+
+
+def _read_service_demand(r: Any) -> ServiceDemand:
+    return ServiceDemand(
+        r.service,
+        r.domain,
+        r.busy,
+    )
+
+
+class LoadReport(NamedTuple):
+    """Message ``LoadReport`` of the schema."""
+
+    demands: tuple["ServiceDemand", ...] = ()
+
+
+def _write_load_report(b: Any, m: LoadReport) -> None:
+    items = b.init("demands", len(m.demands))
+    for i, item in enumerate(m.demands):
+        _write_service_demand(items[i], item)
+
+
+def _read_load_report(r: Any) -> LoadReport:
+    return LoadReport(
+        tuple(_read_service_demand(x) for x in r.demands),
+    )
+
+
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -1367,6 +1804,44 @@
         _write_waiting_count,
         _read_waiting_count,
     ),
+    Ping: (_capnp.Ping, _write_ping, _read_ping),
+    Pong: (_capnp.Pong, _write_pong, _read_pong),
+    Presence: (_capnp.Presence, _write_presence, _read_presence),
+    ControlStatus: (
+        _capnp.ControlStatus,
+        _write_control_status,
+        _read_control_status,
+    ),
+    Subscribe: (_capnp.Subscribe, _write_subscribe, _read_subscribe),
+    Table: (_capnp.Table, _write_table, _read_table),
+    TableResult: (_capnp.TableResult, _write_table_result, _read_table_result),
+    ReadRequest: (_capnp.ReadRequest, _write_read_request, _read_read_request),
+    ReadReply: (_capnp.ReadReply, _write_read_reply, _read_read_reply),
+    EndpointRecord: (
+        _capnp.EndpointRecord,
+        _write_endpoint_record,
+        _read_endpoint_record,
+    ),
+    EndpointUpdate: (
+        _capnp.EndpointUpdate,
+        _write_endpoint_update,
+        _read_endpoint_update,
+    ),
+    CustomerCount: (
+        _capnp.CustomerCount,
+        _write_customer_count,
+        _read_customer_count,
+    ),
+    WindowTally: (_capnp.WindowTally, _write_window_tally, _read_window_tally),
+    TallyBatch: (_capnp.TallyBatch, _write_tally_batch, _read_tally_batch),
+    SealWindow: (_capnp.SealWindow, _write_seal_window, _read_seal_window),
+    WindowDone: (_capnp.WindowDone, _write_window_done, _read_window_done),
+    ServiceDemand: (
+        _capnp.ServiceDemand,
+        _write_service_demand,
+        _read_service_demand,
+    ),
+    LoadReport: (_capnp.LoadReport, _write_load_report, _read_load_report),
 }
 
 KINDS: dict[int, type] = {
@@ -1416,6 +1891,24 @@
     44: Refresh,
     45: RefreshReply,
     46: WaitingCount,
+    47: Ping,
+    48: Pong,
+    49: Presence,
+    50: ControlStatus,
+    51: Subscribe,
+    52: Table,
+    53: TableResult,
+    54: ReadRequest,
+    55: ReadReply,
+    56: EndpointRecord,
+    57: EndpointUpdate,
+    58: CustomerCount,
+    59: WindowTally,
+    60: TallyBatch,
+    61: SealWindow,
+    62: WindowDone,
+    63: ServiceDemand,
+    64: LoadReport,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -1471,10 +1964,14 @@
     "ClaimOutcome",
     "ClaimRelease",
     "CloseWindow",
+    "ControlStatus",
+    "CustomerCount",
     "Demand",
     "Edit",
     "EditResult",
     "EndpointCount",
+    "EndpointRecord",
+    "EndpointUpdate",
     "Entry",
     "HandOver",
     "HardState",
@@ -1482,22 +1979,34 @@
     "Hello",
     "Identity",
     "KINDS",
+    "LoadReport",
     "Membership",
     "NUMBERS",
     "Order",
     "OrderDone",
+    "Ping",
+    "Pong",
+    "Presence",
     "Proposal",
     "ProposalReply",
+    "ReadReply",
+    "ReadRequest",
     "Refresh",
     "RefreshReply",
     "ReplicaMessage",
     "Row",
     "RowsReply",
     "RowsRequest",
+    "SealWindow",
+    "ServiceDemand",
     "SnapshotChunk",
     "SnapshotMeta",
     "SnapshotReply",
     "StateImage",
+    "Subscribe",
+    "Table",
+    "TableResult",
+    "TallyBatch",
     "UsageBatch",
     "UsageRow",
     "VoteReply",
@@ -1505,7 +2014,9 @@
     "WaitingCount",
     "Welcome",
     "Window",
+    "WindowDone",
     "WindowReported",
+    "WindowTally",
     "Withdrawal",
     "WithdrawalBatch",
     "WithdrawalsRequest",
--- /dev/null
+++ b/primrosehitch/platform/__main__.py
@@ -0,0 +1,133 @@
+"""Runs one instance on the platform: an edge or a control instance."""
+
+import os
+import pathlib
+import signal
+import sys
+from typing import Protocol
+
+import anyio
+
+from primrosehitch import clock
+from primrosehitch import control as control_module
+from primrosehitch import edge as edge_module
+from primrosehitch import errors
+from primrosehitch import events
+from primrosehitch import httpserver
+from primrosehitch import instance as instance_module
+from primrosehitch import logsink
+from primrosehitch import metrics
+from primrosehitch import routes
+from primrosehitch.platform import calls
+from primrosehitch.platform import dialect
+from primrosehitch.platform import tables
+
+SETTINGS_VARIABLE = "PRIMROSEHITCH_NODE_FILE"
+# Operators send whole tables; engines reuse connections for minutes.
+CONTROL_LIMITS = routes.ClientLimits(body_bytes=16 << 20, idle_ms=60_000)
+FLUSH_S = 1.0
+
+
+class Instance(Protocol):
+    """What runs until it is asked to stop."""
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve, then end cleanly."""
+
+
+class ControlProcess:
+    """A control instance with its calls.
+
+    Args:
+        settings: the instance's settings.
+    """
+
+    def __init__(self, settings: instance_module.InstanceSettings):
+        self.settings = settings
+        self.control = control_module.Control(settings)
+        handler = calls.ControlCalls(self.control)
+        self.server = httpserver.Server(handler.serve, CONTROL_LIMITS)
+        self.metrics = httpserver.Server(_serve_metrics, CONTROL_LIMITS)
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve until asked to stop, then hand leadership over."""
+        async with anyio.create_task_group() as group:
+            if self.settings.metrics is not None:
+                await group.start(self.metrics.run, self.settings.metrics)
+            if self.settings.control is not None:
+                await group.start(self.server.run, self.settings.control)
+            await self.control.run(stop)
+            group.cancel_scope.cancel()
+
+
+async def _serve_metrics(
+    request: httpserver.Request, responder: httpserver.Responder
+) -> None:
+    kind = [(b"content-type", metrics.CONTENT_TYPE)]
+    responder.answer(200, kind, metrics.exposition())
+
+
+def make_instance(settings: instance_module.InstanceSettings) -> Instance:
+    """Return the instance that the settings describe."""
+    if settings.control is not None:
+        return ControlProcess(settings)
+    return edge_module.Edge(settings, dialect.PlatformDialect(), tables.decode)
+
+
+async def _run(path: pathlib.Path, sink: logsink.LogSink) -> None:
+    instance = make_instance(instance_module.load(path))
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_signals, path, stop)
+        group.start_soon(_flush_log, sink)
+        await instance.run(stop)
+        group.cancel_scope.cancel()
+
+
+async def _watch_signals(path: pathlib.Path, stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                stop.set()
+                continue
+            _reload(path)
+
+
+def _reload(path: pathlib.Path) -> None:
+    """Check the changed file; what it says counts from the next start."""
+    try:
+        instance_module.load(path)
+    except errors.PrimrosehitchError as exc:
+        events.emit(events.SETTINGS_REFUSED, error=str(exc))
+        return
+    events.emit(events.SETTINGS_READ, path=path.name)
+
+
+async def _flush_log(sink: logsink.LogSink) -> None:
+    while True:
+        await anyio.sleep(FLUSH_S)
+        sink.flush()
+        dropped = sink.take_dropped()
+        if dropped:
+            events.emit(events.LINES_DROPPED, lines=dropped)
+
+
+def main() -> None:
+    """Run the instance whose settings file the environment names."""
+    name = os.environ.get(SETTINGS_VARIABLE)
+    if not name:
+        sys.exit(f"primrosehitch: {SETTINGS_VARIABLE} is not set")
+    sink = logsink.LogSink(sys.stdout.fileno(), clock.now_ms)
+    events.open_log(sink)
+    options = {"use_uvloop": True}
+    try:
+        anyio.run(_run, pathlib.Path(name), sink, backend_options=options)
+    except* (OSError, errors.PrimrosehitchError) as group:
+        events.emit(events.TASK_FAILED, task="main", error=repr(group))
+        sys.exit(f"primrosehitch: {group.exceptions[0]}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/primrosehitch/platform/dialect.py
@@ -0,0 +1,151 @@
+"""Headers of callers and engines, decoded once and encoded again."""
+
+from primrosehitch import balancer
+from primrosehitch import dialect as dialect_module
+from primrosehitch import forwarder
+from primrosehitch import httpclient
+from primrosehitch import httpserver
+
+Header = dialect_module.Header
+
+REQUEST_ID = b"request-id"
+DEADLINE = b"deadline-ms"
+CREDENTIAL = b"credential"
+TENANT = b"tenant"
+EXPECT_INSTANCE = b"expect-instance"
+LAST_EVENT_ID = b"last-event-id"
+PREFIX = b"prefix-hash"
+TOKENS = b"token-count"
+PRIORITY = b"request-priority"
+STAMP = b"response-stamp"
+NOT_RUN = b"not-run"
+LOAD = b"server-load"
+LOWEST_PRIORITY = 9
+MISDIRECTED = 421
+
+# Headers that only the system may set at an engine, or that it replaces.
+OWN = frozenset(
+    (
+        CREDENTIAL,
+        TENANT,
+        EXPECT_INSTANCE,
+        DEADLINE,
+        LAST_EVENT_ID,
+        PRIORITY,
+        b"hold",
+        b"pin-ms",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    )
+)
+
+
+class PlatformDialect:
+    """The platform's headers."""
+
+    echo_header = REQUEST_ID
+
+    def read_call(
+        self, request: httpserver.Request
+    ) -> dialect_module.CallInfo:
+        """Return what a request says of itself."""
+        headers = {name: value for name, value in request.headers}
+        prompt, output = _tokens(headers.get(TOKENS, b""))
+        deadline = headers.get(DEADLINE, b"").strip()
+        return dialect_module.CallInfo(
+            identifier=headers.get(REQUEST_ID, b"").strip(),
+            deadline_ms=int(deadline) if deadline.isdigit() else None,
+            key=headers.get(CREDENTIAL, b"").decode("latin-1").strip(),
+            last_event_id=headers.get(LAST_EVENT_ID, b"").strip(),
+            parts=_parts(headers.get(PREFIX, b"")),
+            prompt_tokens=prompt,
+            output_tokens=output,
+            headers=_forwarded(request.headers),
+        )
+
+    def endpoint_headers(
+        self, call: dialect_module.CallInfo, sending: dialect_module.Sending
+    ) -> list[Header]:
+        """Return the headers of a request to an engine."""
+        headers = list(call.headers)
+        headers.append((DEADLINE, b"%d" % sending.left_ms))
+        headers.append((EXPECT_INSTANCE, sending.endpoint.encode()))
+        if sending.customer:
+            headers.append((TENANT, sending.customer.encode()))
+        if sending.last_event_id:
+            headers.append((LAST_EVENT_ID, sending.last_event_id))
+        if call.prompt_tokens:
+            rank = min(sending.priority, LOWEST_PRIORITY)
+            headers.append((PRIORITY, b"%d" % rank))
+        return headers
+
+    def read_answer(self, head: httpclient.Head) -> dialect_module.AnswerInfo:
+        """Return what an answer says of the engine."""
+        elsewhere = head.status == MISDIRECTED
+        numbers = (head.header(LOAD) or b"").split(b",")
+        running, waiting, slots = -1, 0, 0
+        if len(numbers) == 3 and all(n.strip().isdigit() for n in numbers):
+            running, waiting, slots = (int(n) for n in numbers)
+        return dialect_module.AnswerInfo(
+            not_run=head.header(NOT_RUN) is not None,
+            elsewhere=elsewhere,
+            genuine=head.header(STAMP) is not None,
+            running=running,
+            waiting=waiting,
+            slots=slots,
+        )
+
+    def returned_headers(self, head: httpclient.Head) -> list[Header]:
+        """Return an engine's headers that go to the caller."""
+        dropped = _connection_names(head.headers)
+        return [
+            (name, value)
+            for name, value in head.headers
+            if name not in dropped and name != LOAD
+        ]
+
+    def own_headers(self, identifier: bytes) -> list[Header]:
+        """Return the headers of an answer that no engine gave."""
+        return [(REQUEST_ID, identifier)] if identifier else []
+
+
+def _forwarded(headers: list[Header]) -> list[Header]:
+    dropped = _connection_names(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in dropped and name not in OWN
+    ]
+
+
+def _connection_names(headers: list[Header]) -> frozenset[bytes]:
+    """Return the headers that concern one connection only."""
+    named = [v for n, v in headers if n == b"connection"]
+    if not named:
+        return forwarder.HOP_BY_HOP
+    extra = {p.strip().lower() for v in named for p in v.split(b",")}
+    return forwarder.HOP_BY_HOP | extra
+
+
+def _parts(value: bytes) -> tuple[balancer.Part, ...]:
+    parts = []
+    for item in value.split(b","):
+        identifier, _, size = item.strip().partition(b":")
+        if identifier and size.isdigit():
+            parts.append(
+                balancer.Part(identifier.decode("latin-1"), int(size))
+            )
+    return tuple(parts)
+
+
+def _tokens(value: bytes) -> tuple[int, int]:
+    """Return the prompt's size and the longest output, in tokens."""
+    prompt, _, output = value.partition(b",")
+    prompt, output = prompt.strip(), output.strip()
+    if not prompt.isdigit():
+        return 0, 0
+    return int(prompt), int(output) if output.isdigit() else 0
+
+
+__all__ = ["PlatformDialect"]
--- a/primrosehitch/raft.py
+++ b/primrosehitch/raft.py
@@ -121,6 +121,19 @@
             return False
         return now >= self.leader_since + LEASE_MS + SEND_LIMIT_MS
 
+    def read_index(self, now: int) -> int | None:
+        """Return the index a read must have applied to be the newest.
+
+        Returns:
+            None unless this leader holds its lease and has committed an
+            entry of its own term.
+        """
+        if now >= self.lease_until() or now - self.last_tick > FREEZE_GAP_MS:
+            return None
+        if self.log.term_at(self.commit) != self.term:
+            return None
+        return self.commit
+
     def caught_up(self, peer: str) -> bool:
         """Return whether a peer holds all that is committed."""
         progress = self.progress.get(peer)
@@ -226,14 +239,19 @@
         )
         self.log.install(meta)
 
-    def bootstrap(self) -> None:
-        """Make this replica the only voter of a new cluster."""
+    def bootstrap(self, voters: tuple[str, ...] = ()) -> None:
+        """Begin a new cluster.
+
+        Args:
+            voters: the first replicas, alike at all of them; this
+                replica alone where none are named.
+        """
         errors.require(
             self.log.last_index == 0, "an empty log", "raft.bootstrap"
         )
-        change = messages.Membership((self.name,), ())
+        change = messages.Membership(voters or (self.name,), ())
         entry = messages.Entry(1, 1, MEMBERSHIP, messages.encode(change))
-        self.log.set_hard(1, self.name)
+        self.log.set_hard(1, "" if voters else self.name)
         self.log.append([entry])
         self._load_membership()
 
--- a/primrosehitch/replica.py
+++ b/primrosehitch/replica.py
@@ -8,6 +8,7 @@
 import random
 from typing import Any
 from typing import Callable
+from typing import Collection
 from typing import NamedTuple
 
 from primrosehitch import errors
@@ -17,6 +18,9 @@
 from primrosehitch import state as state_module
 
 COMPACT_ENTRIES = 4096
+# A whole table of routes is one entry; the log of many must stay small
+# beside a disk of a hundred megabytes.
+COMPACT_BYTES = 8 << 20
 FRESH_MS = 1000
 
 APPLIED = "applied"
@@ -116,7 +120,7 @@
             self._apply(entry)
         self._drop_lost()
         self._publish(durable)
-        if len(self.log.entries) > self.compact_entries:
+        if self._log_is_large():
             self._compact()
         outgoing, self.raft.outbox = self.raft.outbox, []
         return outgoing
@@ -181,6 +185,12 @@
         for item in waiting.values():
             item.answer(LOST, None)
 
+    def _log_is_large(self) -> bool:
+        if len(self.log.entries) > self.compact_entries:
+            return True
+        floor = COMPACT_BYTES + 2 * len(self.log.snapshot.body)
+        return self.log.size > floor
+
     def _compact(self) -> None:
         if self.raft.applied > self.log.snapshot.index:
             self.raft.compact(self.state.image())
@@ -197,18 +207,24 @@
 
 
 def membership_step(
-    raft: raft_module.Raft, present: dict[str, str]
+    raft: raft_module.Raft,
+    present: dict[str, str],
+    silent: Collection[str] = (),
+    wanted: int = 0,
 ) -> messages.Membership | None:
     """Return the next single change of membership, or None.
 
     A replica that is present and unknown becomes a learner; a learner
     that caught up a voter; a voter or learner whose instance now runs
-    under another identifier leaves. Everyone else stays, however long
-    silent: absence alone never shrinks the quorum.
+    under another identifier leaves. A voter that is silent for long
+    leaves only while more voters than wanted are left, all present:
+    absence alone never shrinks the quorum below that.
 
     Args:
         raft: the leader's consensus state.
         present: the replica identifier by instance, as heard lately.
+        silent: replicas not heard of for long.
+        wanted: voters that are always kept; 0 keeps all.
     """
     voters, learners = raft.voters, raft.learners
     for replica in present.values():
@@ -228,6 +244,27 @@
         current = present.get(instance_of(replica), replica)
         if current != replica and current in voters:
             return messages.Membership(without(voters, replica), learners)
+    return _without_silent(raft, present, silent, wanted)
+
+
+def _without_silent(
+    raft: raft_module.Raft,
+    present: dict[str, str],
+    silent: Collection[str],
+    wanted: int,
+) -> messages.Membership | None:
+    voters, learners = raft.voters, raft.learners
+    for replica in learners:
+        if replica in silent:
+            return messages.Membership(voters, without(learners, replica))
+    if not wanted or len(voters) <= wanted:
+        return None
+    for replica in voters:
+        if replica not in silent or replica == raft.name:
+            continue
+        rest = without(voters, replica)
+        if all(present.get(instance_of(r)) == r for r in rest):
+            return messages.Membership(rest, learners)
     return None
 
 
--- a/primrosehitch/replicator.py
+++ b/primrosehitch/replicator.py
@@ -7,6 +7,7 @@
 import random
 from typing import Any
 from typing import Callable
+from typing import Collection
 from typing import NamedTuple
 
 import anyio
@@ -52,9 +53,15 @@
 
 
 class Bootstrap(NamedTuple):
-    """Start a new cluster with this replica as its only voter."""
+    """Start a new cluster.
+
+    Attributes:
+        cluster: its name.
+        voters: its first replicas; none means this replica alone.
+    """
 
     cluster: str
+    voters: tuple[str, ...] = ()
 
 
 class KeepWithdrawals(NamedTuple):
@@ -77,6 +84,9 @@
         rng: source of identifiers and timeouts.
         present: returns the replica identifier by instance heard lately.
         wanted: replicas that the settings ask for.
+        first_id: the replica's identifier if the folder is empty and
+            the cluster is new; drawn at random where it is empty.
+        silent: returns the replicas not heard of for long.
     """
 
     def __init__(
@@ -87,17 +97,21 @@
         rng: random.Random,
         present: Callable[[], dict[str, str]],
         wanted: int,
+        first_id: str = "",
+        silent: Callable[[], Collection[str]] = tuple,
     ):
         self.instance = instance
         self.log = log
         self.send = send
         self.present = present
+        self.silent = silent
         self.wanted = wanted
-        self.identity = self._own_identity(rng)
+        self.identity = self._own_identity(rng, first_id)
         self.replica = replica_module.Replica(
             self.identity.replica, log, rng, clock.now_ms()
         )
         self.on_change: Callable[[], None] = lambda: None
+        self.on_applied: Callable[[], None] = lambda: None
         self.failed = ""
         self.was_leader = ""
         self.was_membership: tuple = ((), ())
@@ -129,6 +143,12 @@
         """Return whether this replica leads."""
         return not self.failed and self.raft.role == raft_module.LEADER
 
+    def read_index(self) -> int | None:
+        """Return the index that a read must have applied, or None."""
+        if self.failed:
+            return None
+        return self.raft.read_index(clock.now_ms())
+
     def in_charge(self) -> bool:
         """Return whether orders may be sent at this very moment."""
         return not self.failed and self.raft.in_charge(clock.now_ms())
@@ -198,10 +218,13 @@
             if self.log.dirty:
                 await anyio.to_thread.run_sync(self.replica.sync)
             version = self.replica.published.version
+            applied = self.raft.applied
             for outgoing in self.replica.after_sync():
                 self._send(outgoing)
             if self.replica.published.version != version:
                 self.on_change()
+            if self.raft.applied != applied:
+                self.on_applied()
             self._note_changes()
 
     def _take(self, item: Any) -> None:
@@ -219,7 +242,7 @@
             self.raft.hand_over(now)
         elif isinstance(item, Bootstrap) and self.empty:
             self._set_cluster(item.cluster)
-            self.raft.bootstrap()
+            self.raft.bootstrap(item.voters)
 
     def _take_message(
         self, message: messages.ReplicaMessage, now: int
@@ -253,7 +276,9 @@
         self.last_membership = now
         present = self.present()
         present[self.instance] = self.identity.replica
-        change = replica_module.membership_step(self.raft, present)
+        change = replica_module.membership_step(
+            self.raft, present, self.silent(), self.wanted
+        )
         if change is not None:
             self.raft.change_membership(change, now)
 
@@ -287,14 +312,16 @@
 
     # -- identity ----------------------------------------------------------
 
-    def _own_identity(self, rng: random.Random) -> messages.Identity:
+    def _own_identity(
+        self, rng: random.Random, first_id: str
+    ) -> messages.Identity:
         identity = self.log.identity()
         if identity is None:
             if self.log.last_index or self.log.hard.term:
                 raise errors.ForeignFolderError(
                     "a log without an identity", "log.open", self.log.peer
                 )
-            name = replica_module.replica_id(self.instance, rng)
+            name = first_id or replica_module.replica_id(self.instance, rng)
             identity = messages.Identity("", self.instance, name)
             self.log.set_identity(identity)
         if identity.name != self.instance:
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -245,6 +245,10 @@
   marks @8 :List(BatchMark);
   orders @9 :List(Order);
   closedThrough @10 :UInt64;
+  tableVersion @11 :UInt64;
+  tableBody @12 :Data;
+  sealed @13 :List(SealWindow);
+  done @14 :List(WindowDone);
 }
 
 # --- proposals -----------------------------------------------------------
@@ -354,3 +358,123 @@
   weight @3 :Float32;
   count @4 :UInt32;
 }
+
+# --- routed services: one table of routes under a rising version ----------
+
+struct Ping {
+  sentMs @0 :UInt64;
+}
+
+struct Pong {
+  sentMs @0 :UInt64;
+}
+
+# What an instance tells its peers of itself; addresses are "ip:port".
+struct Presence {
+  name @0 :Text;
+  link @1 :Text;
+  control @2 :Text;
+  domain @3 :Text;
+  replica @4 :Text;
+  incarnation @5 :UInt64;
+  sequence @6 :UInt64;
+  wallMs @7 :UInt64;
+  edge @8 :Bool;
+  peers @9 :List(Text);
+  edges @10 :UInt32;
+  leaving @11 :Bool;
+}
+
+# What a control instance tells the edges that subscribe to it.
+struct ControlStatus {
+  version @0 :UInt64;
+  fresh @1 :Bool;
+  trueMs @2 :UInt64;
+  edges @3 :UInt32;
+  peers @4 :List(Text);
+  registry @5 :UInt64;
+  domains @6 :List(Text);
+}
+
+struct Subscribe {
+  version @0 :UInt64;
+  registry @1 :UInt64;
+  wallMs @2 :UInt64;
+}
+
+struct Table {
+  version @0 :UInt64;
+  body @1 :Data;
+}
+
+struct TableResult {
+  accepted @0 :Bool;
+  version @1 :UInt64;
+}
+
+struct ReadRequest {
+  number @0 :UInt64;
+}
+
+struct ReadReply {
+  number @0 :UInt64;
+  confirmed @1 :Bool;
+  index @2 :UInt64;
+}
+
+# One start of an endpoint; ``born`` in ms since 1970 by its own clock.
+struct EndpointRecord {
+  id @0 :Text;
+  born @1 :UInt64;
+  sequence @2 :UInt64;
+  service @3 :Text;
+  address @4 :Text;
+  domain @5 :Text;
+  slots @6 :UInt32;
+  state @7 :Text;
+  coldMs @8 :UInt64;
+  spot @9 :Bool;
+  leavesMs @10 :UInt64;
+}
+
+struct EndpointUpdate {
+  records @0 :List(EndpointRecord);
+  whole @1 :Bool;
+}
+
+struct CustomerCount {
+  customer @0 :Text;
+  requests @1 :UInt64;
+}
+
+# Requests begun in one window, as one start of an edge counted them.
+struct WindowTally {
+  edge @0 :Text;
+  incarnation @1 :UInt64;
+  window @2 :UInt64;
+  counts @3 :List(CustomerCount);
+}
+
+struct TallyBatch {
+  tallies @0 :List(WindowTally);
+}
+
+# A window's figures, fixed once.
+struct SealWindow {
+  window @0 :UInt64;
+  counts @1 :List(CustomerCount);
+}
+
+struct WindowDone {
+  window @0 :UInt64;
+}
+
+struct ServiceDemand {
+  service @0 :Text;
+  domain @1 :Text;
+  busy @2 :Float32;
+}
+
+struct LoadReport {
+  demands @0 :List(ServiceDemand);
+}
--- a/primrosehitch/state.py
+++ b/primrosehitch/state.py
@@ -19,6 +19,7 @@
 ORDERS_KEPT = 1_000
 WINDOWS_KEPT = 60
 STARTS_KEPT = 4
+SEALED_KEPT = 720
 KEY_TABLE = "key"
 
 OPEN = "open"
@@ -49,6 +50,9 @@
         self.marks: dict[tuple[str, int], int] = {}
         self.orders: dict[str, messages.Order] = {}
         self.closed_through = 0
+        self.table = messages.Table()
+        self.sealed: dict[int, messages.SealWindow] = {}
+        self.done: set[int] = set()
 
     def apply(self, entry: messages.Entry) -> Any:
         """Apply one committed entry.
@@ -232,6 +236,26 @@
         if all((report.window, c) in self.reported for c in customers):
             self.windows[report.window] = window._replace(state=REPORTED)
 
+    # -- the table of routes -----------------------------------------------
+
+    def _table(self, table: messages.Table) -> messages.TableResult:
+        accepted = table.version > self.table.version
+        if accepted:
+            self.table = table
+        return messages.TableResult(accepted, self.table.version)
+
+    def _seal_window(self, seal: messages.SealWindow) -> messages.SealWindow:
+        """Fix a window's figures; the first proposal wins."""
+        known = self.sealed.setdefault(seal.window, seal)
+        for window in sorted(self.sealed)[:-SEALED_KEPT]:
+            del self.sealed[window]
+            self.done.discard(window)
+        return known
+
+    def _window_done(self, done: messages.WindowDone) -> None:
+        if done.window in self.sealed:
+            self.done.add(done.window)
+
     # -- orders ------------------------------------------------------------
 
     def _order(self, order: messages.Order) -> messages.Order:
@@ -259,6 +283,9 @@
         "WindowReported": _window_reported,
         "Order": _order,
         "OrderDone": _order_done,
+        "Table": _table,
+        "SealWindow": _seal_window,
+        "WindowDone": _window_done,
     }
 
     # -- images ------------------------------------------------------------
@@ -289,6 +316,10 @@
             ),
             orders=tuple(self.orders.values()),
             closed_through=self.closed_through,
+            table_version=self.table.version,
+            table_body=self.table.body,
+            sealed=tuple(self.sealed.values()),
+            done=tuple(messages.WindowDone(w) for w in sorted(self.done)),
         )
         return messages.encode(image)
 
@@ -314,6 +345,9 @@
     state.marks = {(m.gateway, m.incarnation): m.sequence for m in image.marks}
     state.orders = {o.order_id: o for o in image.orders}
     state.closed_through = image.closed_through
+    state.table = messages.Table(image.table_version, image.table_body)
+    state.sealed = {s.window: s for s in image.sealed}
+    state.done = {d.window for d in image.done}
     return state
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -35,7 +35,7 @@
     }
     settings = settings_module.parse(document, name)
     send, source = anyio.create_memory_object_stream(100)
-    return links_module.Links(settings, 1, send), source
+    return links_module.make_links(settings, 1, send), source
 
 
 async def exchange(secret_b=b"s" * 16):
--- a/tools/generate_types.py
+++ b/tools/generate_types.py
@@ -14,6 +14,7 @@
     "integer": "int",
     "number": "float",
     "boolean": "bool",
+    "null": "None",
 }
 
 
@@ -22,6 +23,8 @@
     if "$ref" in schema:
         name = schema["$ref"].rsplit("/", 1)[1]
         return "str" if name == "address" else f'"{name}"'
+    if isinstance(schema["type"], list):
+        return " | ".join(SCALARS[kind] for kind in schema["type"])
     if schema["type"] == "array":
         return f"list[{annotation(schema['items'])}]"
     if schema["type"] == "object":
