Report usage and order endpoints: the leader's duties

Windows are sealed in the replicated log before the first report; orders follow the peak of requests under way, reclaimable endpoints first.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -35,6 +35,8 @@
 EXPIRE_MS = 1000
 # A replica that heard from its leader within this time is in touch.
 IN_TOUCH_MS = 700
+# An edge's load counts for this long after it was told.
+DEMAND_MS = 3000
 # An edge that did not subscribe for this long gets no more updates.
 SUBSCRIBED_MS = 2000
 # After this its link is given up too.
@@ -86,6 +88,7 @@
         self.true_time = truetime_module.TrueTime(clock.wall_ms(), now)
         self.registry = registry_module.Registry()
         self.tallies = metering.Tallies()
+        self.demands: dict[str, tuple[int, messages.DemandReport]] = {}
         self.peers = peers_module.Peers(self.name)
         self.subscribers: dict[str, Subscriber] = {}
         self.refreshed: set[str] = set()
@@ -390,6 +393,7 @@
             peers=tuple(controls),
             registry=self.registry.digest(),
             domains=tuple(controls.values()),
+            incarnation=self.incarnation,
         )
         self.links.send(sender, status)
         if ask.version < self.table.version:
@@ -425,6 +429,23 @@
             for name in self.peers.names():
                 self.links.send(name, batch)
 
+    def _on_demand(self, sender: str, report: messages.DemandReport) -> None:
+        self.demands[report.edge] = (clock.now_ms(), report)
+        if sender in self.subscribers:
+            for name in self.peers.names():
+                self.links.send(name, report)
+
+    def demand(self, now: int) -> dict[str, int]:
+        """Return the requests under way by service, over all edges."""
+        running: dict[str, int] = {}
+        for at, report in self.demands.values():
+            if now - at > DEMAND_MS:
+                continue
+            for item in report.demands:
+                known = running.get(item.service, 0)
+                running[item.service] = known + item.running
+        return running
+
     def _on_replica_message(
         self, sender: str, message: messages.ReplicaMessage
     ) -> None:
@@ -468,6 +489,7 @@
         messages.Subscribe: _on_subscribe,
         messages.EndpointUpdate: _on_endpoints,
         messages.TallyBatch: _on_tallies,
+        messages.DemandReport: _on_demand,
         messages.ReplicaMessage: _on_replica_message,
         messages.Proposal: _on_proposal,
         messages.ProposalReply: _on_proposal_reply,
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -35,6 +35,7 @@
 
 SUBSCRIBE_MS = 250
 TALLY_MS = 400
+DEMAND_MS = 1000
 SWEEP_MS = 1000
 INBOX_MESSAGES = 4096
 # A control instance that says nothing, or has no quorum, for this long
@@ -123,6 +124,7 @@
         self.rng.shuffle(self.controls)
         self.chosen = self.controls[0].name
         self.fresh_at = now
+        self.control_incarnation = 0
         self.preferred_at = now - PREFER_AGAIN_MS
         self.draining_since = -1
 
@@ -180,6 +182,7 @@
             group.start_soon(self._hear, self.inbox)
             group.start_soon(self._subscribe)
             group.start_soon(self._tell_tallies)
+            group.start_soon(self._tell_demand)
             group.start_soon(self._sweep)
             await self._listen(group, self.ready, settings.ready)
             await self._listen(group, self.ready, settings.metrics)
@@ -276,13 +279,13 @@
         now = clock.now_ms()
         if sender != self.chosen:
             return
-        known = self.true_time.told
         if status.fresh:
             self.fresh_at = now
             self.true_time.follow(status.true_ms, now)
         self.budget.share_among(status.edges)
         self._note_controls(status)
-        if not known and self.true_time.told:
+        if status.incarnation != self.control_incarnation:
+            self.control_incarnation = status.incarnation
             self._send(self.meter.all_totals())
 
     def _note_controls(self, status: messages.ControlStatus) -> None:
@@ -379,6 +382,21 @@
                 if not self._send(batch):
                     self.meter.changed |= {t.window for t in batch.tallies}
 
+    async def _tell_demand(self) -> None:
+        """Tell the load, and once more the newest counts."""
+        async for _ in self.timers.subscribe(DEMAND_MS):
+            running = self.forwarder.gate.inside
+            self._send(
+                messages.DemandReport(
+                    self.settings.name,
+                    tuple(
+                        messages.ServiceDemand(service, count)
+                        for service, count in running.items()
+                    ),
+                )
+            )
+            self.meter.changed |= set(sorted(self.meter.totals)[-2:])
+
     async def _sweep(self) -> None:
         async for tick in self.timers.subscribe(SWEEP_MS):
             self.forwarder.sweep(tick.now)
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -158,6 +158,12 @@
     "The platform did not accept an order; it is sent again.",
     "Check the platform's interface if it lasts.",
 )
+API_FAILED = Event(
+    1603,
+    "api-failed",
+    "A call to the platform's API failed or was answered otherwise.",
+    "Check the platform's interface if it lasts.",
+)
 WINDOW_CLOSED = Event(
     1701, "window-closed", "A usage window's figures are fixed.", NONE
 )
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1367,6 +1367,7 @@
     peers: tuple[str, ...] = ()
     registry: int = 0
     domains: tuple[str, ...] = ()
+    incarnation: int = 0
 
 
 def _write_control_status(b: Any, m: ControlStatus) -> None:
@@ -1377,6 +1378,7 @@
     b.peers = list(m.peers)
     b.registry = m.registry
     b.domains = list(m.domains)
+    b.incarnation = m.incarnation
 
 
 def _read_control_status(r: Any) -> ControlStatus:
@@ -1388,6 +1390,7 @@
         tuple(r.peers),
         r.registry,
         tuple(r.domains),
+        r.incarnation,
     )
 
 
@@ -1661,38 +1664,38 @@
     """Message ``ServiceDemand`` of the schema."""
 
     service: str = ""
-    domain: str = ""
-    busy: float = 0.0
+    running: int = 0
 
 
 def _write_service_demand(b: Any, m: ServiceDemand) -> None:
     b.service = m.service
-    b.domain = m.domain
-    b.busy = m.busy
+    b.running = m.running
 
 
 def _read_service_demand(r: Any) -> ServiceDemand:
     return ServiceDemand(
         r.service,
-        r.domain,
-        r.busy,
+        r.running,
     )
 
 
-class LoadReport(NamedTuple):
-    """Message ``LoadReport`` of the schema."""
+class DemandReport(NamedTuple):
+    """Message ``DemandReport`` of the schema."""
 
+    edge: str = ""
     demands: tuple["ServiceDemand", ...] = ()
 
 
-def _write_load_report(b: Any, m: LoadReport) -> None:
+def _write_demand_report(b: Any, m: DemandReport) -> None:
+    b.edge = m.edge
     items = b.init("demands", len(m.demands))
     for i, item in enumerate(m.demands):
         _write_service_demand(items[i], item)
 
 
-def _read_load_report(r: Any) -> LoadReport:
-    return LoadReport(
+def _read_demand_report(r: Any) -> DemandReport:
+    return DemandReport(
+        r.edge,
         tuple(_read_service_demand(x) for x in r.demands),
     )
 
@@ -1841,7 +1844,11 @@
         _write_service_demand,
         _read_service_demand,
     ),
-    LoadReport: (_capnp.LoadReport, _write_load_report, _read_load_report),
+    DemandReport: (
+        _capnp.DemandReport,
+        _write_demand_report,
+        _read_demand_report,
+    ),
 }
 
 KINDS: dict[int, type] = {
@@ -1908,7 +1915,7 @@
     61: SealWindow,
     62: WindowDone,
     63: ServiceDemand,
-    64: LoadReport,
+    64: DemandReport,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -1967,6 +1974,7 @@
     "ControlStatus",
     "CustomerCount",
     "Demand",
+    "DemandReport",
     "Edit",
     "EditResult",
     "EndpointCount",
@@ -1979,7 +1987,6 @@
     "Hello",
     "Identity",
     "KINDS",
-    "LoadReport",
     "Membership",
     "NUMBERS",
     "Order",
--- a/primrosehitch/platform/__main__.py
+++ b/primrosehitch/platform/__main__.py
@@ -10,6 +10,7 @@
 
 from primrosehitch import clock
 from primrosehitch import control as control_module
+from primrosehitch import duties
 from primrosehitch import edge as edge_module
 from primrosehitch import errors
 from primrosehitch import events
@@ -18,6 +19,7 @@
 from primrosehitch import logsink
 from primrosehitch import metrics
 from primrosehitch import routes
+from primrosehitch.platform import api
 from primrosehitch.platform import calls
 from primrosehitch.platform import dialect
 from primrosehitch.platform import tables
@@ -56,6 +58,10 @@
                 await group.start(self.metrics.run, self.settings.metrics)
             if self.settings.control is not None:
                 await group.start(self.server.run, self.settings.control)
+            if self.settings.platform is not None:
+                client = api.PlatformApi(self.settings.platform)
+                held = duties.Duties(self.control, client, tables.decode)
+                group.start_soon(held.run)
             await self.control.run(stop)
             group.cancel_scope.cancel()
 
--- /dev/null
+++ b/primrosehitch/platform/api.py
@@ -0,0 +1,105 @@
+"""The platform's API: usage reports and orders for engines."""
+
+import json
+from typing import Any
+
+import anyio
+
+from primrosehitch import clock
+from primrosehitch import duties
+from primrosehitch import errors
+from primrosehitch import events
+from primrosehitch import httpclient
+from primrosehitch import messages
+from primrosehitch import scaling
+from primrosehitch import settings as settings_module
+
+HOLDER = "Duty-Holder"
+FENCE = "Fence-Token"
+# The API may be slow; a call that takes longer is repeated unchanged.
+CALL_S = 2.0
+
+
+class PlatformApi:
+    """Calls the platform's API.
+
+    Args:
+        address: where it listens.
+    """
+
+    def __init__(self, address: settings_module.Address):
+        self.address = address
+        self.pool = httpclient.ConnectionPool(address)
+
+    async def report_usage(
+        self, charge: duties.Charge, seal: messages.SealWindow
+    ) -> duties.Reply:
+        """Report one window's figures."""
+        counts = {item.customer: item.requests for item in seal.counts}
+        document = {"window": seal.window, "counts": counts}
+        return await self._call("/usage", charge, document)
+
+    async def order_endpoints(
+        self, charge: duties.Charge, want: scaling.Want
+    ) -> duties.Reply:
+        """Order a number of engines of a service in a zone."""
+        document: dict[str, Any] = {
+            "service": want.service,
+            "zone": want.domain,
+            "desired": want.count,
+        }
+        if want.spot:
+            document["spot"] = True
+        return await self._call("/scale", charge, document)
+
+    async def _call(
+        self, path: str, charge: duties.Charge, document: dict[str, Any]
+    ) -> duties.Reply:
+        body = json.dumps(document).encode()
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {self.address}\r\n"
+            f"Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            f"{HOLDER}: {charge.holder}\r\n"
+            f"{FENCE}: {charge.token}\r\n\r\n"
+        )
+        try:
+            with anyio.fail_after(CALL_S):
+                status = await self._exchange(head.encode(), body, charge)
+        except (TimeoutError, errors.PrimrosehitchError) as exc:
+            text = str(exc) or type(exc).__name__
+            events.emit(events.API_FAILED, call=path, error=text)
+            return duties.Reply.UNKNOWN
+        if status is None:
+            return duties.Reply.WITHHELD
+        if 200 <= status < 300:
+            return duties.Reply.ACCEPTED
+        if status == 409:
+            return duties.Reply.UNAVAILABLE
+        events.emit(events.API_FAILED, call=path, error=f"status {status}")
+        return duties.Reply.UNKNOWN
+
+    async def _exchange(
+        self, head: bytes, body: bytes, charge: duties.Charge
+    ) -> int | None:
+        """Send one call and return its status; None if not sent."""
+        connection = await self.pool.acquire(clock.now_ms(), CALL_S * 1000)
+        try:
+            if not charge.holds():
+                return None
+            matcher = httpclient.Matcher(b"", b"")
+            connection.send(head, body, matcher, False)
+            answer = await connection.receive()
+            item: Any = answer
+            while not isinstance(item, httpclient.Ending):
+                item = await connection.receive()
+        finally:
+            self.pool.release(connection)
+        if not isinstance(answer, httpclient.Head):
+            raise httpclient.EndpointError(
+                "no answer", "api.call", str(self.address), True
+            )
+        return answer.status
+
+
+__all__ = ["PlatformApi"]
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -394,6 +394,7 @@
   peers @4 :List(Text);
   registry @5 :UInt64;
   domains @6 :List(Text);
+  incarnation @7 :UInt64;
 }
 
 struct Subscribe {
@@ -469,12 +470,13 @@
   window @0 :UInt64;
 }
 
+# How many requests of each service an edge has under way.
 struct ServiceDemand {
   service @0 :Text;
-  domain @1 :Text;
-  busy @2 :Float32;
+  running @1 :UInt32;
 }
 
-struct LoadReport {
-  demands @0 :List(ServiceDemand);
+struct DemandReport {
+  edge @0 :Text;
+  demands @1 :List(ServiceDemand);
 }
