Order reclaimable endpoints from the start; keep engines for short pauses

Cause: orders fell to one engine a domain before demand was known, and flapped with every sample; each change of the set made prompts be read again. Now the number never falls below what operators began with, a larger order stands for 30 s, and a share of the engines (the tight streams' share of the work) is kept for them. Ruled out: waiting for demand before ordering.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -39,6 +39,17 @@
 # share is worth beside the predicted time, in ms.
 ERROR_WEIGHT = 0.1
 ERRORS_MS = 100.0
+# An engine that reads a long prompt makes all streams beside it pause
+# about this long between events.
+TIGHT_GAP_MS = 600
+# A request that goes to an engine kept for the other kind costs as much
+# as this much waiting, in ms: a late pause loses most of a stream's worth.
+TIGHT_CROSSING_MS = 1500.0
+LOOSE_CROSSING_MS = 600.0
+# Engine time of one output token in a common batch, in ms.
+TOKEN_MS = 0.65
+# Weight of one request in the share of work that tight streams have.
+SHARE_WEIGHT = 0.02
 # How long an endpoint that rejected a request is taken to be full.
 FULL_MS = 150
 # A prompt's parts stay in memory while no more than this part of an
@@ -56,6 +67,9 @@
     tokens: int
 
 
+CALM = Part("calm", 0)
+
+
 class Ask(NamedTuple):
     """What a request needs.
 
@@ -64,12 +78,19 @@
         parts: of the prompt, in order; the last is the request's own.
         prompt_tokens: the whole prompt; 0 for plain calls.
         output_tokens: how many are expected.
+        gap_ms: longest pause between events of its stream, 0 for any.
     """
 
     service: str
     parts: tuple[Part, ...] = ()
     prompt_tokens: int = 0
     output_tokens: int = 0
+    gap_ms: int = 0
+
+    @property
+    def tight(self) -> bool:
+        """Whether a long prompt read beside it makes its pauses late."""
+        return 0 < self.gap_ms <= TIGHT_GAP_MS
 
 
 class Told(NamedTuple):
@@ -169,6 +190,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.by_service: dict[str, list[Endpoint]] = {}
         self.tokens_per_ms: dict[str, float] = {}
+        self.tight_share: dict[str, float] = {}
 
     # -- membership --------------------------------------------------------
 
@@ -214,14 +236,45 @@
         """Return the endpoint predicted to answer first, or None."""
         best: Choice | None = None
         usable = self.usable(ask.service, tried, now)
-        favourites = self._favourites(ask, usable)
+        calm = self._calm(ask, usable)
+        lane = [e for e in usable if (e.record.id in calm) == ask.tight]
+        favourites = self._favourites(ask, lane or usable)
         for endpoint in usable:
             presumed = favourites.get(endpoint.record.id, 0)
             choice = self._predict(endpoint, ask, presumed, now)
+            if calm and (endpoint.record.id in calm) != ask.tight:
+                crossing = (
+                    TIGHT_CROSSING_MS if ask.tight else LOOSE_CROSSING_MS
+                )
+                choice = choice._replace(
+                    predicted_ms=choice.predicted_ms + crossing
+                )
             if best is None or choice.predicted_ms < best.predicted_ms:
                 best = choice
         return best
 
+    def _calm(self, ask: Ask, usable: list[Endpoint]) -> set[str]:
+        """Return the engines kept for streams with short pauses.
+
+        All edges take the first of the same order, as many as the tight
+        streams' share of the work asks for.
+        """
+        share = self.tight_share.get(ask.service, 0.0)
+        if not ask.prompt_tokens or len(usable) < 2 or not 0 < share < 1:
+            return set()
+        count = min(len(usable) - 1, max(1, round(share * len(usable))))
+        order = sorted(usable, key=lambda e: _rank(CALM, e))
+        return {e.record.id for e in order[:count]}
+
+    def _note_share(self, choice: Choice, ask: Ask) -> None:
+        """Weigh a request's work in the tight streams' share."""
+        rate = self.tokens_per_ms.get(ask.service, TOKENS_PER_MS)
+        work = choice.reading_tokens / rate + ask.output_tokens * TOKEN_MS
+        weight = min(0.5, SHARE_WEIGHT * work / ENGINE_BASE_MS)
+        known = self.tight_share.get(ask.service, float(ask.tight))
+        known += weight * (float(ask.tight) - known)
+        self.tight_share[ask.service] = known
+
     def _favourites(self, ask: Ask, usable: list[Endpoint]) -> dict[str, int]:
         """Return how many leading parts each endpoint should hold.
 
@@ -284,6 +337,8 @@
         endpoint.held_tokens += ask.prompt_tokens + ask.output_tokens
         if ask.parts:
             endpoint.note_parts(ask.parts)
+        if ask.prompt_tokens:
+            self._note_share(choice, ask)
 
     def first_byte(self, choice: Choice, ask: Ask, took_ms: float) -> None:
         """Note that an answer began."""
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -222,7 +222,11 @@
         self.priority = decision.priority
         service = routes.choose_service(self.route, forwarder.rng)
         self.ask = balancer_module.Ask(
-            service, call.parts, call.prompt_tokens, call.output_tokens
+            service,
+            call.parts,
+            call.prompt_tokens,
+            call.output_tokens,
+            self.route.gap_ms if self.route.kind == routes.STREAM else 0,
         )
         limit = self.route.timeout_ms
         if call.deadline_ms is not None:
--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -20,13 +20,14 @@
 COMFORT = 8.0
 # Demand counts by its peak over this time, so that a lull between two
 # bursts lets no endpoint go.
-PEAK_MS = 20_000
+PEAK_MS = 30_000
 # A domain without reclaimable endpoints is asked again after this time.
 UNAVAILABLE_MS = 6_000
+# A larger order stands at least this long: every endpoint that goes
+# takes the prompts it has read with it.
+HOLD_MS = 30_000
 # An order that did not show in the endpoints' reports is sent again.
 REPEAT_MS = 10_000
-# Fewest reclaimable endpoints in a domain.
-LEAST_SPOT = 1
 
 
 class Want(NamedTuple):
@@ -86,6 +87,7 @@
     def __init__(self, service: str):
         self.service = service
         self.demand = Demand()
+        self.first = 0
         self.unavailable: dict[str, int] = {}
         self.sent: dict[tuple[str, bool], tuple[int, int]] = {}
 
@@ -114,36 +116,51 @@
         """
         names = sorted(domains, key=lambda d: (scaling.prices.get(d, 1.0), d))
         present = self._present(names, records, now)
-        wanted = self._targets(scaling, names, now)
+        total = sum(sum(have) for have in present.values())
+        self.first = max(self.first, total if not self.sent else 0)
+        spots = [d for d in names if self._spot_at(scaling, d, now)]
+        targets = self._targets(scaling, names, spots, now)
         orders: list[Want] = []
         for domain in names:
-            orders += self._orders(scaling, domain, wanted, present, now)
-        return [order for order in orders if self._is_due(order, present, now)]
+            have, target = present[domain], targets[domain]
+            if domain in spots:
+                orders += self._spot_orders(scaling, domain, have, target)
+            elif not spots:
+                count = max(have.steady, target - have.spot)
+                orders.append(Want(self.service, domain, False, count))
+        return [o for o in orders if self._is_due(o, present, now)]
 
     # -- how many ----------------------------------------------------------
 
+    def need(self, domains: int, now: int) -> int:
+        """Return how many endpoints the service should have.
+
+        At least as many as the operators began with: reclaimable ones
+        cost little beside what a burst without room loses.
+        """
+        need = math.ceil(self.demand.peak(now) / COMFORT)
+        if domains > 1:
+            need = math.ceil(need * domains / (domains - 1))
+        return max(1, need, self.first)
+
     def _targets(
-        self, scaling: routes.Scaling, names: list[str], now: int
-    ) -> dict[str, Present]:
-        """Return how many of each kind each domain should have."""
-        spots = [d for d in names if self._spot_at(scaling, d, now)]
-        need = max(1, math.ceil(self.demand.peak(now) / COMFORT))
-        if len(names) > 1:
-            need = math.ceil(need * len(names) / (len(names) - 1))
-        targets = dict.fromkeys(names, 0)
-        order = spots or names
-        for i in range(need):
-            domain = order[i % len(order)]
-            targets[domain] = min(scaling.most, targets[domain] + 1)
-        result = {}
-        for domain in names:
-            if domain in spots:
-                count = max(targets[domain], scaling.least, LEAST_SPOT)
-                result[domain] = Present(0, min(count, scaling.most))
-            else:
-                count = max(targets[domain], scaling.least)
-                result[domain] = Present(count, 0)
-        return result
+        self,
+        scaling: routes.Scaling,
+        names: list[str],
+        spots: list[str],
+        now: int,
+    ) -> dict[str, int]:
+        """Return how many each domain should have, cheap ones first."""
+        need = self.need(len(names), now)
+        takers = spots or names
+        targets = dict.fromkeys(names, scaling.least)
+        while sum(targets[d] for d in takers) < need:
+            open_ = [d for d in takers if targets[d] < scaling.most]
+            if not open_:
+                break
+            least = min(open_, key=lambda d: targets[d])
+            targets[least] += 1
+        return targets
 
     def _spot_at(self, scaling: routes.Scaling, domain: str, now: int) -> bool:
         if not 0 < scaling.spot_price < 1:
@@ -160,7 +177,8 @@
         for record in records:
             if record.service != self.service or record.domain not in present:
                 continue
-            if record.state == registry.DRAINING and record.spot:
+            leaving = record.spot and record.leaves_ms > 0
+            if record.state == registry.DRAINING and leaving:
                 self.unavailable_at(record.domain, now)
             if record.state != registry.READY:
                 continue
@@ -172,35 +190,23 @@
 
     # -- orders ------------------------------------------------------------
 
-    def _orders(
+    def _spot_orders(
         self,
         scaling: routes.Scaling,
         domain: str,
-        wanted: dict[str, Present],
-        present: dict[str, Present],
-        now: int,
+        have: Present,
+        target: int,
     ) -> list[Want]:
-        """Return a domain's orders; what serves goes last."""
-        want, have = wanted[domain], present[domain]
-        room = scaling.most - have.steady
-        spot = min(want.spot, max(room, have.spot))
-        orders = [Want(self.service, domain, True, spot)]
-        steady = want.steady
-        if steady < have.steady and have.spot + steady < sum(want):
-            steady = self._kept(scaling, have, want)
-        orders.append(Want(self.service, domain, False, steady))
-        if not 0 < scaling.spot_price < 1:
-            return orders[1:]
+        """Return a domain's orders; others stay until spot ones serve."""
+        spot = min(target, scaling.most)
+        if have.spot >= spot:
+            steady = 0
+        else:
+            steady = min(have.steady, scaling.most - spot)
+        orders = [Want(self.service, domain, False, steady)]
+        orders.append(Want(self.service, domain, True, spot))
         return orders
 
-    def _kept(
-        self, scaling: routes.Scaling, have: Present, want: Present
-    ) -> int:
-        """Return how many others stay until reclaimable ones serve."""
-        missing = sum(want) - have.spot
-        room = scaling.most - want.spot
-        return max(0, min(have.steady, max(missing, 1), room))
-
     def _is_due(
         self, order: Want, present: dict[str, Present], now: int
     ) -> bool:
@@ -209,9 +215,11 @@
         sent = self.sent.get((order.domain, order.spot))
         if sent is None:
             return order.count != count
-        if sent[0] != order.count:
-            return True
-        return count != order.count and now - sent[1] > REPEAT_MS
+        if order.count > sent[0] or not order.spot:
+            return order.count != sent[0]
+        if order.count < sent[0]:
+            return now - sent[1] > HOLD_MS
+        return count < order.count and now - sent[1] > REPEAT_MS
 
 
 __all__ = ["Demand", "Present", "Scaler", "Want"]
