Sum what all edges have under way; know slow engines by the median

Cause: an edge saw a sixth of an engine's load, so a burst met engines that looked idle; an engine looked slow whenever it was busy, and long prompts spilled to engines that had to read shared parts again. Edges tell their control instance, control instances each other and their edges, sums only. A spilled prompt counts its reading twice. A table's commit is kept on disk, so that a restarted control instance knows it at once.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 import random
+import statistics
 from typing import Iterable
 from typing import NamedTuple
 
@@ -17,6 +18,17 @@
 from primrosehitch import messages
 from primrosehitch import registry
 
+# Reading a part of a prompt again delays all that come after it; this
+# many times its own delay, in a steady load.
+AGAIN_COST = 1.0
+# An engine is slow if it is this many times behind the median, and is
+# never taken to be slower than the second figure.
+SLOW_FROM = 2.0
+SLOW_MOST = 8.0
+# Prompts of this many unread tokens show how fast an engine reads.
+LEARN_TOKENS = 2000
+FASTER_WEIGHT = 0.1
+SLOWER_WEIGHT = 0.01
 # Weight of a new observation in running means.
 MEAN_WEIGHT = 0.2
 # First guess of how long a plain call takes, in ms.
@@ -68,6 +80,7 @@
 
 
 CALM = Part("calm", 0)
+NO_LOAD = messages.EndpointLoad()
 
 
 class Ask(NamedTuple):
@@ -119,6 +132,8 @@
         self.told: Told | None = None
         self.others = 0
         self.others_reading = 0
+        self.said_running = 0
+        self.said_reading = 0
         self.call_ms = CALL_MS
         self.slow = 1.0
         self.failures = 0
@@ -169,11 +184,19 @@
 
 
 class Choice(NamedTuple):
-    """An endpoint, and the predicted time to its first byte, in ms."""
+    """An endpoint and what is expected of it.
+
+    Attributes:
+        endpoint: the endpoint.
+        predicted_ms: what choosing it costs, in ms of waiting.
+        reading_tokens: prompt tokens it will have to read.
+        expected_ms: time to the first byte at an engine of common speed.
+    """
 
     endpoint: Endpoint
     predicted_ms: float
     reading_tokens: int
+    expected_ms: float = 0.0
 
 
 class Balancer:
@@ -191,6 +214,7 @@
         self.by_service: dict[str, list[Endpoint]] = {}
         self.tokens_per_ms: dict[str, float] = {}
         self.tight_share: dict[str, float] = {}
+        self.loads_at = 0
 
     # -- membership --------------------------------------------------------
 
@@ -315,9 +339,11 @@
         reading = (unread + ahead) / rate
         full = max(0.0, load + 1 - slots) * ENGINE_BASE_MS
         running = load * RUNNING_MS
-        predicted = (ENGINE_BASE_MS + reading + running) * endpoint.slow
-        predicted += full + away + self._memory_ms(endpoint, ask)
-        return Choice(endpoint, predicted, int(unread))
+        expected = ENGINE_BASE_MS + reading + running + full
+        predicted = expected * self._slowness(endpoint)
+        predicted += unread / rate * AGAIN_COST
+        predicted += away + self._memory_ms(endpoint, ask)
+        return Choice(endpoint, predicted, int(unread), expected)
 
     def _memory_ms(self, endpoint: Endpoint, ask: Ask) -> float:
         """Return the expected wait for memory at an engine."""
@@ -327,6 +353,35 @@
         over = wanted / endpoint.kv_tokens - KEPT_PART
         return max(0.0, over) * 2000.0
 
+    # -- other edges -------------------------------------------------------
+
+    def own_loads(self) -> tuple[messages.EndpointLoad, ...]:
+        """Return what this edge has under way, to be told to others."""
+        loads = []
+        for endpoint in self.endpoints.values():
+            endpoint.said_running = endpoint.inflight
+            endpoint.said_reading = max(0, endpoint.reading_tokens)
+            if endpoint.inflight:
+                loads.append(
+                    messages.EndpointLoad(
+                        endpoint.record.id,
+                        endpoint.said_running,
+                        endpoint.said_reading,
+                    )
+                )
+        return tuple(loads)
+
+    def hear_loads(self, total: messages.LoadReport, now: int) -> None:
+        """Take in the sum over all edges, this one among them."""
+        self.loads_at = now
+        sums = {load.id: load for load in total.loads}
+        for identifier, endpoint in self.endpoints.items():
+            load = sums.get(identifier, NO_LOAD)
+            endpoint.others = max(0, load.running - endpoint.said_running)
+            endpoint.others_reading = max(
+                0, load.reading - endpoint.said_reading
+            )
+
     # -- observations ------------------------------------------------------
 
     def begin(self, choice: Choice, ask: Ask) -> None:
@@ -349,9 +404,33 @@
         if not ask.prompt_tokens:
             endpoint.call_ms += MEAN_WEIGHT * (took_ms - endpoint.call_ms)
             return
-        expected = max(1.0, choice.predicted_ms / endpoint.slow)
-        ratio = min(8.0, max(0.25, took_ms / expected))
+        expected = max(ENGINE_BASE_MS, choice.expected_ms)
+        ratio = min(SLOW_MOST, max(0.25, took_ms / expected))
         endpoint.slow += MEAN_WEIGHT * (ratio - endpoint.slow)
+        self._learn_rate(choice, ask, took_ms)
+
+    def _learn_rate(self, choice: Choice, ask: Ask, took_ms: float) -> None:
+        """Learn how fast an engine reads from its fastest answers."""
+        if choice.reading_tokens < LEARN_TOKENS:
+            return
+        seen = choice.reading_tokens / max(1.0, took_ms - ENGINE_BASE_MS)
+        known = self.tokens_per_ms.get(ask.service, TOKENS_PER_MS)
+        weight = FASTER_WEIGHT if seen > known else SLOWER_WEIGHT
+        seen = min(seen, 2 * known)
+        self.tokens_per_ms[ask.service] = known + weight * (seen - known)
+
+    def _slowness(self, endpoint: Endpoint) -> float:
+        """Return how much slower than its like an engine is, from 1.
+
+        Waiting makes all engines look slow now and then; only one that
+        is far behind the median is treated as slow.
+        """
+        alike = self.by_service.get(endpoint.record.service, ())
+        if len(alike) < 2 or endpoint.slow < SLOW_FROM:
+            return 1.0
+        median = statistics.median_low([e.slow for e in alike])
+        relative = endpoint.slow / max(median, 0.25)
+        return relative if relative >= SLOW_FROM else 1.0
 
     def finish(self, choice: Choice, ask: Ask, began: bool) -> None:
         """Note that a request ended, however it did.
--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -16,6 +16,7 @@
 from primrosehitch import events
 from primrosehitch import instance as instance_module
 from primrosehitch import links as links_module
+from primrosehitch import loads as loads_module
 from primrosehitch import log as log_module
 from primrosehitch import messages
 from primrosehitch import metering
@@ -35,8 +36,8 @@
 EXPIRE_MS = 1000
 # A replica that heard from its leader within this time is in touch.
 IN_TOUCH_MS = 700
-# An edge's load counts for this long after it was told.
-DEMAND_MS = 3000
+# Loads change within the time a long prompt takes to read.
+LOADS_MS = 200
 # An edge that did not subscribe for this long gets no more updates.
 SUBSCRIBED_MS = 2000
 # After this its link is given up too.
@@ -88,7 +89,8 @@
         self.true_time = truetime_module.TrueTime(clock.wall_ms(), now)
         self.registry = registry_module.Registry()
         self.tallies = metering.Tallies()
-        self.demands: dict[str, tuple[int, messages.DemandReport]] = {}
+        self.edge_loads = loads_module.LoadSums()
+        self.control_loads = loads_module.LoadSums()
         self.peers = peers_module.Peers(self.name)
         self.subscribers: dict[str, Subscriber] = {}
         self.refreshed: set[str] = set()
@@ -101,6 +103,7 @@
         self.proposer = proposals.Proposer(self.name, self)
         for seed in settings.seeds:
             self._link(str(seed))
+        self._on_applied()
 
     # -- the replica -------------------------------------------------------
 
@@ -290,6 +293,7 @@
             group.start_soon(self._run_replica)
             group.start_soon(self._tell_presence)
             group.start_soon(self._tell_refreshed)
+            group.start_soon(self._tell_loads)
             group.start_soon(self._expire)
             events.emit(events.STARTED, instance=self.settings.name)
             await stop.wait()
@@ -429,22 +433,30 @@
             for name in self.peers.names():
                 self.links.send(name, batch)
 
-    def _on_demand(self, sender: str, report: messages.DemandReport) -> None:
-        self.demands[report.edge] = (clock.now_ms(), report)
-        if sender in self.subscribers:
-            for name in self.peers.names():
-                self.links.send(name, report)
+    def _on_load(self, sender: str, report: messages.LoadReport) -> None:
+        now = clock.now_ms()
+        if sender in self.peers.heard:
+            self.control_loads.hear(sender, report, now)
+        else:
+            self.edge_loads.hear(sender, report, now)
+
+    async def _tell_loads(self) -> None:
+        async for tick in self.timers.subscribe(LOADS_MS):
+            self.edge_loads.expire(tick.now)
+            self.control_loads.expire(tick.now)
+            own = self.edge_loads.total()
+            if own.demands:
+                for name in self.peers.names():
+                    self.links.send(name, own)
+            self.control_loads.hear(self.name, own, tick.now)
+            total = self.control_loads.total()
+            for name in self.subscribers:
+                self.links.send(name, total)
 
-    def demand(self, now: int) -> dict[str, int]:
+    def demand(self) -> dict[str, int]:
         """Return the requests under way by service, over all edges."""
-        running: dict[str, int] = {}
-        for at, report in self.demands.values():
-            if now - at > DEMAND_MS:
-                continue
-            for item in report.demands:
-                known = running.get(item.service, 0)
-                running[item.service] = known + item.running
-        return running
+        total = self.control_loads.total()
+        return {item.service: item.running for item in total.demands}
 
     def _on_replica_message(
         self, sender: str, message: messages.ReplicaMessage
@@ -489,7 +501,7 @@
         messages.Subscribe: _on_subscribe,
         messages.EndpointUpdate: _on_endpoints,
         messages.TallyBatch: _on_tallies,
-        messages.DemandReport: _on_demand,
+        messages.LoadReport: _on_load,
         messages.ReplicaMessage: _on_replica_message,
         messages.Proposal: _on_proposal,
         messages.ProposalReply: _on_proposal_reply,
--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -203,7 +203,7 @@
         return self.table
 
     def _note_demand(self, now: int) -> None:
-        for service, running in self.control.demand(now).items():
+        for service, running in self.control.demand().items():
             scaler = self.scalers.get(service)
             if scaler is None:
                 scaler = self.scalers[service] = scaling.Scaler(service)
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -35,7 +35,8 @@
 
 SUBSCRIBE_MS = 250
 TALLY_MS = 400
-DEMAND_MS = 1000
+LOAD_MS = 200
+REPEAT_MS = 1500
 SWEEP_MS = 1000
 INBOX_MESSAGES = 4096
 # A control instance that says nothing, or has no quorum, for this long
@@ -182,7 +183,8 @@
             group.start_soon(self._hear, self.inbox)
             group.start_soon(self._subscribe)
             group.start_soon(self._tell_tallies)
-            group.start_soon(self._tell_demand)
+            group.start_soon(self._tell_load)
+            group.start_soon(self._repeat_tallies)
             group.start_soon(self._sweep)
             await self._listen(group, self.ready, settings.ready)
             await self._listen(group, self.ready, settings.metrics)
@@ -274,6 +276,8 @@
                 self._on_table(message)
             elif isinstance(message, messages.EndpointUpdate):
                 self._on_endpoints(message)
+            elif isinstance(message, messages.LoadReport):
+                self.balancer.hear_loads(message, clock.now_ms())
 
     def _on_status(self, sender: str, status: messages.ControlStatus) -> None:
         now = clock.now_ms()
@@ -382,19 +386,25 @@
                 if not self._send(batch):
                     self.meter.changed |= {t.window for t in batch.tallies}
 
-    async def _tell_demand(self) -> None:
-        """Tell the load, and once more the newest counts."""
-        async for _ in self.timers.subscribe(DEMAND_MS):
-            running = self.forwarder.gate.inside
-            self._send(
-                messages.DemandReport(
-                    self.settings.name,
-                    tuple(
-                        messages.ServiceDemand(service, count)
-                        for service, count in running.items()
-                    ),
-                )
+    async def _tell_load(self) -> None:
+        """Tell what is under way here, as fast as loads change."""
+        async for _ in self.timers.subscribe(LOAD_MS):
+            if not self.balancer.endpoints:
+                continue
+            inside = self.forwarder.gate.inside
+            report = messages.LoadReport(
+                0,
+                tuple(
+                    messages.ServiceDemand(service, count)
+                    for service, count in inside.items()
+                ),
+                self.balancer.own_loads(),
             )
+            self._send(report)
+
+    async def _repeat_tallies(self) -> None:
+        """Tell the newest counts once more, in case some were lost."""
+        async for _ in self.timers.subscribe(REPEAT_MS):
             self.meter.changed |= set(sorted(self.meter.totals)[-2:])
 
     async def _sweep(self) -> None:
--- a/primrosehitch/jsonc.py
+++ b/primrosehitch/jsonc.py
@@ -1,6 +1,5 @@
 """JSON with comments: reading, and checking against a schema."""
 
-import importlib.resources
 import json
 import pathlib
 from typing import Any
@@ -47,7 +46,7 @@
 
 
 def _schema(name: str) -> Any:
-    folder = importlib.resources.files("primrosehitch") / "schema"
+    folder = pathlib.Path(__file__).parent / "schema"
     return json.loads((folder / f"{name}.schema.json").read_text())
 
 
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1679,24 +1679,51 @@
     )
 
 
-class DemandReport(NamedTuple):
-    """Message ``DemandReport`` of the schema."""
+class EndpointLoad(NamedTuple):
+    """Message ``EndpointLoad`` of the schema."""
 
-    edge: str = ""
+    id: str = ""
+    running: int = 0
+    reading: int = 0
+
+
+def _write_endpoint_load(b: Any, m: EndpointLoad) -> None:
+    b.id = m.id
+    b.running = m.running
+    b.reading = m.reading
+
+
+def _read_endpoint_load(r: Any) -> EndpointLoad:
+    return EndpointLoad(
+        r.id,
+        r.running,
+        r.reading,
+    )
+
+
+class LoadReport(NamedTuple):
+    """Message ``LoadReport`` of the schema."""
+
+    sequence: int = 0
     demands: tuple["ServiceDemand", ...] = ()
+    loads: tuple["EndpointLoad", ...] = ()
 
 
-def _write_demand_report(b: Any, m: DemandReport) -> None:
-    b.edge = m.edge
+def _write_load_report(b: Any, m: LoadReport) -> None:
+    b.sequence = m.sequence
     items = b.init("demands", len(m.demands))
     for i, item in enumerate(m.demands):
         _write_service_demand(items[i], item)
+    items = b.init("loads", len(m.loads))
+    for i, item in enumerate(m.loads):
+        _write_endpoint_load(items[i], item)
 
 
-def _read_demand_report(r: Any) -> DemandReport:
-    return DemandReport(
-        r.edge,
+def _read_load_report(r: Any) -> LoadReport:
+    return LoadReport(
+        r.sequence,
         tuple(_read_service_demand(x) for x in r.demands),
+        tuple(_read_endpoint_load(x) for x in r.loads),
     )
 
 
@@ -1844,11 +1871,12 @@
         _write_service_demand,
         _read_service_demand,
     ),
-    DemandReport: (
-        _capnp.DemandReport,
-        _write_demand_report,
-        _read_demand_report,
+    EndpointLoad: (
+        _capnp.EndpointLoad,
+        _write_endpoint_load,
+        _read_endpoint_load,
     ),
+    LoadReport: (_capnp.LoadReport, _write_load_report, _read_load_report),
 }
 
 KINDS: dict[int, type] = {
@@ -1915,7 +1943,8 @@
     61: SealWindow,
     62: WindowDone,
     63: ServiceDemand,
-    64: DemandReport,
+    64: EndpointLoad,
+    65: LoadReport,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -1974,10 +2003,10 @@
     "ControlStatus",
     "CustomerCount",
     "Demand",
-    "DemandReport",
     "Edit",
     "EditResult",
     "EndpointCount",
+    "EndpointLoad",
     "EndpointRecord",
     "EndpointUpdate",
     "Entry",
@@ -1987,6 +2016,7 @@
     "Hello",
     "Identity",
     "KINDS",
+    "LoadReport",
     "Membership",
     "NUMBERS",
     "Order",
--- a/primrosehitch/replica.py
+++ b/primrosehitch/replica.py
@@ -169,7 +169,11 @@
             )
 
     def _apply(self, entry: messages.Entry) -> None:
+        version = self.state.table.version
         result = self.state.apply(entry)
+        if self.state.table.version != version:
+            # A restart then knows the table before there is a quorum.
+            self.log.set_commit(entry.index)
         waiting = self.waiting.pop(entry.index, None)
         if waiting is None:
             return
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -470,13 +470,23 @@
   window @0 :UInt64;
 }
 
-# How many requests of each service an edge has under way.
+# How many requests of each service are under way.
 struct ServiceDemand {
   service @0 :Text;
   running @1 :UInt32;
 }
 
-struct DemandReport {
-  edge @0 :Text;
+# What is under way at one endpoint, and prompt tokens not yet read there.
+struct EndpointLoad {
+  id @0 :Text;
+  running @1 :UInt32;
+  reading @2 :UInt32;
+}
+
+# Sent by an edge: its own. Sent by a control instance to another: the sum
+# over its edges; to an edge: the sum over all edges.
+struct LoadReport {
+  sequence @0 :UInt64;
   demands @1 :List(ServiceDemand);
+  loads @2 :List(EndpointLoad);
 }
