Keep twice the operators' number of reclaimable endpoints

Cause: a burst more than doubles a class's load within a second, while a new engine needs four and the control instances may be away.

--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -18,6 +18,9 @@
 # Requests under way at one model engine at which a prompt read beside
 # them still meets common objectives.
 COMFORT = 8.0
+# Endpoints that stand ready, relative to what the operators began with:
+# with reclaimable ones at a fifth of the price, under half of the cost.
+HEADROOM = 2.0
 # Demand counts by its peak over this time, so that a lull between two
 # bursts lets no endpoint go.
 PEAK_MS = 30_000
@@ -135,13 +138,14 @@
     def need(self, domains: int, now: int) -> int:
         """Return how many endpoints the service should have.
 
-        At least as many as the operators began with: reclaimable ones
-        cost little beside what a burst without room loses.
+        A multiple of what the operators began with stands ready, since
+        reclaimable ones cost little beside what a burst without room
+        loses, and a new one comes too late for it.
         """
         need = math.ceil(self.demand.peak(now) / COMFORT)
         if domains > 1:
             need = math.ceil(need * domains / (domains - 1))
-        return max(1, need, self.first)
+        return max(1, need, math.ceil(HEADROOM * self.first))
 
     def _targets(
         self,
