--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -91,6 +91,7 @@
         self.service = service
         self.demand = Demand()
         self.first = 0
+        self.base: dict[str, int] = {}
         self.unavailable: dict[str, int] = {}
         self.sent: dict[tuple[str, bool], tuple[int, int]] = {}
 
@@ -201,15 +202,19 @@
         have: Present,
         target: int,
     ) -> list[Want]:
-        """Return a domain's orders; others stay until spot ones serve."""
-        spot = min(target, scaling.most)
-        if have.spot >= spot:
-            steady = 0
-        else:
-            steady = min(have.steady, scaling.most - spot)
-        orders = [Want(self.service, domain, False, steady)]
-        orders.append(Want(self.service, domain, True, spot))
-        return orders
+        """Return a domain's orders; others stay until spot ones serve.
+
+        Both kinds together keep within the limit, so that a domain near
+        it changes over in steps.
+        """
+        base = self.base.setdefault(domain, have.steady)
+        steady = max(0, min(have.steady, base - have.spot))
+        room = scaling.most - have.steady
+        spot = min(target, max(room, have.spot))
+        return [
+            Want(self.service, domain, False, steady),
+            Want(self.service, domain, True, spot),
+        ]
 
     def _is_due(
         self, order: Want, present: dict[str, Present], now: int
--- /dev/null
+++ b/primrosehitch_lab/platform_engine.py
@@ -0,0 +1,218 @@
+"""A stand-in for one of the platform's engines, with its faults.
+
+It speaks the wire byte by byte, so that it can tear it: an answer that
+is cut, that belongs to another request, that has no length, that comes
+twice or before the request was read.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+
+STAMP = b"Response-Stamp: 1.1.1\r\n"
+
+
+class Seen(NamedTuple):
+    """A request that reached the engine.
+
+    Attributes:
+        line: the request line.
+        headers: by lower-case name.
+        body: its whole body.
+    """
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class StandInEngine:
+    """One engine that plays a list of behaviours, one a request.
+
+    Args:
+        behaviours: names of methods without ``_play_``; the last one is
+            played for all further requests.
+        events: how many events a stream has.
+    """
+
+    def __init__(self, behaviours: list[str], events: int = 4):
+        self.behaviours = deque(behaviours)
+        self.events = events
+        self.seen: list[Seen] = []
+        self.connections = 0
+        self.cancelled = 0
+        self.port = 0
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``ip:port``."""
+        return f"127.0.0.1:{self.port}"
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener:
+            task_status.started()
+            await listener.serve(self._serve)
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        self.connections += 1
+        async with stream:
+            try:
+                while True:
+                    seen = await self._read(stream)
+                    self.seen.append(seen)
+                    name = self.behaviours[0]
+                    if len(self.behaviours) > 1:
+                        self.behaviours.popleft()
+                    play = getattr(self, f"_play_{name}")
+                    if not await play(stream, seen):
+                        return
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                self.cancelled += 1
+
+    async def _read(self, stream: anyio.abc.SocketStream) -> Seen:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += await stream.receive()
+        head, _, body = data.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        headers = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+        length = int(headers.get("content-length", 0))
+        while len(body) < length:
+            body += await stream.receive()
+        return Seen(lines[0], headers, body)
+
+    # -- whole answers -----------------------------------------------------
+
+    def _echo(self, seen: Seen) -> bytes:
+        return b"Request-Id: %s\r\n" % seen.headers["request-id"].encode()
+
+    async def _answer(
+        self,
+        stream: anyio.abc.SocketStream,
+        status: bytes,
+        headers: bytes,
+        body: bytes,
+    ) -> bool:
+        await stream.send(
+            b"HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s"
+            % (status, headers, len(body), body)
+        )
+        return True
+
+    async def _play_good(self, stream, seen: Seen) -> bool:
+        headers = self._echo(seen) + STAMP + b"Server-Load: 3,1,8\r\n"
+        return await self._answer(stream, b"200 OK", headers, b"done")
+
+    async def _play_slow(self, stream, seen: Seen) -> bool:
+        await anyio.sleep(0.3)
+        return await self._play_good(stream, seen)
+
+    async def _play_error(self, stream, seen: Seen) -> bool:
+        headers = self._echo(seen) + STAMP
+        return await self._answer(stream, b"500 Oops", headers, b"bad")
+
+    async def _play_full(self, stream, seen: Seen) -> bool:
+        headers = self._echo(seen) + b"Not-Run: 1\r\n"
+        return await self._answer(stream, b"503 Full", headers, b"")
+
+    async def _play_elsewhere(self, stream, seen: Seen) -> bool:
+        headers = self._echo(seen) + b"Instance-Id: other\r\n"
+        return await self._answer(stream, b"421 Misdirected", headers, b"")
+
+    async def _play_unsigned(self, stream, seen: Seen) -> bool:
+        return await self._answer(
+            stream, b"200 OK", self._echo(seen), b"whose?"
+        )
+
+    async def _play_stream(self, stream, seen: Seen) -> bool:
+        return await self._stream(stream, seen, self.events, True)
+
+    async def _play_no_length(self, stream, seen: Seen) -> bool:
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\n" + self._echo(seen) + STAMP + b"\r\nwhole"
+        )
+        await stream.send_eof()
+        return False
+
+    # -- torn answers ------------------------------------------------------
+
+    async def _play_cut(self, stream, seen: Seen) -> bool:
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\n"
+            + self._echo(seen)
+            + STAMP
+            + b"Content-Length: 10\r\n\r\nhalf"
+        )
+        return False
+
+    async def _play_close(self, stream, seen: Seen) -> bool:
+        return False
+
+    async def _play_silent(self, stream, seen: Seen) -> bool:
+        await stream.receive()
+        return False
+
+    async def _play_noise(self, stream, seen: Seen) -> bool:
+        await stream.send(b"\x00\x01 this is no answer\r\n\r\n")
+        return False
+
+    async def _play_other_first(self, stream, seen: Seen) -> bool:
+        """Send a late answer of another request, then the right one."""
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: 0ther\r\n"
+            + STAMP
+            + b"Content-Length: 5\r\n\r\nwrong"
+        )
+        return await self._play_good(stream, seen)
+
+    async def _play_extra(self, stream, seen: Seen) -> bool:
+        """Send the answer twice."""
+        await self._play_good(stream, seen)
+        await self._play_good(stream, seen)
+        return True
+
+    async def _play_torn_event(self, stream, seen: Seen) -> bool:
+        """Stop in the middle of the third event."""
+        return await self._stream(stream, seen, 2, False)
+
+    async def _stream(
+        self, stream, seen: Seen, count: int, whole: bool
+    ) -> bool:
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            + self._echo(seen)
+            + STAMP
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        first = int(seen.headers.get("last-event-id", 0)) + 1
+        for number in range(first, first + count):
+            if number > self.events:
+                break
+            await self._chunk(stream, b"id: %d\ndata: x\n\n" % number)
+        if not whole:
+            await self._chunk(stream, b"id: %d\nda" % (first + count))
+            return False
+        await stream.send(b"0\r\n\r\n")
+        return True
+
+    async def _chunk(self, stream, data: bytes) -> None:
+        await stream.send(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+__all__ = ["Seen", "StandInEngine"]
--- /dev/null
+++ b/tests/test_balancer.py
@@ -0,0 +1,215 @@
+"""Choosing endpoints: loads, prompts' parts, slow and dead ones."""
+
+import random
+
+from primrosehitch import balancer as balancer_module
+from primrosehitch import messages
+
+Ask = balancer_module.Ask
+Part = balancer_module.Part
+KV_TOKENS = 400_000
+
+
+def record(number, domain="za", slots=64, **fields):
+    return messages.EndpointRecord(
+        id=f"e{number}",
+        born=1,
+        service="s",
+        address=f"10.0.0.{number}:80",
+        domain=domain,
+        slots=slots,
+        state="ready",
+        **fields,
+    )
+
+
+def make(count=6, slots=64, domains=("za",), kv_tokens=KV_TOKENS, seed=1):
+    found = balancer_module.Balancer("za", random.Random(seed))
+    for number in range(count):
+        domain = domains[number % len(domains)]
+        found.update(record(number, domain, slots), kv_tokens)
+    return found
+
+
+def send(found, ask, now=0, took_ms=None):
+    choice = found.choose(ask, (), now)
+    found.begin(choice, ask)
+    if took_ms is not None:
+        found.first_byte(choice, ask, took_ms)
+        found.finish(choice, ask, True)
+    return choice
+
+
+def prompt(subject, own="own", shared=13_000):
+    parts = (Part(subject, shared), Part(own, 3000))
+    return Ask("s", parts, shared + 3000, 100, 2000)
+
+
+def test_calls_are_spread_by_load():
+    found = make(4, slots=6, kv_tokens=0)
+    for _ in range(8):
+        send(found, Ask("s"))
+    assert [e.inflight for e in found.endpoints.values()] == [2] * 4
+
+
+def test_the_own_domain_first_until_it_is_busy():
+    found = make(3, slots=6, domains=("za", "zb", "zc"), kv_tokens=0)
+    first = [send(found, Ask("s")).endpoint.record.domain for _ in range(2)]
+    assert first[0] == "za"
+    for _ in range(12):
+        send(found, Ask("s"))
+    assert all(e.inflight >= 3 for e in found.endpoints.values())
+
+
+def test_edges_read_a_shared_part_at_the_same_engine():
+    """No edge has told another; the common order does it."""
+    chosen = {
+        send(make(seed=seed), prompt("p1")).endpoint.record.id
+        for seed in range(5)
+    }
+    assert len(chosen) == 1
+
+
+def test_a_part_stays_where_it_was_read_in_a_steady_load():
+    found = make()
+    rng = random.Random(3)
+    read = {}
+    for i in range(300):
+        subject = f"p{rng.randrange(40)}"
+        ask = prompt(subject, own=f"o{i}")
+        choice = send(found, ask, now=i * 100, took_ms=150)
+        read.setdefault(subject, set()).add(choice.endpoint.record.id)
+    assert all(len(engines) == 1 for engines in read.values())
+
+
+def test_a_hot_part_spills_when_its_engine_is_far_behind():
+    """Many requests about one thing at once: hot_key."""
+    found = make()
+    for i in range(30):
+        send(found, prompt("hot", own=f"o{i}"))
+    assert sum(e.inflight > 0 for e in found.endpoints.values()) > 1
+
+
+def test_what_other_edges_read_counts():
+    found = make()
+    favourite = send(found, prompt("p1"), took_ms=100).endpoint
+    loads = tuple(
+        messages.EndpointLoad(e.record.id, 30, 200_000)
+        for e in found.endpoints.values()
+        if e is favourite
+    )
+    found.hear_loads(messages.LoadReport(1, (), loads), 0)
+    assert send(found, prompt("p1")).endpoint is not favourite
+
+
+def test_the_own_part_of_the_sum_is_not_counted_twice():
+    found = make(2)
+    choice = send(found, prompt("p1"))
+    said = found.own_loads()
+    found.hear_loads(messages.LoadReport(1, (), said), 0)
+    assert choice.endpoint.others == 0
+    assert choice.endpoint.others_reading == 0
+
+
+def test_streams_with_short_pauses_keep_away_from_long_prompts():
+    """owner-note beside manual-digest: a late pause loses the worth."""
+    found = make(8)
+    tight = Ask("s", (Part("a", 200), Part("o", 1000)), 1200, 150, 500)
+    rng = random.Random(4)
+    engines = {True: set(), False: set()}
+    for i in range(400):
+        ask = tight if i % 2 else prompt(f"p{rng.randrange(30)}", f"o{i}")
+        choice = send(found, ask, now=i * 50, took_ms=100)
+        if i > 50:
+            engines[ask.tight].add(choice.endpoint.record.id)
+    assert engines[True] and engines[False]
+    assert not engines[True] & engines[False]
+
+
+def test_a_slow_engine_gets_less():
+    """srv_slow: one of six works five times as long."""
+    found = make()
+    slow = found.endpoints["e0"]
+    for i in range(200):
+        ask = Ask("s", (Part(f"x{i}", 1000),), 1000, 50, 2000)
+        choice = found.choose(ask, (), i * 100)
+        found.begin(choice, ask)
+        took = 400 if choice.endpoint is slow else 70
+        found.first_byte(choice, ask, took)
+        found.finish(choice, ask, True)
+    before = slow.slow
+    chosen = [
+        found.choose(
+            Ask("s", (Part(f"y{i}", 1000),), 1000, 50, 2000), (), 30_000
+        ).endpoint
+        for i in range(50)
+    ]
+    assert before > balancer_module.SLOW_FROM
+    assert slow not in chosen
+
+
+def test_the_unreachable_are_put_aside_and_tried_again():
+    found = make(2, kv_tokens=0)
+    dead, other = found.endpoints.values()
+    found.unreachable(dead, 0)
+    for _ in range(5):
+        assert found.choose(Ask("s"), (), 1).endpoint is other
+    pause = dead.aside_until
+    assert dead in found.usable("s", (), pause)
+    found.unreachable(dead, pause)
+    assert dead.aside_until - pause > pause
+    assert found.usable("s", ("e1",), pause + 1) == [dead]
+
+
+def test_one_failure_does_not_put_aside():
+    found = make(2)
+    endpoint = found.endpoints["e0"]
+    found.failed(endpoint, 0)
+    assert endpoint.aside_until == 0
+
+
+def test_draining_and_left_get_nothing():
+    found = make(2)
+    found.update(record(0)._replace(state="draining", sequence=2), 0)
+    found.update(record(1)._replace(state="left"), 0)
+    assert found.choose(Ask("s"), (), 0) is None
+
+
+def test_a_new_start_forgets_what_the_old_one_held():
+    found = make(1)
+    send(found, prompt("p1"), took_ms=100)
+    found.update(record(0)._replace(born=2), KV_TOKENS)
+    assert not found.endpoints["e0"].parts
+
+
+def test_parts_beyond_an_engines_memory_are_forgotten():
+    found = make(1, kv_tokens=100_000)
+    for i in range(40):
+        send(found, prompt(f"p{i}", own=f"o{i}"), took_ms=100)
+    endpoint = found.endpoints["e0"]
+    assert endpoint.parts_tokens <= balancer_module.KEPT_PART * 100_000
+    assert "p39" in endpoint.parts and "p0" not in endpoint.parts
+
+
+def test_counts_come_back_to_nothing():
+    found = make()
+    for i in range(50):
+        ask = prompt(f"p{i}")
+        choice = found.choose(ask, (), 0)
+        found.begin(choice, ask)
+        began = i % 2 == 0
+        if began:
+            found.first_byte(choice, ask, 50)
+        found.finish(choice, ask, began)
+    for endpoint in found.endpoints.values():
+        assert endpoint.inflight == 0
+        assert endpoint.reading_tokens == 0
+        assert endpoint.held_tokens == 0
+
+
+def test_engines_of_a_faster_kind_are_learnt():
+    found = make(1)
+    for i in range(200):
+        ask = Ask("s", (Part(f"x{i}", 6000),), 6000, 50, 2000)
+        send(found, ask, now=i, took_ms=40 + 6000 / 110)
+    assert 80 < found.tokens_per_ms["s"] < 130
--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,321 @@
+"""Requests on their way, before engines that fail in every way."""
+
+import json
+
+import anyio
+import pytest
+import routed
+
+from primrosehitch_lab import platform_engine
+
+Engine = platform_engine.StandInEngine
+
+
+def run(body):
+    anyio.run(body, backend_options={"use_uvloop": True})
+
+
+# What one engine does first, the route, the status that the caller gets,
+# and how often the second engine, which is good, is reached.
+ONE_FAULT = [
+    ("good", "/a/x", 200, 0),
+    ("error", "/a/x", 200, 1),
+    ("error", "/once/x", 500, 0),
+    ("full", "/a/x", 200, 1),
+    ("full", "/once/x", 200, 1),
+    ("elsewhere", "/once/x", 200, 1),
+    ("cut", "/a/x", 200, 1),
+    ("cut", "/once/x", 502, 0),
+    ("close", "/a/x", 200, 1),
+    ("close", "/once/x", 502, 0),
+    ("noise", "/a/x", 200, 1),
+    ("noise", "/once/x", 502, 0),
+    ("unsigned", "/a/x", 200, 1),
+    ("unsigned", "/once/x", 502, 0),
+    ("no_length", "/once/x", 200, 0),
+    ("other_first", "/once/x", 200, 0),
+]
+
+
+@pytest.mark.parametrize("fault,target,status,second", ONE_FAULT)
+def test_one_fault(fault, target, status, second):
+    async def body():
+        bad, good = Engine([fault, "good"]), Engine(["good"])
+        async with routed.serving(bad, good) as path:
+            path.balancer.endpoints["i-1"].call_ms = 500
+            got = await routed.ask(path, routed.request(target))
+            assert (got[0], got[3]) == (status, True)
+            assert len(good.seen) == second
+            assert len(bad.seen) == 1
+
+    run(body)
+
+
+def test_other_answers_are_passed_over():
+    async def body():
+        engine = Engine(["other_first", "good"])
+        async with routed.serving(engine) as path:
+            for _ in range(2):
+                got = await routed.ask(path, routed.request("/once/x"))
+                assert got[2] == b"done"
+            assert engine.connections == 2
+
+    run(body)
+
+
+def test_an_extra_answer_ends_its_connection():
+    async def body():
+        engine = Engine(["extra", "good"])
+        async with routed.serving(engine) as path:
+            async with routed.calling(path) as caller:
+                for _ in range(2):
+                    await caller.send(routed.request("/once/x"))
+                    got = await caller.answer()
+                    assert got[2] == b"done"
+            assert engine.connections == 2
+
+    run(body)
+
+
+def test_connections_are_kept():
+    async def body():
+        engine = Engine(["good"])
+        async with routed.serving(engine) as path:
+            for _ in range(5):
+                await routed.ask(path, routed.request("/a/x"))
+            assert engine.connections == 1
+
+    run(body)
+
+
+def test_what_an_engine_gets():
+    async def body():
+        engine = Engine(["good"])
+        async with routed.serving(engine) as path:
+            await routed.ask(
+                path,
+                routed.request(
+                    "/a/x?q=%2F1",
+                    "POST",
+                    b"body",
+                    Tenant="mallory",
+                    Hold="h",
+                    Pin_Ms="1",
+                    Kv_From="x",
+                    Kv_Backup="y",
+                    Expect_Instance="z",
+                    Connection="keep-alive, x-hop",
+                    X_Hop="1",
+                    X_Plain="2",
+                ),
+            )
+            seen = engine.seen[0]
+            assert seen.line == "POST /a/x?q=%2F1 HTTP/1.1"
+            assert seen.body == b"body"
+            assert seen.headers["tenant"] == "ana"
+            assert seen.headers["request-id"] == "77"
+            assert seen.headers["expect-instance"] == "i-0"
+            assert seen.headers["x-plain"] == "2"
+            assert 1000 < int(seen.headers["deadline-ms"]) <= 1500
+            for name in (
+                "credential",
+                "hold",
+                "pin-ms",
+                "kv-from",
+                "kv-backup",
+                "x-hop",
+                "connection",
+            ):
+                assert name not in seen.headers
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    "change,status",
+    [
+        ({"Credential": "wrong"}, 401),
+        ({"Credential": ""}, 401),
+        ({"Host": "other.example"}, 404),
+        ({"target": "/none/x"}, 404),
+        ({"target": "/open/x", "Credential": ""}, 200),
+        ({"Host": "SHOP.example:80"}, 200),
+    ],
+)
+def test_routes_and_keys(change, status):
+    async def body():
+        engine = Engine(["good"])
+        async with routed.serving(engine) as path:
+            got = await routed.ask(path, routed.request(**change))
+            assert got[0] == status
+            assert len(engine.seen) == (status == 200)
+
+    run(body)
+
+
+def test_without_a_table_nothing_runs():
+    async def body():
+        async with routed.serving(Engine(["good"])) as path:
+            path.forwarder.table = None
+            got = await routed.ask(path, routed.request())
+            assert got[0] == 503
+            assert float(got[1]["retry-after"]) > 0
+
+    run(body)
+
+
+def test_no_endpoint_is_refused_at_once():
+    async def body():
+        async with routed.serving() as path:
+            with anyio.fail_after(0.5):
+                got = await routed.ask(path, routed.request())
+            assert got[0] == 503
+            assert "retry-after" in got[1]
+
+    run(body)
+
+
+def test_all_full_is_not_run():
+    async def body():
+        engines = [Engine(["full"]), Engine(["full"])]
+        async with routed.serving(*engines) as path:
+            got = await routed.ask(path, routed.request("/once/x"))
+            assert got[0] == 503
+            assert "response-stamp" not in got[1]
+            assert sum(len(e.seen) for e in engines) == 2
+
+    run(body)
+
+
+def test_failed_then_full_promises_nothing():
+    async def body():
+        first, second = Engine(["close"]), Engine(["full"])
+        async with routed.serving(first, second) as path:
+            path.balancer.endpoints["i-1"].call_ms = 500
+            got = await routed.ask(path, routed.request("/a/x"))
+            assert got[0] == 502
+
+    run(body)
+
+
+@pytest.mark.parametrize("behaviour,status", [("silent", 504), ("slow", 504)])
+def test_the_route_ends_in_time(behaviour, status):
+    async def body():
+        engine = Engine([behaviour])
+        async with routed.serving(engine) as path:
+            began = anyio.current_time()
+            got = await routed.ask(path, routed.request("/brief/x"))
+            assert got[0] == status
+            assert 0.1 < anyio.current_time() - began < 0.35
+
+    run(body)
+
+
+def test_a_caller_that_leaves_frees_the_engine():
+    async def body():
+        engine = Engine(["silent"])
+        async with routed.serving(engine) as path:
+            async with routed.calling(path) as caller:
+                await caller.send(routed.request("/once/x"))
+                while not engine.seen:
+                    await anyio.sleep(0.01)
+            with anyio.fail_after(0.5):
+                while not engine.cancelled:
+                    await anyio.sleep(0.01)
+            assert path.balancer.endpoints["i-0"].inflight == 0
+            assert path.forwarder.gate.inside == {"svc": 0}
+
+    run(body)
+
+
+IDS = [b"id: %d\ndata: x\n\n" % n for n in range(1, 5)]
+
+
+def test_a_stream_goes_on_elsewhere():
+    async def body():
+        torn, good = Engine(["torn_event"]), Engine(["stream"])
+        async with routed.serving(torn, good) as path:
+            path.balancer.endpoints["i-1"].call_ms = 500
+            got = await routed.ask(path, routed.request("/resume/x"))
+            assert got[2] == b"".join(IDS)
+            assert got[3]
+            assert good.seen[0].headers["last-event-id"] == "2"
+
+    run(body)
+
+
+def test_a_stream_that_runs_once_is_broken_off():
+    async def body():
+        torn, good = Engine(["torn_event"]), Engine(["stream"])
+        async with routed.serving(torn, good) as path:
+            path.balancer.endpoints["i-1"].call_ms = 500
+            got = await routed.ask(path, routed.request("/stream/x"))
+            assert (got[0], got[3]) == (200, False)
+            assert not good.seen
+
+    run(body)
+
+
+def test_a_caller_resumes():
+    async def body():
+        engine = Engine(["stream"])
+        async with routed.serving(engine) as path:
+            got = await routed.ask(
+                path, routed.request("/resume/x", Last_Event_Id="2")
+            )
+            assert got[2] == b"".join(IDS[2:])
+
+    run(body)
+
+
+def test_what_began_is_counted_once():
+    async def body():
+        torn, good = Engine(["torn_event"]), Engine(["stream"])
+        async with routed.serving(torn, good) as path:
+            path.balancer.endpoints["i-1"].call_ms = 500
+            await routed.ask(path, routed.request("/resume/x"))
+            assert path.counted() == {"ana": 1}
+
+    run(body)
+
+
+def test_what_was_rejected_is_not_counted():
+    async def body():
+        async with routed.serving(Engine(["full"])) as path:
+            await routed.ask(path, routed.request("/once/x"))
+            assert path.counted() == {}
+
+    run(body)
+
+
+def test_the_budget_bounds_retries():
+    async def body():
+        engines = [Engine(["error"]), Engine(["error"])]
+        async with routed.serving(*engines) as path:
+            path.budget.slack = 3
+            for _ in range(10):
+                await routed.ask(path, routed.request("/a/x"))
+            arrivals = sum(len(e.seen) for e in engines)
+            assert arrivals - 10 <= 3 + 0.2 * 10
+
+    run(body)
+
+
+def test_a_dead_address_costs_no_attempt():
+    async def body():
+        good = Engine(["good"])
+        table = routed.table_document()
+        for route in table["routes"]:
+            route["max_attempts"] = 1
+        table = routed.tables.decode(json.dumps(table).encode())
+        async with routed.serving(good, table=table) as path:
+            dead = routed.record(good, 9)._replace(
+                address=f"127.0.0.1:{routed.free_port()}"
+            )
+            path.balancer.update(dead, 0)
+            path.balancer.endpoints["i-0"].call_ms = 500
+            got = await routed.ask(path, routed.request("/once/x"))
+            assert got[0] == 200
+            assert path.balancer.endpoints["i-9"].aside_until > 0
+
+    run(body)
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,133 @@
+"""Tables of routes: matching, splits, and what is refused where."""
+
+import json
+import random
+
+import pytest
+import routed
+
+from primrosehitch import routes
+from primrosehitch.platform import fields
+from primrosehitch.platform import tables
+
+
+def decode(document):
+    return tables.decode(json.dumps(document).encode())
+
+
+def changed(change):
+    document = routed.table_document()
+    change(document)
+    return document
+
+
+@pytest.mark.parametrize(
+    "host,path,name",
+    [
+        ("h", "/a/x", "/a/"),
+        ("h", "/a/b/x", "/a/b/"),
+        ("h", "/a/b/", "/a/b/"),
+        ("h", "/a/b", "/a/"),
+        ("h", "/ab/x", None),
+        ("H:8080", "/a/x", "/a/"),
+        ("g", "/a/x", "/"),
+        ("i", "/a/x", None),
+        ("h", "", None),
+    ],
+)
+def test_longest_prefix(host, path, name):
+    route = decode(routed.table_document())
+    template = route.routes[0]
+    table = routes.RouteTable(
+        1,
+        tuple(
+            template._replace(host=h, prefix=p, name=p)
+            for h, p in (("h", "/a/"), ("h", "/a/b/"), ("g", "/"))
+        ),
+        tuple(route.services.values()),
+        (),
+        routes.ClientLimits(),
+    )
+    found = table.match(host, path)
+    assert (found.name if found else None) == name
+
+
+def set_route(name, value):
+    def change(document):
+        document["routes"][0][name] = value
+
+    return change
+
+
+def shared_key(document):
+    document["tenants"].append({"name": "b", "api_keys": [routed.KEY]})
+
+
+def same_place(document):
+    document["routes"].append(dict(document["routes"][0]))
+
+
+def no_weight(document):
+    document["routes"][0]["split"] = [{"service": "svc", "weight": 0}]
+
+
+INVALID = [
+    (set_route("service", "none"), "$.routes[0].splits[0].service"),
+    (set_route("timeout_ms", 0), "$.routes[0].timeout_ms"),
+    (set_route("timeout_ms", "5"), "$.routes[0].timeout_ms"),
+    (set_route("kind", "odd"), "$.routes[0].kind"),
+    (set_route("host", 5), "$.routes[0].host"),
+    (set_route("path_prefix", "a/"), "$.routes[0].path_prefix"),
+    (set_route("public", 1), "$.routes[0].public"),
+    (no_weight, "$.routes[0].splits"),
+    (same_place, "$.routes[6].prefix"),
+    (shared_key, "$.customers[1].keys[0]"),
+    (lambda d: d.pop("routes"), "$"),
+    (lambda d: d.pop("version"), "$.version"),
+    (lambda d: d.update(version=True), "$.version"),
+    (lambda d: d.update(version=-1), "$.version"),
+    (lambda d: d.update(services=[{}]), "$.services[0].name"),
+    (lambda d: d.update(tenants=[5]), "$.tenants[0]"),
+]
+
+
+@pytest.mark.parametrize("change,path", INVALID)
+def test_invalid_tables_name_the_path(change, path):
+    with pytest.raises((routes.TableError, fields.FieldError)) as caught:
+        decode(changed(change))
+    assert caught.value.path == path
+
+
+@pytest.mark.parametrize("cut", [0, 1, 50, 200, -1])
+def test_a_table_that_is_cut_short(cut):
+    body = json.dumps(routed.table_document()).encode()
+    with pytest.raises(fields.FieldError):
+        tables.decode(body[:cut])
+
+
+def test_unknown_fields_are_ignored():
+    def add(document):
+        document["new"] = {"a": 1}
+        document["routes"][0]["also_new"] = []
+
+    assert decode(changed(add)).version == 1
+
+
+def test_splits_are_drawn_by_weight():
+    route = decode(routed.table_document()).routes[0]
+    route = route._replace(
+        splits=(routes.Split("a", 90), routes.Split("b", 10))
+    )
+    rng = random.Random(5)
+    drawn = [routes.choose_service(route, rng) for _ in range(2000)]
+    assert 0.07 < drawn.count("b") / 2000 < 0.13
+
+
+def test_a_customers_priority_precedes():
+    table = decode(routed.table_document())
+    customer = table.customer_of(routed.KEY)
+    route = table.routes[0]
+    assert routes.Decision(route, customer).priority == 1
+    raised = customer._replace(priority=0)
+    assert routes.Decision(route, raised).priority == 0
+    assert routes.Decision(route, None).priority == 1
