Edges tell each other which engine read which part of a prompt

Cause: an edge meets a subject about once in 50 s, so it hardly ever knew which engine held a part, and the order that edges share points elsewhere after each change of the set of engines. Newly given parts now go with the loads to all edges; the common order serves parts that nobody holds. The first election of a new cluster needs no old lease to run out.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -164,6 +164,13 @@
             _, tokens = self.parts.popitem(last=False)
             self.parts_tokens -= tokens
 
+    def depth(self, parts: tuple[Part, ...]) -> int:
+        """Return how many leading parts are held here."""
+        for i, part in enumerate(parts):
+            if part.identifier not in self.parts:
+                return i
+        return len(parts)
+
     def held(self, parts: tuple[Part, ...], presumed: int) -> float:
         """Return how many leading tokens need not be read again.
 
@@ -214,7 +221,7 @@
         self.by_service: dict[str, list[Endpoint]] = {}
         self.tokens_per_ms: dict[str, float] = {}
         self.tight_share: dict[str, float] = {}
-        self.loads_at = 0
+        self.read: dict[tuple[str, str], messages.PartRead] = {}
 
     # -- membership --------------------------------------------------------
 
@@ -302,13 +309,18 @@
     def _favourites(self, ask: Ask, usable: list[Endpoint]) -> dict[str, int]:
         """Return how many leading parts each endpoint should hold.
 
-        All edges order the endpoints alike for a part, so that they read
-        it at the same one without talking about it.
+        All edges order the endpoints alike for a part that no one is
+        known to hold, so that they read it at the same one before they
+        have told each other.
         """
         favourites: dict[str, int] = {}
         if not usable:
             return favourites
-        for i, part in enumerate(ask.parts[:-1]):
+        shared = ask.parts[:-1]
+        known = max(e.depth(shared) for e in usable)
+        for i, part in enumerate(shared):
+            if i < known:
+                continue
             first = max(
                 usable,
                 key=lambda e: _rank(part, e),
@@ -371,9 +383,8 @@
                 )
         return tuple(loads)
 
-    def hear_loads(self, total: messages.LoadReport, now: int) -> None:
+    def hear_loads(self, total: messages.LoadReport) -> None:
         """Take in the sum over all edges, this one among them."""
-        self.loads_at = now
         sums = {load.id: load for load in total.loads}
         for identifier, endpoint in self.endpoints.items():
             load = sums.get(identifier, NO_LOAD)
@@ -382,6 +393,25 @@
                 0, load.reading - endpoint.said_reading
             )
 
+    def take_read(self) -> tuple[messages.PartRead, ...]:
+        """Return the shared parts given to engines since the last call."""
+        read, self.read = self.read, {}
+        return tuple(read.values())
+
+    def hear_read(self, told: messages.PartsRead) -> None:
+        """Take in which parts other edges gave to which engines."""
+        for item in told.parts:
+            endpoint = self.endpoints.get(item.endpoint)
+            if endpoint is not None:
+                endpoint.note_parts((Part(item.part, item.tokens),))
+
+    def _note_read(self, endpoint: Endpoint, ask: Ask) -> None:
+        for part in ask.parts[:-1]:
+            key = (endpoint.record.id, part.identifier)
+            self.read[key] = messages.PartRead(
+                endpoint.record.id, part.identifier, part.tokens
+            )
+
     # -- observations ------------------------------------------------------
 
     def begin(self, choice: Choice, ask: Ask) -> None:
@@ -392,6 +422,7 @@
         endpoint.held_tokens += ask.prompt_tokens + ask.output_tokens
         if ask.parts:
             endpoint.note_parts(ask.parts)
+            self._note_read(endpoint, ask)
         if ask.prompt_tokens:
             self._note_share(choice, ask)
 
--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -440,6 +440,14 @@
         else:
             self.edge_loads.hear(sender, report, now)
 
+    def _on_parts(self, sender: str, parts: messages.PartsRead) -> None:
+        """Pass on what was read where, to each edge once."""
+        targets = set(self.subscribers)
+        if sender not in self.peers.heard:
+            targets |= set(self.peers.names())
+        for name in targets - {sender}:
+            self.links.send(name, parts)
+
     async def _tell_loads(self) -> None:
         async for tick in self.timers.subscribe(LOADS_MS):
             self.edge_loads.expire(tick.now)
@@ -502,6 +510,7 @@
         messages.EndpointUpdate: _on_endpoints,
         messages.TallyBatch: _on_tallies,
         messages.LoadReport: _on_load,
+        messages.PartsRead: _on_parts,
         messages.ReplicaMessage: _on_replica_message,
         messages.Proposal: _on_proposal,
         messages.ProposalReply: _on_proposal_reply,
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -277,7 +277,9 @@
             elif isinstance(message, messages.EndpointUpdate):
                 self._on_endpoints(message)
             elif isinstance(message, messages.LoadReport):
-                self.balancer.hear_loads(message, clock.now_ms())
+                self.balancer.hear_loads(message)
+            elif isinstance(message, messages.PartsRead):
+                self.balancer.hear_read(message)
 
     def _on_status(self, sender: str, status: messages.ControlStatus) -> None:
         now = clock.now_ms()
@@ -401,6 +403,9 @@
                 self.balancer.own_loads(),
             )
             self._send(report)
+            parts = self.balancer.take_read()
+            if parts:
+                self._send(messages.PartsRead(parts))
 
     async def _repeat_tallies(self) -> None:
         """Tell the newest counts once more, in case some were lost."""
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1701,6 +1701,46 @@
     )
 
 
+class PartRead(NamedTuple):
+    """Message ``PartRead`` of the schema."""
+
+    endpoint: str = ""
+    part: str = ""
+    tokens: int = 0
+
+
+def _write_part_read(b: Any, m: PartRead) -> None:
+    b.endpoint = m.endpoint
+    b.part = m.part
+    b.tokens = m.tokens
+
+
+def _read_part_read(r: Any) -> PartRead:
+    return PartRead(
+        r.endpoint,
+        r.part,
+        r.tokens,
+    )
+
+
+class PartsRead(NamedTuple):
+    """Message ``PartsRead`` of the schema."""
+
+    parts: tuple["PartRead", ...] = ()
+
+
+def _write_parts_read(b: Any, m: PartsRead) -> None:
+    items = b.init("parts", len(m.parts))
+    for i, item in enumerate(m.parts):
+        _write_part_read(items[i], item)
+
+
+def _read_parts_read(r: Any) -> PartsRead:
+    return PartsRead(
+        tuple(_read_part_read(x) for x in r.parts),
+    )
+
+
 class LoadReport(NamedTuple):
     """Message ``LoadReport`` of the schema."""
 
@@ -1876,6 +1916,8 @@
         _write_endpoint_load,
         _read_endpoint_load,
     ),
+    PartRead: (_capnp.PartRead, _write_part_read, _read_part_read),
+    PartsRead: (_capnp.PartsRead, _write_parts_read, _read_parts_read),
     LoadReport: (_capnp.LoadReport, _write_load_report, _read_load_report),
 }
 
@@ -1944,7 +1986,9 @@
     62: WindowDone,
     63: ServiceDemand,
     64: EndpointLoad,
-    65: LoadReport,
+    65: PartRead,
+    66: PartsRead,
+    67: LoadReport,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -2021,6 +2065,8 @@
     "NUMBERS",
     "Order",
     "OrderDone",
+    "PartRead",
+    "PartsRead",
     "Ping",
     "Pong",
     "Presence",
--- a/primrosehitch/raft.py
+++ b/primrosehitch/raft.py
@@ -25,6 +25,7 @@
 HEARTBEAT_MS = 200
 ELECTION_MIN_MS = 1500
 ELECTION_MAX_MS = 2500
+FIRST_MS = (300, 1000)
 LEASE_MS = 1200
 SEND_LIMIT_MS = 500
 FREEZE_GAP_MS = 1000
@@ -252,6 +253,9 @@
         change = messages.Membership(voters or (self.name,), ())
         entry = messages.Entry(1, 1, MEMBERSHIP, messages.encode(change))
         self.log.set_hard(1, "" if voters else self.name)
+        # Nobody has led before, so nobody's lease need run out.
+        self.last_contact -= ELECTION_MAX_MS
+        self.timeout = ELECTION_MAX_MS + self.rng.randint(*FIRST_MS)
         self.log.append([entry])
         self._load_membership()
 
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -483,6 +483,17 @@
   reading @2 :UInt32;
 }
 
+# A part of a prompt that an engine was given to read.
+struct PartRead {
+  endpoint @0 :Text;
+  part @1 :Text;
+  tokens @2 :UInt32;
+}
+
+struct PartsRead {
+  parts @0 :List(PartRead);
+}
+
 # Sent by an edge: its own. Sent by a control instance to another: the sum
 # over its edges; to an edge: the sum over all edges.
 struct LoadReport {
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -90,6 +90,17 @@
     assert sum(e.inflight > 0 for e in found.endpoints.values()) > 1
 
 
+def test_a_part_is_found_where_another_edge_had_it_read():
+    """New engines came since: the common order points elsewhere."""
+    one, other = make(4), make(12, seed=2)
+    holder = send(one, prompt("p1")).endpoint.record.id
+    other.hear_read(messages.PartsRead(one.take_read()))
+    assert one.take_read() == ()
+    for i in range(3):
+        choice = send(other, prompt("p1", f"o{i}"), took_ms=90)
+        assert choice.endpoint.record.id == holder
+
+
 def test_what_other_edges_read_counts():
     found = make()
     favourite = send(found, prompt("p1"), took_ms=100).endpoint
@@ -98,7 +109,7 @@
         for e in found.endpoints.values()
         if e is favourite
     )
-    found.hear_loads(messages.LoadReport(1, (), loads), 0)
+    found.hear_loads(messages.LoadReport(1, (), loads))
     assert send(found, prompt("p1")).endpoint is not favourite
 
 
@@ -106,7 +117,7 @@
     found = make(2)
     choice = send(found, prompt("p1"))
     said = found.own_loads()
-    found.hear_loads(messages.LoadReport(1, (), said), 0)
+    found.hear_loads(messages.LoadReport(1, (), said))
     assert choice.endpoint.others == 0
     assert choice.endpoint.others_reading == 0
 
