--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -136,6 +136,7 @@
         self.said_reading = 0
         self.call_ms = CALL_MS
         self.slow = 1.0
+        self.heard_at = -1
         self.failures = 0
         self.errors = 0.0
         self.aside_until = 0
@@ -485,6 +486,10 @@
             pause = min(ASIDE_MAX_MS, ASIDE_MIN_MS << min(beyond, 8))
             endpoint.aside_until = now + pause
 
+    def heard(self, endpoint: Endpoint, now: int) -> None:
+        """Note that bytes of an answer came from an endpoint."""
+        endpoint.heard_at = now
+
     def erred(self, endpoint: Endpoint) -> None:
         """Note an answer that is a failure of the endpoint's own."""
         endpoint.errors += ERROR_WEIGHT * (1 - endpoint.errors)
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -47,7 +47,7 @@
 # move to and fro.
 PREFER_AGAIN_MS = 10_000
 # Parts of the time between SIGTERM and the kill.
-NEW_STREAMS_PART = 0.4
+NEW_STREAMS_PART = 0.3
 NEW_CALLS_PART = 0.8
 IDLE_CLOSED_PART = 0.35
 END_PART = 0.94
@@ -335,6 +335,7 @@
         events.emit(events.VERSION_IN_FORCE, version=table.version)
         for record in self.registry.live():
             self._update(record)
+        self.forwarder.note_change()
 
     def _on_endpoints(self, update: messages.EndpointUpdate) -> None:
         now = clock.now_ms()
@@ -344,6 +345,7 @@
                 self._note_change(change)
         if update.whole:
             self._drop_missing({r.id for r in update.records}, now)
+        self.forwarder.note_change()
 
     def _drop_missing(self, named: set[str], now: int) -> None:
         for record in self.registry.live():
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -33,8 +33,23 @@
 NO_ENDPOINT_RETRY_S = 0.3
 NO_TABLE_RETRY_S = 0.5
 FULL_RETRY_S = 0.3
+# An edge that just started hears of its table within this time, unless
+# no control instance can be reached.
+START_WAIT_MS = 900
+# Without any endpoint a request waits for one, up to this part of the
+# time it has and up to its objective, or the last figure, in ms.
+ENDPOINT_WAIT_PART = 0.4
+ENDPOINT_WAIT_LEAST_MS = 400
 # Time left below which another endpoint is not tried, in ms.
 LEAST_LEFT_MS = 20
+# A first byte may stay out for this part of the objective, and this many
+# times as long as predicted, before a request that may run again moves.
+PATIENCE_PART = 0.6
+PATIENCE_TIMES = 3.0
+# A stream that may be resumed moves after a pause of this many times the
+# allowed one, and never sooner than the second figure, in ms.
+GAP_TIMES = 2.0
+GAP_LEAST_MS = 1200
 JSON = (b"content-type", b"application/json")
 
 HOP_BY_HOP = frozenset(
@@ -127,6 +142,7 @@
         self.gate = gate
         self.rng = rng
         self.table: routes.RouteTable | None = None
+        self.changed = anyio.Event()
         self.pools: dict[
             settings_module.Address, httpclient.ConnectionPool
         ] = {}
@@ -136,6 +152,10 @@
     ) -> None:
         """Answer one request of a caller."""
         call = self.dialect.read_call(request)
+        if self.table is None:
+            with anyio.move_on_after(START_WAIT_MS / 1000):
+                while self.table is None:
+                    await self.changed.wait()
         decided = self._decide(request, call)
         if isinstance(decided, Refused):
             self.refuse(call, responder, decided)
@@ -143,6 +163,11 @@
         forwarding = Forwarding(self, request, responder, call, decided)
         await forwarding.run()
 
+    def note_change(self) -> None:
+        """Let those go on who wait for a table or an endpoint."""
+        changed, self.changed = self.changed, anyio.Event()
+        changed.set()
+
     def _decide(
         self, request: httpserver.Request, call: dialect_module.CallInfo
     ) -> routes.Decision | Refused:
@@ -270,6 +295,8 @@
         while True:
             now = clock.now_ms()
             choice = self.balancer.choose(self.ask, self.tried, now)
+            if choice is None and not self.tried:
+                choice = await self._wait_for_endpoint()
             if choice is None:
                 return self._give_up(NotRun("no-endpoint"))
             outcome = await self._attempt(choice)
@@ -283,6 +310,19 @@
             if not self._may_retry(outcome):
                 return self._give_up(outcome)
 
+    async def _wait_for_endpoint(self) -> balancer_module.Choice | None:
+        """Wait a while for an endpoint where none is known."""
+        wait_ms = min(
+            ENDPOINT_WAIT_PART * (self.until - clock.now_ms()),
+            max(self.route.objective_ms, ENDPOINT_WAIT_LEAST_MS),
+        )
+        choice = None
+        with anyio.move_on_after(wait_ms / 1000):
+            while choice is None:
+                await self.forwarder.changed.wait()
+                choice = self.balancer.choose(self.ask, (), clock.now_ms())
+        return choice
+
     def _may_retry(self, outcome: Outcome) -> bool:
         """Return whether another endpoint may be tried, and pay for it."""
         now = clock.now_ms()
@@ -381,9 +421,19 @@
             self._send(connection, choice)
             return await self._exchange(connection, choice, began)
         finally:
+            self._note_unanswered(choice, began[0])
             self.balancer.finish(choice, self.ask, began[0])
             pool.release(connection)
 
+    def _note_unanswered(
+        self, choice: balancer_module.Choice, began: bool
+    ) -> None:
+        """Count a wait without any answer against the endpoint."""
+        waited = clock.now_ms() - self.sent_at
+        silent = choice.endpoint.heard_at < self.sent_at
+        if silent and waited > self._first_patience_ms(choice) and not began:
+            self.balancer.failed(choice.endpoint, clock.now_ms())
+
     def _send(
         self,
         connection: httpclient.EndpointConnection,
@@ -423,7 +473,10 @@
         choice: balancer_module.Choice,
         began: list[bool],
     ) -> Outcome:
-        head = await connection.receive()
+        patience_ms = self._first_patience_ms(choice)
+        head = await self._receive(connection, choice, patience_ms)
+        if head is None:
+            return self._broken(choice, "silent")
         if not isinstance(head, httpclient.Head):
             return self._broken(choice, "no answer")
         info = self.forwarder.dialect.read_answer(head)
@@ -437,6 +490,47 @@
             return await self._pass_stream(connection, choice, head, began)
         return await self._pass_whole(connection, choice, head, began)
 
+    def _first_patience_ms(self, choice: balancer_module.Choice) -> float:
+        """Return how long a first byte may stay out before moving on."""
+        patience_ms = PATIENCE_PART * self.route.objective_ms
+        return max(patience_ms, PATIENCE_TIMES * choice.predicted_ms)
+
+    async def _receive(
+        self,
+        connection: httpclient.EndpointConnection,
+        choice: balancer_module.Choice,
+        patience_ms: float,
+    ) -> httpclient.Head | bytes | httpclient.Ending | None:
+        """Return the next part of an answer, or None to move on.
+
+        An endpoint is left only if the request may run again, another
+        endpoint may take it, and, for a stream, if nobody has heard of
+        this one meanwhile: one that is busy answers others.
+        """
+        since = clock.now_ms()
+        while True:
+            with anyio.move_on_after(patience_ms / 1000):
+                item = await connection.receive()
+                self.balancer.heard(choice.endpoint, clock.now_ms())
+                return item
+            busy = choice.endpoint.heard_at >= since
+            if self.route.kind == routes.STREAM and busy:
+                since = clock.now_ms()
+            elif self._may_move():
+                return None
+
+    def _may_move(self) -> bool:
+        """Return whether another endpoint could take the request now."""
+        now = clock.now_ms()
+        service = self.ask.service
+        return (
+            self.route.repeatable
+            and self.attempts < self.route.attempts
+            and self.until - now > LEAST_LEFT_MS
+            and bool(self.balancer.usable(service, self.tried, now))
+            and self.forwarder.budget.allows(service, now)
+        )
+
     async def _not_run(
         self,
         connection: httpclient.EndpointConnection,
@@ -455,6 +549,7 @@
         return NotRun("rejected")
 
     def _broken(self, choice: balancer_module.Choice, text: str) -> Broken:
+        """Note a failure of the endpoint."""
         self.balancer.failed(choice.endpoint, clock.now_ms())
         self._note_failure(choice, text)
         return Broken(text)
@@ -569,7 +664,8 @@
         began: list[bool],
     ) -> Outcome:
         """Pass on whole events as they come."""
-        item = await connection.receive()
+        patience_ms = max(GAP_TIMES * self.route.gap_ms, GAP_LEAST_MS)
+        item = await self._receive(connection, choice, patience_ms)
         while isinstance(item, bytes):
             try:
                 whole = self.frames.feed(item)
@@ -579,13 +675,14 @@
                 self._note_begun(choice, began, clock.now_ms())
                 self._start_stream(head)
                 await self.responder.write(whole)
-            item = await connection.receive()
+            item = await self._receive(connection, choice, patience_ms)
         if item is httpclient.Ending.WHOLE and self.frames.whole:
             self._start_stream(head)
             self.responder.finish()
             return Passed(head.status)
         self.frames.restart()
-        return self._broken(choice, "stream broken off")
+        text = "stream broken off" if item else "stream silent"
+        return self._broken(choice, text)
 
     def _start_stream(self, head: httpclient.Head) -> None:
         if not self.responder.started:
--- a/primrosehitch/peers.py
+++ b/primrosehitch/peers.py
@@ -40,10 +40,12 @@
         if presence.link == self.own:
             return
         known = self.heard.get(presence.link)
-        order = (presence.incarnation, presence.sequence)
         if known is not None:
             last = known.presence
-            if order <= (last.incarnation, last.sequence):
+            # Incarnations say only which start it is: the clock that
+            # numbers them may have been stepped back between two.
+            same = presence.incarnation == last.incarnation
+            if same and presence.sequence <= last.sequence:
                 return
         self.heard[presence.link] = Heard(presence, now)
         self.replica_heard[presence.replica] = now
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -44,6 +44,7 @@
     def __init__(self) -> None:
         self.known: dict[str, Known] = {}
         self.by_address: dict[str, str] = {}
+        self.last_digest: int | None = None
 
     def hear(self, record: messages.EndpointRecord, now: int) -> Change | None:
         """Take in a record.
@@ -55,6 +56,7 @@
         Returns:
             What changed for those who choose endpoints, or None.
         """
+        self.last_digest = None
         known = self.known.get(record.id)
         if known is None:
             return self._add(record, None, now)
@@ -76,6 +78,7 @@
             born: its start, or 0 for the newest known.
             now: the current time in ms.
         """
+        self.last_digest = None
         known = self.known.get(identifier)
         if known is None:
             record = messages.EndpointRecord(identifier, born, state=LEFT)
@@ -118,6 +121,11 @@
 
     def digest(self) -> int:
         """Return a number that tells two sets of records apart."""
+        if self.last_digest is None:
+            self.last_digest = self._digest()
+        return self.last_digest
+
+    def _digest(self) -> int:
         state = xxhash.xxh64()
         for identifier in sorted(self.known):
             record = self.known[identifier].record
@@ -153,6 +161,7 @@
             known.record = known.record._replace(state=LEFT)
 
     def _forget(self, identifier: str) -> None:
+        self.last_digest = None
         known = self.known.pop(identifier)
         if self.by_address.get(known.record.address) == identifier:
             del self.by_address[known.record.address]
