--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -47,6 +47,16 @@
 ASIDE_MIN_MS = 400
 ASIDE_MAX_MS = 8000
 FAILURES_ASIDE = 2
+# An endpoint with work is suspect after this silence, in ms: between two
+# tokens of one that makes some (the longest step reads a chunk of prompt
+# for each token of an event), while it only reads, and for plain calls
+# (this long, and this many times the usual).
+QUIET_STREAM_MS = 700
+QUIET_ENGINE_MS = 2500
+QUIET_CALL_MS = 100
+QUIET_CALLS = 4
+# What choosing a suspect endpoint costs, in ms of waiting.
+SUSPECT_MS = 4000.0
 # Weight of one answer in an endpoint's share of failures, and what that
 # share is worth beside the predicted time, in ms.
 ERROR_WEIGHT = 0.1
@@ -57,7 +67,7 @@
 # A request that goes to an engine kept for the other kind costs as much
 # as this much waiting, in ms: a late pause loses most of a stream's worth.
 TIGHT_CROSSING_MS = 1500.0
-LOOSE_CROSSING_MS = 600.0
+LOOSE_CROSSING_MS = 3000.0
 # Engine time of one output token in a common batch, in ms.
 TOKEN_MS = 0.65
 # Weight of one request in the share of work that tight streams have.
@@ -137,6 +147,8 @@
         self.call_ms = CALL_MS
         self.slow = 1.0
         self.heard_at = -1
+        self.active_since = 0
+        self.streaming = 0
         self.failures = 0
         self.errors = 0.0
         self.aside_until = 0
@@ -144,6 +156,26 @@
         self.parts: OrderedDict[str, int] = OrderedDict()
         self.parts_tokens = 0
 
+    def quiet_ms(self, now: int) -> int:
+        """Return how long it has been silent while it had work."""
+        if not self.inflight:
+            return 0
+        return now - max(self.heard_at, self.active_since)
+
+    def suspect(self, now: int) -> bool:
+        """Return whether its silence says that it is gone.
+
+        An engine that makes tokens is heard often; one that only reads
+        prompts, or a plain service, may take some times longer than
+        usual.
+        """
+        quiet = self.quiet_ms(now)
+        if self.streaming:
+            return quiet > QUIET_STREAM_MS
+        if self.kv_tokens:
+            return quiet > QUIET_ENGINE_MS
+        return quiet > max(QUIET_CALL_MS, QUIET_CALLS * self.call_ms)
+
     def load(self, now: int) -> float:
         """Return how many requests are thought to be there."""
         mine = self.inflight + self.others
@@ -337,6 +369,8 @@
         away = ERRORS_MS * endpoint.errors
         if endpoint.full_until > now:
             away += FULL_MS
+        if endpoint.suspect(now):
+            away += SUSPECT_MS
         if endpoint.record.domain != self.domain:
             away += OTHER_DOMAIN_MS
         if not ask.prompt_tokens:
@@ -415,9 +449,11 @@
 
     # -- observations ------------------------------------------------------
 
-    def begin(self, choice: Choice, ask: Ask) -> None:
+    def begin(self, choice: Choice, ask: Ask, now: int) -> None:
         """Note that a request is sent."""
         endpoint = choice.endpoint
+        if not endpoint.inflight:
+            endpoint.active_since = now
         endpoint.inflight += 1
         endpoint.reading_tokens += choice.reading_tokens
         endpoint.held_tokens += ask.prompt_tokens + ask.output_tokens
@@ -431,6 +467,7 @@
         """Note that an answer began."""
         endpoint = choice.endpoint
         endpoint.reading_tokens -= choice.reading_tokens
+        endpoint.streaming += ask.prompt_tokens > 0
         endpoint.failures = 0
         endpoint.errors -= ERROR_WEIGHT * endpoint.errors
         if not ask.prompt_tokens:
@@ -477,6 +514,8 @@
         endpoint.held_tokens -= ask.prompt_tokens + ask.output_tokens
         if not began:
             endpoint.reading_tokens -= choice.reading_tokens
+        else:
+            endpoint.streaming -= ask.prompt_tokens > 0
 
     def failed(self, endpoint: Endpoint, now: int) -> None:
         """Note a failure; repeated ones put the endpoint aside."""
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -46,10 +46,12 @@
 # times as long as predicted, before a request that may run again moves.
 PATIENCE_PART = 0.6
 PATIENCE_TIMES = 3.0
-# A stream that may be resumed moves after a pause of this many times the
-# allowed one, and never sooner than the second figure, in ms.
-GAP_TIMES = 2.0
-GAP_LEAST_MS = 1200
+# A stream that may be resumed moves after a pause of this part of the
+# allowed one, and never sooner than the second figure, in ms, and only if
+# its endpoint was silent to all for most of it.
+GAP_PART = 0.5
+GAP_LEAST_MS = 700
+QUIET_PART = 0.8
 JSON = (b"content-type", b"application/json")
 
 HOP_BY_HOP = frozenset(
@@ -416,7 +418,7 @@
             pool.release(connection)
             return NotRun("unreachable")
         began = [False]
-        self.balancer.begin(choice, self.ask)
+        self.balancer.begin(choice, self.ask, now)
         try:
             self._send(connection, choice)
             return await self._exchange(connection, choice, began)
@@ -507,16 +509,16 @@
         endpoint may take it, and, for a stream, if nobody has heard of
         this one meanwhile: one that is busy answers others.
         """
-        since = clock.now_ms()
         while True:
             with anyio.move_on_after(patience_ms / 1000):
                 item = await connection.receive()
                 self.balancer.heard(choice.endpoint, clock.now_ms())
                 return item
-            busy = choice.endpoint.heard_at >= since
+            quiet_ms = clock.now_ms() - choice.endpoint.heard_at
+            busy = quiet_ms < QUIET_PART * patience_ms
             if self.route.kind == routes.STREAM and busy:
-                since = clock.now_ms()
-            elif self._may_move():
+                continue
+            if self._may_move():
                 return None
 
     def _may_move(self) -> bool:
@@ -664,7 +666,7 @@
         began: list[bool],
     ) -> Outcome:
         """Pass on whole events as they come."""
-        patience_ms = max(GAP_TIMES * self.route.gap_ms, GAP_LEAST_MS)
+        patience_ms = max(GAP_PART * self.route.gap_ms, GAP_LEAST_MS)
         item = await self._receive(connection, choice, patience_ms)
         while isinstance(item, bytes):
             try:
--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -24,8 +24,9 @@
 # Demand counts by its peak over this time, so that a lull between two
 # bursts lets no endpoint go.
 PEAK_MS = 30_000
-# A domain without reclaimable endpoints is asked again after this time.
-UNAVAILABLE_MS = 6_000
+# A domain without reclaimable endpoints is asked again after this time:
+# a call costs little, and every second without them much.
+UNAVAILABLE_MS = 1_500
 # A larger order stands at least this long: every endpoint that goes
 # takes the prompts it has read with it.
 HOLD_MS = 30_000
@@ -124,16 +125,25 @@
         self.first = max(self.first, total if not self.sent else 0)
         spots = [d for d in names if self._spot_at(scaling, d, now)]
         targets = self._targets(scaling, names, spots, now)
+        short = self.least_need(now) - total
         orders: list[Want] = []
         for domain in names:
             have, target = present[domain], targets[domain]
             if domain in spots:
                 orders += self._spot_orders(scaling, domain, have, target)
-            elif not spots:
-                count = max(have.steady, target - have.spot)
-                orders.append(Want(self.service, domain, False, count))
+                continue
+            room = scaling.most - have.steady - have.spot
+            more = max(0, min(short, room))
+            short -= more
+            count = max(have.steady + more, self._ordered(domain, now))
+            orders.append(Want(self.service, domain, False, count))
         return [o for o in orders if self._is_due(o, present, now)]
 
+    def _ordered(self, domain: str, now: int) -> int:
+        """Return how many others were ordered and may still start."""
+        count, at = self.sent.get((domain, False), (0, now))
+        return count if now - at <= REPEAT_MS else 0
+
     # -- how many ----------------------------------------------------------
 
     def need(self, domains: int, now: int) -> int:
@@ -148,6 +158,10 @@
             need = math.ceil(need * domains / (domains - 1))
         return max(1, need, math.ceil(HEADROOM * self.first))
 
+    def least_need(self, now: int) -> int:
+        """Return below which number others are ordered at full price."""
+        return max(1, self.first, math.ceil(self.demand.peak(now) / COMFORT))
+
     def _targets(
         self,
         scaling: routes.Scaling,
@@ -207,7 +221,8 @@
         Both kinds together keep within the limit, so that a domain near
         it changes over in steps.
         """
-        base = self.base.setdefault(domain, have.steady)
+        base = max(self.base.get(domain, 0), have.steady)
+        self.base[domain] = base
         steady = max(0, min(have.steady, base - have.spot))
         room = scaling.most - have.steady
         spot = min(target, max(room, have.spot))
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -33,7 +33,7 @@
 
 def send(found, ask, now=0, took_ms=None):
     choice = found.choose(ask, (), now)
-    found.begin(choice, ask)
+    found.begin(choice, ask, now)
     if took_ms is not None:
         found.first_byte(choice, ask, took_ms)
         found.finish(choice, ask, True)
@@ -144,7 +144,7 @@
     for i in range(200):
         ask = Ask("s", (Part(f"x{i}", 1000),), 1000, 50, 2000)
         choice = found.choose(ask, (), i * 100)
-        found.begin(choice, ask)
+        found.begin(choice, ask, i * 100)
         took = 400 if choice.endpoint is slow else 70
         found.first_byte(choice, ask, took)
         found.finish(choice, ask, True)
@@ -207,7 +207,7 @@
     for i in range(50):
         ask = prompt(f"p{i}")
         choice = found.choose(ask, (), 0)
-        found.begin(choice, ask)
+        found.begin(choice, ask, 0)
         began = i % 2 == 0
         if began:
             found.first_byte(choice, ask, 50)
@@ -224,3 +224,24 @@
         ask = Ask("s", (Part(f"x{i}", 6000),), 6000, 50, 2000)
         send(found, ask, now=i, took_ms=40 + 6000 / 110)
     assert 80 < found.tokens_per_ms["s"] < 130
+
+
+def test_an_engine_that_falls_silent_gets_nothing_new():
+    """srv_crash dark: its streams stop, no connection breaks."""
+    found = make(2)
+    ask = prompt("p1")
+    choice = found.choose(ask, (), 0)
+    found.begin(choice, ask, 0)
+    found.first_byte(choice, ask, 100)
+    found.heard(choice.endpoint, 100)
+    quiet = 100 + balancer_module.QUIET_STREAM_MS
+    assert found.choose(ask, (), quiet).endpoint is choice.endpoint
+    assert found.choose(ask, (), quiet + 1).endpoint is not choice.endpoint
+    found.heard(choice.endpoint, quiet + 1)
+    assert found.choose(ask, (), quiet + 2).endpoint is choice.endpoint
+
+
+def test_an_idle_engine_is_not_suspect():
+    found = make(1)
+    send(found, prompt("p1"), now=0, took_ms=100)
+    assert not found.endpoints["e0"].suspect(60_000)
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -125,13 +125,38 @@
 
 
 def test_with_no_reclaimable_ones_others_are_ordered():
-    fleet = Fleet(steady=1)
-    fleet.run(10_000)
+    fleet = Fleet(steady=2)
+    fleet.run(12_000)
     for domain in DOMAINS:
         fleet.reclaimed[domain] = fleet.now + 30_000
     fleet.run(8000)
     steady, _ = kinds(fleet)
-    assert steady >= 3
+    assert steady == 6
+
+
+def test_others_are_ordered_only_below_what_operators_began_with():
+    """reclaim dry: one domain of three goes, and no more are to be had."""
+    fleet = Fleet(steady=2)
+    fleet.run(12_000)
+    fleet.reclaimed["zb"] = fleet.now + 30_000
+    fleet.run(8000)
+    assert kinds(fleet)[0] == 0
+    fleet.reclaimed["zc"] = fleet.now + 30_000
+    fleet.run(8000)
+    assert fleet.counts["za", True] == SCALING.most
+    assert kinds(fleet)[0] == 6 - SCALING.most
+    fleet.run(80_000)
+    assert kinds(fleet) == (0, 12)
+
+
+def test_reclaimable_ones_are_back_soon_after_they_can_be():
+    fleet = Fleet(steady=2)
+    fleet.run(12_000)
+    fleet.reclaimed["zb"] = fleet.now + 9200
+    fleet.run(2500)
+    fleet.counts["zb", True] = 0
+    fleet.run(6700 + 2000 + 4000)
+    assert fleet.counts["zb", True] == 4
 
 
 def test_without_a_spot_price_nothing_is_reclaimable():
