Weigh a sample of many engines; pack a sum of loads once

Measured on 140 engines: a choice 1.06 ms, reading a sum of loads 0.9 ms, packing it 0.3 ms for each edge. Ruled out: the relay of events (3.2 ms for a stream of 30 events with its engine and caller) and idle wake-ups (0.010 cores an edge).

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -89,7 +89,15 @@
     tokens: int
 
 
+# Up to this many endpoints are all weighed against each other; of more,
+# a sample of the lane in the own failure domain and of all.
+SHORTLIST = 32
+NEAR_SAMPLE = 12
+SAMPLE = 6
+
 CALM = Part("calm", 0)
+# An endpoint's place in the order of a part: a product modulo 2**64.
+RANK_BITS = (1 << 64) - 1
 NO_LOAD = messages.EndpointLoad()
 
 
@@ -136,6 +144,7 @@
     def __init__(self, record: messages.EndpointRecord, kv_tokens: int):
         self.record = record
         self.kv_tokens = kv_tokens
+        self.salt = xxhash.xxh64_intdigest(record.id.encode()) | 1
         self.inflight = 0
         self.reading_tokens = 0
         self.held_tokens = 0
@@ -298,12 +307,12 @@
         self, ask: Ask, tried: Iterable[str], now: int
     ) -> Choice | None:
         """Return the endpoint predicted to answer first, or None."""
-        best: Choice | None = None
         usable = self.usable(ask.service, tried, now)
         calm = self._calm(ask, usable)
         lane = [e for e in usable if (e.record.id in calm) == ask.tight]
         favourites = self._favourites(ask, lane or usable)
-        for endpoint in usable:
+        best: Choice | None = None
+        for endpoint in self._shortlist(ask, usable, lane, favourites):
             presumed = favourites.get(endpoint.record.id, 0)
             choice = self._predict(endpoint, ask, presumed, now)
             if calm and (endpoint.record.id in calm) != ask.tight:
@@ -317,6 +326,32 @@
                 best = choice
         return best
 
+    def _shortlist(
+        self,
+        ask: Ask,
+        usable: list[Endpoint],
+        lane: list[Endpoint],
+        favourites: dict[str, int],
+    ) -> list[Endpoint]:
+        """Return those worth a prediction, so that its cost stays flat.
+
+        Among many, those that hold or should hold a part of the prompt,
+        and a sample of the rest; the best of a sample is close to the
+        best of all.
+        """
+        if len(usable) <= SHORTLIST:
+            return usable
+        shared = ask.parts[:-1]
+        chosen = [
+            e
+            for e in usable
+            if e.record.id in favourites or (shared and e.depth(shared))
+        ]
+        near = [e for e in lane if e.record.domain == self.domain]
+        for group, count in ((near or lane, NEAR_SAMPLE), (usable, SAMPLE)):
+            chosen += self.rng.sample(group, min(count, len(group)))
+        return chosen
+
     def _calm(self, ask: Ask, usable: list[Endpoint]) -> set[str]:
         """Return the engines kept for streams with short pauses.
 
@@ -327,7 +362,8 @@
         if not ask.prompt_tokens or len(usable) < 2 or not 0 < share < 1:
             return set()
         count = min(len(usable) - 1, max(1, round(share * len(usable))))
-        order = sorted(usable, key=lambda e: _rank(CALM, e))
+        mark = _mark(CALM)
+        order = sorted(usable, key=lambda e: mark * e.salt & RANK_BITS)
         return {e.record.id for e in order[:count]}
 
     def _note_share(self, choice: Choice, ask: Ask) -> None:
@@ -354,9 +390,10 @@
         for i, part in enumerate(shared):
             if i < known:
                 continue
+            mark = _mark(part)
             first = max(
                 usable,
-                key=lambda e: _rank(part, e),
+                key=lambda e: mark * e.salt & RANK_BITS,
             )
             favourites[first.record.id] = i + 1
         return favourites
@@ -494,8 +531,10 @@
         Waiting makes all engines look slow now and then; only one that
         is far behind the median is treated as slow.
         """
+        if endpoint.slow < SLOW_FROM:
+            return 1.0
         alike = self.by_service.get(endpoint.record.service, ())
-        if len(alike) < 2 or endpoint.slow < SLOW_FROM:
+        if len(alike) < 2:
             return 1.0
         median = statistics.median_low([e.slow for e in alike])
         relative = endpoint.slow / max(median, 0.25)
@@ -547,10 +586,9 @@
         endpoint.told = told
 
 
-def _rank(part: Part, endpoint: Endpoint) -> int:
-    """Return an endpoint's place in the order of a part."""
-    text = f"{part.identifier} {endpoint.record.id}"
-    return xxhash.xxh64_intdigest(text.encode())
+def _mark(part: Part) -> int:
+    """Return a number that stands for a part, alike at all edges."""
+    return xxhash.xxh64_intdigest(part.identifier.encode())
 
 
 __all__ = [
--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -37,7 +37,7 @@
 # A replica that heard from its leader within this time is in touch.
 IN_TOUCH_MS = 700
 # Loads change within the time a long prompt takes to read.
-LOADS_MS = 200
+LOADS_MS = 250
 # An edge that did not subscribe for this long gets no more updates.
 SUBSCRIBED_MS = 2000
 # After this its link is given up too.
@@ -454,12 +454,13 @@
             self.control_loads.expire(tick.now)
             own = self.edge_loads.total()
             if own.demands:
+                frame = links_module.pack(own)
                 for name in self.peers.names():
-                    self.links.send(name, own)
+                    self.links.send_frame(name, frame)
             self.control_loads.hear(self.name, own, tick.now)
-            total = self.control_loads.total()
+            frame = links_module.pack(self.control_loads.total())
             for name in self.subscribers:
-                self.links.send(name, total)
+                self.links.send_frame(name, frame)
 
     def demand(self) -> dict[str, int]:
         """Return the requests under way by service, over all edges."""
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -34,7 +34,7 @@
 from primrosehitch import truetime as truetime_module
 
 # Loads change within the time that a long prompt takes to read.
-PULSE_MS = 200
+PULSE_MS = 250
 REPEAT_MS = 1500
 SWEEP_MS = 1000
 INBOX_MESSAGES = 4096
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -40,8 +40,8 @@
 BATCH_MESSAGES = 64
 # A path that answers no ping for this long is taken to be cut. It is
 # shorter than an election, so that a link is back before one starts.
-PING_S = 0.4
-SILENT_S = 1.3
+PING_S = 0.6
+SILENT_S = 1.4
 CONNECT_S = 0.9
 
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -245,3 +245,19 @@
     found = make(1)
     send(found, prompt("p1"), now=0, took_ms=100)
     assert not found.endpoints["e0"].suspect(60_000)
+
+
+def test_among_many_the_holder_is_found_and_the_busy_are_passed_over():
+    """140 engines: only some are weighed, the loads stay even."""
+    found = make(140, domains=("za", "zb", "zc", "zd"))
+    holder = send(found, prompt("p1"), took_ms=100).endpoint
+    for i in range(20):
+        assert send(found, prompt("p1", f"o{i}"), took_ms=90).endpoint is (
+            holder
+        )
+    for i in range(600):
+        ask = Ask("s", (Part(f"x{i}", 800),), 800, 50, 2000)
+        choice = found.choose(ask, (), 0)
+        found.begin(choice, ask, 0)
+        found.first_byte(choice, ask, 60)
+    assert max(e.inflight for e in found.endpoints.values()) <= 20
