Keep other engines while reclaimable ones are asked for again

The number of others is now kept per domain and falls only as reclaimable ones serve. The new test fails on the code before.

--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -93,6 +93,7 @@
         self.demand = Demand()
         self.first = 0
         self.base: dict[str, int] = {}
+        self.steady: dict[str, int] = {}
         self.unavailable: dict[str, int] = {}
         self.sent: dict[tuple[str, bool], tuple[int, int]] = {}
 
@@ -129,21 +130,21 @@
         orders: list[Want] = []
         for domain in names:
             have, target = present[domain], targets[domain]
+            steady = self.steady.setdefault(domain, have.steady)
             if domain in spots:
                 orders += self._spot_orders(scaling, domain, have, target)
                 continue
             room = scaling.most - have.steady - have.spot
             more = max(0, min(short, room))
             short -= more
-            count = max(have.steady + more, self._ordered(domain, now))
-            orders.append(Want(self.service, domain, False, count))
+            if have.steady + more > steady:
+                self.base[domain] = have.steady + more
+                self.steady[domain] = have.steady + more
+            orders.append(
+                Want(self.service, domain, False, self.steady[domain])
+            )
         return [o for o in orders if self._is_due(o, present, now)]
 
-    def _ordered(self, domain: str, now: int) -> int:
-        """Return how many others were ordered and may still start."""
-        count, at = self.sent.get((domain, False), (0, now))
-        return count if now - at <= REPEAT_MS else 0
-
     # -- how many ----------------------------------------------------------
 
     def need(self, domains: int, now: int) -> int:
@@ -221,9 +222,9 @@
         Both kinds together keep within the limit, so that a domain near
         it changes over in steps.
         """
-        base = max(self.base.get(domain, 0), have.steady)
-        self.base[domain] = base
-        steady = max(0, min(have.steady, base - have.spot))
+        base = self.base.setdefault(domain, self.steady[domain])
+        steady = min(self.steady[domain], max(0, base - have.spot))
+        self.steady[domain] = steady
         room = scaling.most - have.steady
         spot = min(target, max(room, have.spot))
         return [
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -175,3 +175,22 @@
     fleet.run(scaling.REPEAT_MS + 1000)
     assert fleet.counts["za", True] == 2
     assert len(fleet.orders) == before + 1
+
+
+def test_asking_again_for_reclaimable_ones_does_not_stop_others():
+    """The reclaimed are gone, and a domain is asked every other second."""
+    fleet = Fleet(steady=2)
+    fleet.run(12_000)
+    for domain in ("zb", "zc"):
+        fleet.reclaimed[domain] = fleet.now + 16_000
+    fleet.run(2500)
+    fleet.counts["zb", True] = fleet.counts["zc", True] = 0
+    before = len(fleet.orders)
+    fleet.run(13_000)
+    counts = {}
+    for _, want in fleet.orders[before:]:
+        if not want.spot:
+            counts.setdefault(want.domain, []).append(want.count)
+    assert kinds(fleet)[0] > 0
+    for found in counts.values():
+        assert found == sorted(found)
