--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -55,6 +55,10 @@
 QUIET_ENGINE_MS = 2500
 QUIET_CALL_MS = 100
 QUIET_CALLS = 4
+# A failure domain is taken to be cut off while this many endpoints there
+# were out of reach within this time, in ms, and none was heard since.
+CUT_ENDPOINTS = 2
+CUT_MS = 1500
 # What choosing a suspect endpoint costs, in ms of waiting.
 SUSPECT_MS = 4000.0
 # Weight of one answer in an endpoint's share of failures, and what that
@@ -263,6 +267,7 @@
         self.by_service: dict[str, list[Endpoint]] = {}
         self.tokens_per_ms: dict[str, float] = {}
         self.tight_share: dict[str, float] = {}
+        self.out_of_reach: dict[str, dict[str, int]] = {}
         self.read: dict[tuple[str, str], messages.PartRead] = {}
 
     # -- membership --------------------------------------------------------
@@ -406,7 +411,7 @@
         away = ERRORS_MS * endpoint.errors
         if endpoint.full_until > now:
             away += FULL_MS
-        if endpoint.suspect(now):
+        if endpoint.suspect(now) or self._cut_off(endpoint.record.domain, now):
             away += SUSPECT_MS
         if endpoint.record.domain != self.domain:
             away += OTHER_DOMAIN_MS
@@ -559,6 +564,8 @@
     def failed(self, endpoint: Endpoint, now: int) -> None:
         """Note a failure; repeated ones put the endpoint aside."""
         endpoint.failures += 1
+        if endpoint.heard_at < now - CUT_MS:
+            self._note_out_of_reach(endpoint, now)
         beyond = endpoint.failures - FAILURES_ASIDE
         if beyond >= 0:
             pause = min(ASIDE_MAX_MS, ASIDE_MIN_MS << min(beyond, 8))
@@ -567,6 +574,28 @@
     def heard(self, endpoint: Endpoint, now: int) -> None:
         """Note that bytes of an answer came from an endpoint."""
         endpoint.heard_at = now
+        if self.out_of_reach:
+            self.out_of_reach.pop(endpoint.record.domain, None)
+
+    def _note_out_of_reach(self, endpoint: Endpoint, now: int) -> None:
+        """Note that an endpoint's failure domain may be cut off."""
+        domain = endpoint.record.domain
+        failed = self.out_of_reach.setdefault(domain, {})
+        failed[endpoint.record.id] = now
+
+    def _cut_off(self, domain: str, now: int) -> bool:
+        """Return whether several endpoints of a domain failed lately.
+
+        One alone is an endpoint's own failure; a domain is cut off or
+        lost as a whole.
+        """
+        failed = self.out_of_reach.get(domain)
+        if not failed:
+            return False
+        for identifier, at in list(failed.items()):
+            if now - at > CUT_MS:
+                del failed[identifier]
+        return len(failed) >= CUT_ENDPOINTS
 
     def erred(self, endpoint: Endpoint) -> None:
         """Note an answer that is a failure of the endpoint's own."""
@@ -579,6 +608,7 @@
     def unreachable(self, endpoint: Endpoint, now: int) -> None:
         """Note that no connection opened: put aside at once."""
         endpoint.failures = max(endpoint.failures, FAILURES_ASIDE - 1)
+        self._note_out_of_reach(endpoint, now)
         self.failed(endpoint, now)
 
     def note_told(self, endpoint: Endpoint, told: Told) -> None:
--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -6,8 +6,10 @@
 leader waits out the old one's calls.
 """
 
+import contextlib
 import enum
 from typing import Callable
+from typing import Iterator
 from typing import NamedTuple
 from typing import Protocol
 
@@ -126,8 +128,9 @@
             charge = self.charge()
             if charge is None or self._is_young(tick.now):
                 continue
-            await self._seal_due()
-            await self._report_sealed(charge)
+            with _kept_alive("usage"):
+                await self._seal_due()
+                await self._report_sealed(charge)
 
     def _is_young(self, now: int) -> bool:
         return now - self.control.started < SETTLED_MS
@@ -192,7 +195,8 @@
             charge = self.charge()
             if charge is None or self._is_young(tick.now):
                 continue
-            await self._order_all(charge, tick.now)
+            with _kept_alive("scaling"):
+                await self._order_all(charge, tick.now)
 
     def _current_table(self) -> routes.RouteTable | None:
         held = self.control.table
@@ -207,7 +211,7 @@
             scaler = self.scalers.get(service)
             if scaler is None:
                 scaler = self.scalers[service] = scaling.Scaler(service)
-            scaler.demand.note(running, now)
+            scaler.note_demand(running, now)
 
     async def _order_all(self, charge: Charge, now: int) -> None:
         table = self._current_table()
@@ -256,4 +260,13 @@
         return reply is Reply.UNAVAILABLE
 
 
+@contextlib.contextmanager
+def _kept_alive(task: str) -> Iterator[None]:
+    """Log an error of one duty; agreement and the other must go on."""
+    try:
+        yield
+    except Exception as exc:
+        events.emit(events.TASK_FAILED, task=task, error=repr(exc))
+
+
 __all__ = ["Charge", "Duties", "Platform", "Reply"]
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -40,7 +40,7 @@
 INBOX_MESSAGES = 4096
 # A control instance that says nothing, or has no quorum, for this long
 # is left for another; well within the time a change may take.
-SILENT_MS = 800
+SILENT_MS = 700
 # An edge that lost the control instance of its own failure domain goes
 # back to it no sooner than this, so that a bad path does not make it
 # move to and fro.
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -23,9 +23,9 @@
 
 Header = tuple[bytes, bytes]
 
-# A segment between machines takes milliseconds; a SYN that was lost is
-# sent again after one second, which is too late for short calls.
-CONNECT_MS = 900
+# A handshake between machines takes milliseconds; a SYN that was lost is
+# sent again after one second, and another endpoint is there sooner.
+CONNECT_MS = 350
 # Bytes that an endpoint's machine has not acknowledged for this long
 # are on a path that is cut.
 UNACKNOWLEDGED_MS = 2500
--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -18,12 +18,17 @@
 # Requests under way at one model engine at which a prompt read beside
 # them still meets common objectives.
 COMFORT = 8.0
+# Requests under way at one engine at which most come late; below that,
+# waiting for reclaimable ones costs less than others do.
+CROWDED = 16.0
 # Endpoints that stand ready, relative to what the operators began with:
 # with reclaimable ones at a fifth of the price, under half of the cost.
 HEADROOM = 2.0
 # Demand counts by its peak over this time, so that a lull between two
 # bursts lets no endpoint go.
 PEAK_MS = 30_000
+# A crowd counts for this long after it was last seen.
+CROWD_MS = 5_000
 # A domain without reclaimable endpoints is asked again after this time:
 # a call costs little, and every second without them much.
 UNAVAILABLE_MS = 1_500
@@ -90,13 +95,18 @@
 
     def __init__(self, service: str):
         self.service = service
-        self.demand = Demand()
+        self.demand = Demand(PEAK_MS)
+        self.crowd = Demand(CROWD_MS)
         self.first = 0
         self.base: dict[str, int] = {}
-        self.steady: dict[str, int] = {}
         self.unavailable: dict[str, int] = {}
         self.sent: dict[tuple[str, bool], tuple[int, int]] = {}
 
+    def note_demand(self, running: float, now: int) -> None:
+        """Take in how many requests are under way now."""
+        self.demand.note(running, now)
+        self.crowd.note(running, now)
+
     def unavailable_at(self, domain: str, now: int) -> None:
         """Note that a domain has no reclaimable endpoints now."""
         self.unavailable[domain] = now + UNAVAILABLE_MS
@@ -126,25 +136,33 @@
         self.first = max(self.first, total if not self.sent else 0)
         spots = [d for d in names if self._spot_at(scaling, d, now)]
         targets = self._targets(scaling, names, spots, now)
-        short = self.least_need(now) - total
+        extra = self._extra(scaling, names, present, now)
         orders: list[Want] = []
         for domain in names:
-            have, target = present[domain], targets[domain]
-            steady = self.steady.setdefault(domain, have.steady)
+            have = present[domain]
+            base = self._base(scaling, domain, have)
+            steady = min(max(base, extra[domain]), scaling.most)
+            orders.append(Want(self.service, domain, False, steady))
             if domain in spots:
-                orders += self._spot_orders(scaling, domain, have, target)
-                continue
-            room = scaling.most - have.steady - have.spot
-            more = max(0, min(short, room))
-            short -= more
-            if have.steady + more > steady:
-                self.base[domain] = have.steady + more
-                self.steady[domain] = have.steady + more
-            orders.append(
-                Want(self.service, domain, False, self.steady[domain])
-            )
+                room = scaling.most - max(have.steady, steady)
+                spot = min(targets[domain], max(room, have.spot))
+                orders.append(Want(self.service, domain, True, spot))
         return [o for o in orders if self._is_due(o, present, now)]
 
+    def _base(
+        self, scaling: routes.Scaling, domain: str, have: Present
+    ) -> int:
+        """Return how many of those there first stay for now.
+
+        Each leaves once a reclaimable one serves in its place.
+        """
+        base = self.base.setdefault(domain, have.steady)
+        if not 0 < scaling.spot_price < 1:
+            return base
+        if have.spot >= base:
+            self.base[domain] = 0
+        return max(0, base - have.spot)
+
     # -- how many ----------------------------------------------------------
 
     def need(self, domains: int, now: int) -> int:
@@ -159,9 +177,39 @@
             need = math.ceil(need * domains / (domains - 1))
         return max(1, need, math.ceil(HEADROOM * self.first))
 
-    def least_need(self, now: int) -> int:
-        """Return below which number others are ordered at full price."""
-        return max(1, self.first, math.ceil(self.demand.peak(now) / COMFORT))
+    def _extra(
+        self,
+        scaling: routes.Scaling,
+        names: list[str],
+        present: dict[str, Present],
+        now: int,
+    ) -> dict[str, int]:
+        """Return how many of the dear kind each domain needs besides.
+
+        They make up for reclaimable ones that are not to be had, up to
+        what the operators began with or a crowd needs, and go as soon
+        as those are back; first where there are none of those.
+        """
+        extra = dict.fromkeys(names, 0)
+        cheap = 0 < scaling.spot_price < 1
+        if cheap:
+            need = max(self.first, math.ceil(self.crowd.peak(now) / CROWDED))
+            need -= sum(have.spot for have in present.values())
+        else:
+            need = self.need(len(names), now)
+        without = {d for d in names if self._was_unavailable(d, now)}
+        while need > 0:
+            open_ = [
+                d for d in names if extra[d] + present[d].spot < scaling.most
+            ]
+            if not open_:
+                break
+            least = min(open_, key=lambda d: (d not in without, extra[d]))
+            extra[least] += 1
+            need -= 1
+        if not cheap:
+            extra = {d: max(n, scaling.least) for d, n in extra.items()}
+        return extra
 
     def _targets(
         self,
@@ -187,6 +235,10 @@
             return False
         return self.unavailable.get(domain, 0) <= now
 
+    def _was_unavailable(self, domain: str, now: int) -> bool:
+        """Return whether a domain lacked reclaimable ones lately."""
+        return now < self.unavailable.get(domain, -CROWD_MS) + CROWD_MS
+
     def _present(
         self,
         names: list[str],
@@ -210,28 +262,6 @@
 
     # -- orders ------------------------------------------------------------
 
-    def _spot_orders(
-        self,
-        scaling: routes.Scaling,
-        domain: str,
-        have: Present,
-        target: int,
-    ) -> list[Want]:
-        """Return a domain's orders; others stay until spot ones serve.
-
-        Both kinds together keep within the limit, so that a domain near
-        it changes over in steps.
-        """
-        base = self.base.setdefault(domain, self.steady[domain])
-        steady = min(self.steady[domain], max(0, base - have.spot))
-        self.steady[domain] = steady
-        room = scaling.most - have.steady
-        spot = min(target, max(room, have.spot))
-        return [
-            Want(self.service, domain, False, steady),
-            Want(self.service, domain, True, spot),
-        ]
-
     def _is_due(
         self, order: Want, present: dict[str, Present], now: int
     ) -> bool:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -261,3 +261,18 @@
         found.begin(choice, ask, 0)
         found.first_byte(choice, ask, 60)
     assert max(e.inflight for e in found.endpoints.values()) <= 20
+
+
+def test_a_domain_that_is_cut_off_is_left_as_a_whole():
+    """zone_cut: the engines there fail one by one, by time-outs."""
+    found = make(8, domains=("za", "zb"))
+    away = [e for e in found.endpoints.values() if e.record.domain == "zb"]
+    ask = prompt("p1")
+    for part in ask.parts[:-1]:
+        away[3].note_parts((part,))
+    found.unreachable(away[0], 1000)
+    assert found.choose(ask, (), 1001).endpoint is away[3]
+    found.unreachable(away[1], 1010)
+    assert found.choose(ask, (), 1011).endpoint.record.domain == "za"
+    found.heard(away[2], 1200)
+    assert found.choose(ask, (), 1201).endpoint is away[3]
