--- /dev/null
+++ b/tests/instances.py
@@ -0,0 +1,161 @@
+"""Control instances and edges in one process, each at its own address.
+
+Ports are the same on all, as on the users' platform.
+"""
+
+import contextlib
+import json
+import shutil
+
+import anyio
+import httpcore
+
+from primrosehitch import edge as edge_module
+from primrosehitch import instance
+from primrosehitch import settings
+from primrosehitch.platform import __main__ as platform_main
+from primrosehitch.platform import dialect
+from primrosehitch.platform import tables
+
+LINK_PORT, CONTROL_PORT, FRONT_PORT, READY_PORT = 26001, 26002, 26003, 26004
+SEEDS = (2, 3, 4)
+BOUNDS = instance.Bounds(grace_ms=1500, usage_window_ms=1000)
+
+
+def run(body):
+    anyio.run(body, backend_options={"use_uvloop": True})
+
+
+def host(number):
+    return f"127.0.0.{number}"
+
+
+def address(number, port):
+    return settings.Address(host(number), port)
+
+
+class Fleet:
+    """Instances by number, and their folders."""
+
+    def __init__(self, folder, group):
+        self.folder = folder
+        self.group = group
+        self.controls = {}
+        self.edges = {}
+        self.scopes = {}
+        self.stops = {}
+        self.ended = set()
+
+    def settings(self, number, bootstrap, edge):
+        return instance.InstanceSettings(
+            name=f"n{number}",
+            domain=f"z{number % 3}",
+            link=address(number, LINK_PORT),
+            seeds=tuple(address(n, LINK_PORT) for n in SEEDS),
+            control=None if edge else address(number, CONTROL_PORT),
+            front=address(number, FRONT_PORT) if edge else None,
+            ready=address(number, READY_PORT) if edge else None,
+            metrics=None,
+            data_folder=None if edge else self.folder / str(number),
+            bootstrap=bootstrap,
+            platform=None,
+            secret=b"",
+            bounds=BOUNDS,
+        )
+
+    def start_control(self, number, bootstrap=True):
+        process = platform_main.ControlProcess(
+            self.settings(number, bootstrap, False)
+        )
+        self.controls[number] = process.control
+        self._start(number, process)
+
+    def start_edge(self, number):
+        edge = edge_module.Edge(
+            self.settings(number, False, True),
+            dialect.PlatformDialect(),
+            tables.decode,
+        )
+        self.edges[number] = edge
+        self._start(number, edge)
+
+    def _start(self, number, process):
+        stop = self.stops[number] = anyio.Event()
+
+        async def live():
+            with anyio.CancelScope() as scope:
+                self.scopes[number] = scope
+                await process.run(stop)
+                self.ended.add(number)
+
+        self.group.start_soon(live)
+
+    async def kill(self, number):
+        """End an instance between two steps, without a word to others."""
+        self.scopes.pop(number).cancel()
+        self.controls.pop(number, None)
+        await anyio.sleep(0.1)
+
+    def wipe(self, number):
+        shutil.rmtree(self.folder / str(number))
+
+    def leaders(self):
+        return [n for n, c in self.controls.items() if c.replicator.leads()]
+
+    def voters(self):
+        (leader,) = self.leaders()
+        return self.controls[leader].replicator.raft.voters
+
+
+@contextlib.asynccontextmanager
+async def fleet(folder, controls=SEEDS, edges=()):
+    async with anyio.create_task_group() as group:
+        found = Fleet(folder, group)
+        for number in controls:
+            found.start_control(number)
+        for number in edges:
+            found.start_edge(number)
+        yield found
+        group.cancel_scope.cancel()
+
+
+async def until(condition, limit_s=12):
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+async def call(number, method, path, body=b"", port=CONTROL_PORT):
+    async with httpcore.AsyncConnectionPool() as pool:
+        answer = await pool.request(
+            method,
+            f"http://{host(number)}:{port}{path}",
+            content=body,
+            extensions={"timeout": {"read": 5, "connect": 1}},
+        )
+        return answer.status, answer.content
+
+
+async def put(number, document):
+    body = json.dumps(document).encode()
+    for _ in range(40):
+        status, _ = await call(number, "POST", "/-/Config.Put", body)
+        if status != 503:
+            return status
+        await anyio.sleep(0.2)
+    return status
+
+
+async def beat(number, engine, identifier="i-0", **changes):
+    report = {
+        "service": "svc",
+        "address": engine.address,
+        "zone": "z0",
+        "slots": 8,
+        "state": "ready",
+        "seq": 1,
+        "born": 5,
+        **changes,
+    }
+    path = f"/-/Instances.Heartbeat/{identifier}"
+    return await call(number, "POST", path, json.dumps(report).encode())
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -19,11 +19,15 @@
 from primrosehitch import truetime
 from primrosehitch.platform import dialect
 from primrosehitch.platform import tables
+from primrosehitch_lab import platform_engine
 
 KEY = "k" * 20
 WINDOW_MS = 5000
 
 
+__all__ = ["clock", "platform_engine"]
+
+
 def table_document(version=1, **changes):
     """Return a configuration as the operators send it."""
     route = {
