Keep long prompts from the engines of short pauses

Cause: complaint-digest (pauses of 400 ms, prompts of 9k tokens) counted as a stream with short pauses, and slowed bouquet-chat (250 ms) on the engines kept for it.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -68,6 +68,8 @@
 # An engine that reads a long prompt makes all streams beside it pause
 # about this long between events.
 TIGHT_GAP_MS = 600
+# A prompt up to this size is read in one step by common engines.
+TIGHT_PROMPT_TOKENS = 4096
 # A request that goes to an engine kept for the other kind costs as much
 # as this much waiting, in ms: a late pause loses most of a stream's worth.
 TIGHT_CROSSING_MS = 1500.0
@@ -124,8 +126,12 @@
 
     @property
     def tight(self) -> bool:
-        """Whether a long prompt read beside it makes its pauses late."""
-        return 0 < self.gap_ms <= TIGHT_GAP_MS
+        """Whether a long prompt read beside it makes its pauses late.
+
+        One whose own prompt is long would do so to the others.
+        """
+        short = self.prompt_tokens <= TIGHT_PROMPT_TOKENS
+        return short and 0 < self.gap_ms <= TIGHT_GAP_MS
 
 
 class Told(NamedTuple):
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -276,3 +276,11 @@
     assert found.choose(ask, (), 1011).endpoint.record.domain == "za"
     found.heard(away[2], 1200)
     assert found.choose(ask, (), 1201).endpoint is away[3]
+
+
+def test_a_long_prompt_is_not_kept_among_the_short_pauses():
+    """complaint-digest has short pauses itself, and a prompt of 9k."""
+    assert Ask("s", (), 1460, 100, 250).tight
+    assert not Ask("s", (), 9190, 50, 400).tight
+    assert not Ask("s", (), 1460, 100, 2000).tight
+    assert not Ask("s").tight
