--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -77,13 +77,8 @@
         send, self.inbox = anyio.create_memory_object_stream[
             links_module.Received
         ](INBOX_MESSAGES)
-        self.links = links_module.Links(
-            self.name,
-            settings.link,
-            settings.secret,
-            self.incarnation,
-            send,
-            open_to_new=True,
+        self.links = links_module.make_open_links(
+            settings, self.incarnation, send
         )
         self.timers = timers.TimerService()
         self.true_time = truetime_module.TrueTime(clock.wall_ms(), now)
--- a/primrosehitch/dialect.py
+++ b/primrosehitch/dialect.py
@@ -13,6 +13,23 @@
 
 Header = tuple[bytes, bytes]
 
+# Headers that concern one connection only, or are worked out anew.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+
 
 class CallInfo(NamedTuple):
     """What a caller said of its request.
@@ -99,4 +116,11 @@
         """Return the headers of an answer of our own."""
 
 
-__all__ = ["AnswerInfo", "CallInfo", "Dialect", "Header", "Sending"]
+__all__ = [
+    "AnswerInfo",
+    "CallInfo",
+    "Dialect",
+    "HOP_BY_HOP",
+    "Header",
+    "Sending",
+]
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -18,6 +18,7 @@
 
 from primrosehitch import clock
 from primrosehitch import errors
+from primrosehitch import flowcontrol
 from primrosehitch import httpserver
 from primrosehitch import settings as settings_module
 
@@ -90,7 +91,7 @@
     value: bytes
 
 
-class EndpointConnection(asyncio.Protocol):
+class EndpointConnection(flowcontrol.WriteGate, asyncio.Protocol):
     """One connection; one request at a time.
 
     Args:
@@ -98,13 +99,13 @@
     """
 
     def __init__(self, address: settings_module.Address):
+        super().__init__()
         self.address = address
         self.transport: Any = None
         self.parser = httptools.HttpResponseParser(self)
         self.items: deque[Head | bytes | Ending] = deque()
         self.buffered = 0
         self.arrived: anyio.Event | None = None
-        self.drained: anyio.Event | None = None
         self.matcher = Matcher(b"", b"")
         self.awaiting = False
         self.in_body = False
@@ -133,18 +134,7 @@
         if self.awaiting:
             whole = exc is None and self.until_close and self.in_body
             self._end(Ending.WHOLE if whole else Ending.BROKEN)
-        if self.drained is not None:
-            self.drained.set()
-
-    def pause_writing(self) -> None:
-        """Note that the endpoint reads slowly."""
-        self.drained = anyio.Event()
-
-    def resume_writing(self) -> None:
-        """Note that the endpoint caught up."""
-        if self.drained is not None:
-            self.drained.set()
-            self.drained = None
+        self.release()
 
     def data_received(self, data: bytes) -> None:
         """Take in bytes of the endpoint."""
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -22,6 +22,7 @@
 from primrosehitch import clock
 from primrosehitch import errors
 from primrosehitch import events
+from primrosehitch import flowcontrol
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
 
@@ -146,7 +147,7 @@
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
-class Connection(asyncio.Protocol):
+class Connection(flowcontrol.WriteGate, asyncio.Protocol):
     """One caller's connection.
 
     Args:
@@ -154,6 +155,7 @@
     """
 
     def __init__(self, server: "Server"):
+        super().__init__()
         self.server = server
         self.parser = httptools.HttpRequestParser(self)
         self.transport: Any = None
@@ -162,7 +164,6 @@
         self.closed = False
         self.refused = False
         self.scope: anyio.CancelScope | None = None
-        self.drained: anyio.Event | None = None
         self.quiet_since = clock.now_ms()
         self.reset()
 
@@ -190,18 +191,7 @@
         self.server.connections.discard(self)
         if self.scope is not None:
             self.scope.cancel()
-        if self.drained is not None:
-            self.drained.set()
-
-    def pause_writing(self) -> None:
-        """Note that the caller reads slowly."""
-        self.drained = anyio.Event()
-
-    def resume_writing(self) -> None:
-        """Note that the caller caught up."""
-        if self.drained is not None:
-            self.drained.set()
-            self.drained = None
+        self.release()
 
     def data_received(self, data: bytes) -> None:
         """Take in bytes of the caller."""
@@ -320,8 +310,7 @@
         Raises:
             CallerGoneError: the caller closed.
         """
-        if self.drained is not None:
-            await self.drained.wait()
+        await self.until_drained()
         if self.closed:
             raise CallerGoneError("connection closed", "server.write")
 
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -26,6 +26,7 @@
 
 from primrosehitch import errors
 from primrosehitch import events
+from primrosehitch import instance as instance_module
 from primrosehitch import messages
 from primrosehitch import settings as settings_module
 
@@ -442,6 +443,22 @@
     return links
 
 
+def make_open_links(
+    settings: instance_module.InstanceSettings,
+    incarnation: int,
+    inbox: MemoryObjectSendStream[Received],
+) -> Links:
+    """Return the links of an instance whose peers come and go."""
+    return Links(
+        str(settings.link),
+        settings.link,
+        settings.secret,
+        incarnation,
+        inbox,
+        open_to_new=True,
+    )
+
+
 def _peer_by_address(name: str) -> LinkPeer:
     """Return the peer whose name is its address.
 
@@ -461,6 +478,7 @@
     "LinkPeer",
     "Links",
     "make_links",
+    "make_open_links",
     "MessageReader",
     "Received",
     "pack",
--- a/primrosehitch/platform/dialect.py
+++ b/primrosehitch/platform/dialect.py
@@ -2,7 +2,6 @@
 
 from primrosehitch import balancer
 from primrosehitch import dialect as dialect_module
-from primrosehitch import forwarder
 from primrosehitch import httpclient
 from primrosehitch import httpserver
 
@@ -123,9 +122,9 @@
     """Return the headers that concern one connection only."""
     named = [v for n, v in headers if n == b"connection"]
     if not named:
-        return forwarder.HOP_BY_HOP
+        return dialect_module.HOP_BY_HOP
     extra = {p.strip().lower() for v in named for p in v.split(b",")}
-    return forwarder.HOP_BY_HOP | extra
+    return dialect_module.HOP_BY_HOP | extra
 
 
 def _parts(value: bytes) -> tuple[balancer.Part, ...]:
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -12,6 +12,7 @@
 import anyio.abc
 
 STAMP = b"Response-Stamp: 1.1.1\r\n"
+FLOOD_BYTES = 64 << 20
 
 
 class Seen(NamedTuple):
@@ -43,6 +44,7 @@
         self.seen: list[Seen] = []
         self.connections = 0
         self.cancelled = 0
+        self.flooded_bytes = 0
         self.port = 0
 
     @property
@@ -150,6 +152,23 @@
         await stream.send_eof()
         return False
 
+    async def _play_flood(self, stream, seen: Seen) -> bool:
+        """Send events as fast as they are taken, up to FLOOD_BYTES."""
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\n"
+            + self._echo(seen)
+            + STAMP
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        number = 0
+        while self.flooded_bytes < FLOOD_BYTES:
+            number += 1
+            event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 8000)
+            await self._chunk(stream, event)
+            self.flooded_bytes += len(event)
+        await stream.send(b"0\r\n\r\n")
+        return True
+
     # -- torn answers ------------------------------------------------------
 
     async def _play_cut(self, stream, seen: Seen) -> bool:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -403,3 +403,23 @@
             assert not other.seen
 
     run(body)
+
+
+def test_a_slow_reader_holds_its_engine_back():
+    """What an edge keeps for a caller that does not read is bounded."""
+
+    async def body():
+        engine = Engine(["flood"])
+        async with routed.serving(engine) as path:
+            async with routed.calling(path) as caller:
+                await caller.send(routed.request("/stream/x"))
+                while not engine.flooded_bytes:
+                    await anyio.sleep(0.01)
+                before = -1
+                with anyio.fail_after(5):
+                    while engine.flooded_bytes != before:
+                        before = engine.flooded_bytes
+                        await anyio.sleep(0.3)
+                assert engine.flooded_bytes < platform_engine.FLOOD_BYTES / 2
+
+    run(body)
