--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,6 +9,8 @@
 import pytest
 import routed
 
+from primrosehitch import links
+from primrosehitch import messages
 from primrosehitch_lab import platform_engine
 
 
@@ -203,6 +205,24 @@
         return await caller.answer()
 
 
+def test_an_edge_takes_newer_tables_only(tmp_path):
+    """A control instance that lags must not take an edge back."""
+
+    async def body():
+        async with instances.fleet(tmp_path, edges=(9,)) as found:
+            edge = found.edges[9]
+            for version in (9, 8, 9):
+                table = json.dumps(routed.table_document(version)).encode()
+                await edge.links.inbox.send(
+                    links.Received("late", messages.Table(version, table))
+                )
+            await instances.until(lambda: edge.forwarder.table)
+            await anyio.sleep(0.1)
+            assert edge.forwarder.table.version == 9
+
+    instances.run(body)
+
+
 def test_an_edge_moves_on_from_a_dead_instance(tmp_path):
     async def body():
         async with instances.fleet(tmp_path, edges=(9,)) as found:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -163,3 +163,33 @@
     assert run(state, order).state == state_module.PENDING
     run(state, messages.OrderDone("o1", state_name))
     assert run(state, order).state == state_name
+
+
+def apply(state, index, command):
+    kind = type(command).__name__
+    body = messages.encode(command)
+    return state.apply(messages.Entry(index, 1, kind, body))
+
+
+def test_the_first_figures_of_a_window_stand():
+    state = state_module.State()
+    first = messages.SealWindow(7, (messages.CustomerCount("ana", 3),))
+    other = messages.SealWindow(7, (messages.CustomerCount("ana", 4),))
+    assert apply(state, 1, first) == first
+    assert apply(state, 2, other) == first
+    apply(state, 3, messages.WindowDone(7))
+    again = state_module.restore_state(state.image())
+    assert again.sealed == {7: first}
+    assert again.done == {7}
+
+
+def test_the_highest_table_stands():
+    state = state_module.State()
+    seven = messages.Table(7, b"seven")
+    assert apply(state, 1, seven) == messages.TableResult(True, 7)
+    for index, table in enumerate(
+        (messages.Table(7, b"other"), messages.Table(6, b"six")), 2
+    ):
+        assert apply(state, index, table) == messages.TableResult(False, 7)
+    assert state.table == seven
+    assert state_module.restore_state(state.image()).table == seven
