Trace a request from its id through the logs of all instances

primrosehitch trace ID FILE... prints the request's lines and what the logs say of its endpoints, links and leaders around it; check takes the settings of edges and control instances too.

--- a/primrosehitch/cli.py
+++ b/primrosehitch/cli.py
@@ -10,9 +10,11 @@
 
 from primrosehitch import declaration as declaration_module
 from primrosehitch import errors
+from primrosehitch import instance as instance_module
 from primrosehitch import jsonc
 from primrosehitch import porcelain
 from primrosehitch import settings as settings_module
+from primrosehitch import tracing
 
 ADDRESS_VARIABLE = "PRIMROSEHITCH_GATEWAY"
 KEY_VARIABLE = "PRIMROSEHITCH_KEY"
@@ -166,15 +168,25 @@
         return _text(answer)
 
     def check(self, file: str) -> str:
-        """Check a declaration or a settings FILE."""
+        """Check a declaration or a settings FILE of either kind."""
         path = pathlib.Path(file)
         document = jsonc.read(path)
         if isinstance(document, dict) and "classes" in document:
             declaration_module.check(document, file)
+        elif isinstance(document, dict) and "seeds" in document:
+            instance_module.parse(document, file)
         else:
             settings_module.parse(document, file)
         return f"{file}: ok"
 
+    def trace(self, request_id: str, *files: str) -> str:
+        """Print what the log FILES say of a request and its endpoints."""
+        lines = []
+        for file in files:
+            text = pathlib.Path(file).read_text(errors="replace")
+            lines += tracing.parse(pathlib.Path(file).name, text)
+        return tracing.render(tracing.trace(str(request_id), lines))
+
     def hash_key(self, key: str) -> str:
         """Print the hash of an operator's key for a settings file."""
         return settings_module.hash_key(str(key))
