Keep each edge to its part of an endpoint's connections

Cause: max_conns counts all callers and beyond it an endpoint resets; an edge opened as many as it had requests. Requests under way are now bounded by the edge's part; one that finds no room waits as for an endpoint. Two decoded fields that nothing used are gone. Tests: the part by the number of edges; three requests over two connections.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -93,6 +93,7 @@
     def __init__(self, domain: str, rng: random.Random):
         self.domain = domain
         self.rng = rng
+        self.edges = 1
         self.endpoints: dict[str, Endpoint] = {}
         self.by_service: dict[str, list[Endpoint]] = {}
         self.tokens_per_ms: dict[str, float] = {}
@@ -102,13 +103,27 @@
 
     # -- membership --------------------------------------------------------
 
-    def update(self, record: messages.EndpointRecord, kv_tokens: int) -> None:
-        """Take in an endpoint's newest record."""
+    def update(
+        self,
+        record: messages.EndpointRecord,
+        kv_tokens: int,
+        connections: int = 0,
+    ) -> None:
+        """Take in an endpoint's newest record.
+
+        Args:
+            record: what it told of itself.
+            kv_tokens: the size of an engine's memory, or 0.
+            connections: how many it takes from all edges, 0 for any.
+        """
         known = self.endpoints.get(record.id)
         if known is not None and known.record.born == record.born:
             known.record = record
+            known.connections = connections
         elif record.state != registry.LEFT:
-            self.endpoints[record.id] = Endpoint(record, kv_tokens)
+            self.endpoints[record.id] = Endpoint(
+                record, kv_tokens, connections
+            )
         if record.state == registry.LEFT:
             self.endpoints.pop(record.id, None)
         self._index()
@@ -134,7 +149,7 @@
         ready = [
             e
             for e in self.by_service.get(service, ())
-            if e.record.id not in skipped
+            if e.record.id not in skipped and e.has_room(self.edges)
         ]
         return [e for e in ready if e.aside_until <= now] or ready
 
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -287,6 +287,7 @@
             self.fresh_at = now
             self.true_time.follow(status.true_ms, now)
         self.budget.share_among(status.edges)
+        self.balancer.edges = max(1, status.edges)
         self._note_controls(status)
         if status.incarnation != self.control_incarnation:
             self.control_incarnation = status.incarnation
@@ -370,13 +371,14 @@
                     self._update(other)
 
     def _update(self, record: messages.EndpointRecord) -> None:
-        kv_tokens = 0
+        kv_tokens = connections = 0
         table = self.forwarder.table
-        if table is not None:
-            service = table.services.get(record.service)
-            if service is not None and service.engine is not None:
+        service = table.services.get(record.service) if table else None
+        if service is not None:
+            connections = service.connections
+            if service.engine is not None:
                 kv_tokens = service.engine.kv_tokens
-        self.balancer.update(record, kv_tokens)
+        self.balancer.update(record, kv_tokens, connections)
         metrics.ENDPOINTS.set(len(self.balancer.endpoints))
 
     # -- periodic ----------------------------------------------------------
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -34,6 +34,9 @@
 # An engine that is thought to hold a part because it comes first in the
 # order that all edges share is believed a little less than one seen.
 PRESUMED_PART = 0.8
+# An edge may always have this many connections to an endpoint, however
+# many edges there are.
+CONNECTIONS_LEAST = 2
 
 
 class Part(NamedTuple):
@@ -85,11 +88,18 @@
     Args:
         record: what it told of itself.
         kv_tokens: the size of an engine's memory, 0 for plain services.
+        connections: how many it takes from all edges, 0 for any number.
     """
 
-    def __init__(self, record: messages.EndpointRecord, kv_tokens: int):
+    def __init__(
+        self,
+        record: messages.EndpointRecord,
+        kv_tokens: int,
+        connections: int = 0,
+    ):
         self.record = record
         self.kv_tokens = kv_tokens
+        self.connections = connections
         self.salt = xxhash.xxh64_intdigest(record.id.encode()) | 1
         self.inflight = 0
         self.reading_tokens = 0
@@ -111,6 +121,17 @@
         self.parts: OrderedDict[str, int] = OrderedDict()
         self.parts_tokens = 0
 
+    def has_room(self, edges: int) -> bool:
+        """Return whether one more request keeps this edge to its part.
+
+        Each request under way has a connection of its own; idle ones
+        were in use before.
+        """
+        if not self.connections:
+            return True
+        part = self.connections // (edges + 1)
+        return self.inflight < max(CONNECTIONS_LEAST, part)
+
     def quiet_ms(self, now: int) -> int:
         """Return how long it has been silent while it had work."""
         if not self.inflight:
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -37,6 +37,8 @@
 # time it has and up to its objective, or the last figure, in ms.
 ENDPOINT_WAIT_PART = 0.4
 ENDPOINT_WAIT_LEAST_MS = 400
+# Places become free without a word; they are looked for this often.
+RECHECK_S = 0.05
 # Time left below which another endpoint is not tried, in ms.
 LEAST_LEFT_MS = 20
 # A first byte may stay out for this part of the objective, and this many
@@ -213,7 +215,8 @@
         choice = None
         with anyio.move_on_after(wait_ms / 1000):
             while choice is None:
-                await self.forwarder.changed.wait()
+                with anyio.move_on_after(RECHECK_S):
+                    await self.forwarder.changed.wait()
                 choice = self.balancer.choose(self.ask, (), clock.now_ms())
         return choice
 
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1503,7 +1503,6 @@
     domain: str = ""
     slots: int = 0
     state: str = ""
-    cold_ms: int = 0
     spot: bool = False
     leaves_ms: int = 0
 
@@ -1517,7 +1516,6 @@
     b.domain = m.domain
     b.slots = m.slots
     b.state = m.state
-    b.coldMs = m.cold_ms
     b.spot = m.spot
     b.leavesMs = m.leaves_ms
 
@@ -1532,7 +1530,6 @@
         r.domain,
         r.slots,
         r.state,
-        r.coldMs,
         r.spot,
         r.leavesMs,
     )
--- a/primrosehitch/platform/calls.py
+++ b/primrosehitch/platform/calls.py
@@ -48,7 +48,6 @@
         domain=item.text("zone"),
         slots=item.whole("slots"),
         state=state,
-        cold_ms=int(item.number("cold_left_ms", 0)),
         spot=item.flag("spot"),
         leaves_ms=int(item.number("leaves_ms", 0)),
     )
--- a/primrosehitch/platform/tables.py
+++ b/primrosehitch/platform/tables.py
@@ -58,7 +58,6 @@
         splits=_splits(item),
         attempts=max(1, item.whole("max_attempts", 1)),
         public=item.flag("public"),
-        affine=item.flag("sticky"),
         resumable=item.flag("resumable") and kind == routes.STREAM,
     )
 
--- a/primrosehitch/routes.py
+++ b/primrosehitch/routes.py
@@ -49,7 +49,6 @@
         splits: who serves it, by weight.
         attempts: how many endpoints one request may be sent to.
         public: whether it works without a key.
-        affine: whether requests share parts of prompts.
         resumable: whether a broken stream may go on elsewhere.
     """
 
@@ -64,7 +63,6 @@
     splits: tuple[Split, ...]
     attempts: int
     public: bool
-    affine: bool
     resumable: bool
 
     @property
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -433,9 +433,8 @@
   domain @5 :Text;
   slots @6 :UInt32;
   state @7 :Text;
-  coldMs @8 :UInt64;
-  spot @9 :Bool;
-  leavesMs @10 :UInt64;
+  spot @8 :Bool;
+  leavesMs @9 :UInt64;
 }
 
 struct EndpointUpdate {
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -284,3 +284,16 @@
     assert not Ask("s", (), 9190, 50, 400).tight
     assert not Ask("s", (), 1460, 100, 2000).tight
     assert not Ask("s").tight
+
+
+def test_edges_share_an_endpoints_connections():
+    """max_conns counts all callers; beyond it connections are reset."""
+    found = make(1, kv_tokens=0)
+    found.update(record(0), 0, connections=50)
+    found.edges = 4
+    for _ in range(10):
+        assert found.choose(Ask("s"), (), 0) is not None
+        send(found, Ask("s"))
+    assert found.choose(Ask("s"), (), 0) is None
+    found.edges = 1
+    assert found.choose(Ask("s"), (), 0) is not None
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -423,3 +423,26 @@
                 assert engine.flooded_bytes < platform_engine.FLOOD_BYTES / 2
 
     run(body)
+
+
+def test_a_request_waits_for_a_free_connection():
+    async def body():
+        engine = Engine(["slow", "good"])
+        async with routed.serving(engine) as path:
+            endpoint = path.balancer.endpoints["i-0"]
+            endpoint.connections = 1
+            path.balancer.edges = 1
+            answers = []
+
+            async def one(identifier):
+                data = routed.request("/once/x", identifier=identifier)
+                answers.append((await routed.ask(path, data))[0])
+
+            async with anyio.create_task_group() as group:
+                for identifier in ("1", "2", "3"):
+                    group.start_soon(one, identifier)
+                    await anyio.sleep(0.02)
+            assert answers == [200, 200, 200]
+            assert engine.connections == 2
+
+    run(body)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -156,5 +156,5 @@
 def test_a_good_heartbeat():
     got = calls.read_heartbeat("i-1", body(state="draining", leaves_ms=2500))
     assert got == messages.EndpointRecord(
-        "i-1", 5, 3, "s", "10.0.0.1:80", "z", 4, "draining", 0, False, 2500
+        "i-1", 5, 3, "s", "10.0.0.1:80", "z", 4, "draining", False, 2500
     )
