One way to give an answer of our own; drop what nothing calls

Cause: a refusal before sending and a final answer after it wrote the same headers and body in two places; Registry.heard_lately, Server.stop_listening and ConnectionPool.opened had no caller. Ruled out: sharing the set-up of edges and control instances, which is a list of parts, not logic.

--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -16,8 +16,8 @@
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
 from primrosehitch import truetime as truetime_module
+from primrosehitch.forwarding import answer_own
 from primrosehitch.forwarding import Forwarding
-from primrosehitch.forwarding import JSON
 from primrosehitch.forwarding import Refused
 
 # When to come back to an edge that has no table yet, in seconds.
@@ -109,12 +109,7 @@
         refused: Refused,
     ) -> None:
         """Give a final answer of our own."""
-        headers = self.dialect.own_headers(call.identifier)
-        if refused.retry_s is not None:
-            headers.append(httpserver.retry_after(refused.retry_s))
-        headers.append(JSON)
-        body = b'{"error":"%s"}' % refused.reason.encode()
-        responder.answer(refused.status, headers, body)
+        answer_own(self.dialect, call, responder, refused)
         metrics.REQUESTS.labels(refused.reason).inc()
         events.emit(
             events.FORWARD_REFUSED,
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -96,6 +96,21 @@
 Outcome = Passed | NotRun | Broken | Failed
 
 
+def answer_own(
+    dialect: dialect_module.Dialect,
+    call: dialect_module.CallInfo,
+    responder: httpserver.Responder,
+    refused: Refused,
+) -> None:
+    """Write a final answer that no endpoint gave."""
+    headers = dialect.own_headers(call.identifier)
+    if refused.retry_s is not None:
+        headers.append(httpserver.retry_after(refused.retry_s))
+    headers.append(JSON)
+    body = b'{"error":"%s"}' % refused.reason.encode()
+    responder.answer(refused.status, headers, body)
+
+
 class Resources(Protocol):
     """What all requests of an edge share."""
 
@@ -271,12 +286,8 @@
     def _answer_own(
         self, status: int, reason: str, retry_s: float | None
     ) -> None:
-        headers = self.forwarder.dialect.own_headers(self.call.identifier)
-        if retry_s is not None:
-            headers.append(httpserver.retry_after(retry_s))
-        headers.append(JSON)
-        body = b'{"error":"%s"}' % reason.encode()
-        self.responder.answer(status, headers, body)
+        refused = Refused(status, reason, retry_s)
+        answer_own(self.forwarder.dialect, self.call, self.responder, refused)
 
     def _note(self, outcome: str) -> None:
         metrics.REQUESTS.labels(outcome).inc()
@@ -587,4 +598,4 @@
             self.responder.start(head.status, headers, None)
 
 
-__all__ = ["Forwarding", "JSON", "Refused", "Resources"]
+__all__ = ["Forwarding", "Refused", "Resources", "answer_own"]
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -312,7 +312,6 @@
     def __init__(self, address: settings_module.Address):
         self.address = address
         self.idle: list[EndpointConnection] = []
-        self.opened = 0
 
     def take_idle(self, now: int) -> EndpointConnection | None:
         """Return the connection used last, or None."""
@@ -331,7 +330,6 @@
         """
         connection = self.take_idle(now)
         if connection is None:
-            self.opened += 1
             connection = await connect(self.address, limit_ms)
         return connection
 
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -425,11 +425,6 @@
             if connection.idle:
                 connection.close()
 
-    def stop_listening(self) -> None:
-        """Take no further connections."""
-        if self.listener is not None:
-            self.listener.close()
-
 
 def set_socket_options(
     transport: asyncio.BaseTransport, unacknowledged_ms: int
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -111,14 +111,6 @@
         """Return the records of endpoints that are not gone."""
         return [r for r in self.records() if r.state != LEFT]
 
-    def heard_lately(self, within_ms: int, now: int) -> list[str]:
-        """Return who was heard of within a time."""
-        return [
-            identifier
-            for identifier, known in self.known.items()
-            if known.record.state != LEFT and now - known.heard <= within_ms
-        ]
-
     def digest(self) -> int:
         """Return a number that tells two sets of records apart."""
         if self.last_digest is None:
