Gather the edges' news at control instances before passing it on

Ruled out: presence, subscriptions and sums of loads (under 100 messages a second together); the replica.

Change: a control instance gathers parts for 30 ms and usage totals for 250 ms and sends one message to each neighbour. Edges tell parts every 50 ms instead of 250, since each hop waits a little now.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -14,6 +14,7 @@
 from primrosehitch import clock
 from primrosehitch import errors
 from primrosehitch import events
+from primrosehitch import gathering
 from primrosehitch import instance as instance_module
 from primrosehitch import links as links_module
 from primrosehitch import loads as loads_module
@@ -38,6 +39,11 @@
 IN_TOUCH_MS = 700
 # Loads change within the time a long prompt takes to read.
 LOADS_MS = 250
+# News of the edges wait this long for others, so that what one control
+# instance sends does not grow with how many edges tell it something. A
+# shared part takes some hundred ms to read.
+PARTS_GATHER_S = 0.03
+TALLIES_GATHER_S = 0.25
 # An edge that did not subscribe for this long gets no more updates.
 SUBSCRIBED_MS = 2000
 # After this its link is given up too.
@@ -53,6 +59,9 @@
 REOPEN_S = 0.5
 
 
+Parts = gathering.Gatherer[tuple[str, str], messages.PartRead]
+
+
 class Subscriber:
     """An edge that takes its table and endpoints from this instance."""
 
@@ -88,6 +97,11 @@
         self.control_loads = loads_module.LoadSums()
         self.peers = peers_module.Peers(self.name)
         self.subscribers: dict[str, Subscriber] = {}
+        self.own_parts: Parts = gathering.Gatherer(PARTS_GATHER_S)
+        self.all_parts: Parts = gathering.Gatherer(PARTS_GATHER_S)
+        self.own_tallies: gathering.Gatherer[
+            tuple[str, int, int], messages.WindowTally
+        ] = gathering.Gatherer(TALLIES_GATHER_S)
         self.refreshed: set[str] = set()
         self.reads: dict[int, tuple[anyio.Event, list[messages.ReadReply]]]
         self.reads = {}
@@ -289,6 +303,9 @@
             group.start_soon(self._tell_presence)
             group.start_soon(self._tell_refreshed)
             group.start_soon(self._tell_loads)
+            group.start_soon(self._tell_own_parts)
+            group.start_soon(self._tell_all_parts)
+            group.start_soon(self._tell_tallies)
             group.start_soon(self._expire)
             events.emit(events.STARTED, instance=self.settings.name)
             await stop.wait()
@@ -425,8 +442,17 @@
     def _on_tallies(self, sender: str, batch: messages.TallyBatch) -> None:
         self.tallies.hear(batch)
         if sender in self.subscribers:
+            for tally in batch.tallies:
+                key = (tally.edge, tally.incarnation, tally.window)
+                self.own_tallies.put(key, tally)
+
+    async def _tell_tallies(self) -> None:
+        """Tell the other control instances what this one's edges counted."""
+        while True:
+            batch = messages.TallyBatch(await self.own_tallies.take())
+            frame = links_module.pack(batch)
             for name in self.peers.names():
-                self.links.send(name, batch)
+                self.links.send_frame(name, frame)
 
     def _on_load(self, sender: str, report: messages.LoadReport) -> None:
         now = clock.now_ms()
@@ -436,12 +462,28 @@
             self.edge_loads.hear(sender, report, now)
 
     def _on_parts(self, sender: str, parts: messages.PartsRead) -> None:
-        """Pass on what was read where, to each edge once."""
-        targets = set(self.subscribers)
-        if sender not in self.peers.heard:
-            targets |= set(self.peers.names())
-        for name in targets - {sender}:
-            self.links.send(name, parts)
+        from_edge = sender not in self.peers.heard
+        for part in parts.parts:
+            key = (part.endpoint, part.part)
+            self.all_parts.put(key, part)
+            if from_edge:
+                self.own_parts.put(key, part)
+
+    async def _tell_own_parts(self) -> None:
+        """Tell the other control instances what this one's edges read."""
+        while True:
+            parts = messages.PartsRead(await self.own_parts.take())
+            frame = links_module.pack(parts)
+            for name in self.peers.names():
+                self.links.send_frame(name, frame)
+
+    async def _tell_all_parts(self) -> None:
+        """Tell this instance's edges what any edge read."""
+        while True:
+            parts = messages.PartsRead(await self.all_parts.take())
+            frame = links_module.pack(parts)
+            for name in self.subscribers:
+                self.links.send_frame(name, frame)
 
     async def _tell_loads(self) -> None:
         async for tick in self.timers.subscribe(LOADS_MS):
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -35,6 +35,9 @@
 
 # Loads change within the time that a long prompt takes to read.
 PULSE_MS = 250
+# A shared part takes some hundred ms to read; an edge that hears of it
+# later has another engine read it too.
+PARTS_MS = 50
 REPEAT_MS = 1500
 SWEEP_MS = 1000
 INBOX_MESSAGES = 4096
@@ -176,6 +179,7 @@
             group.start_soon(self.links.run)
             group.start_soon(self._hear, self.inbox)
             group.start_soon(self._follow)
+            group.start_soon(self._tell_parts)
             group.start_soon(self._repeat_tallies)
             group.start_soon(self._sweep)
             await self._listen(group, self.ready, settings.ready)
@@ -390,7 +394,7 @@
                 self.meter.changed |= {t.window for t in batch.tallies}
 
     def _tell_load(self) -> None:
-        """Tell what is under way here, and what was read where."""
+        """Tell what is under way here."""
         if not self.balancer.endpoints:
             return
         inside = self.forwarder.gate.inside
@@ -403,9 +407,13 @@
             self.balancer.own_loads(),
         )
         self._send(report)
-        parts = self.balancer.take_read()
-        if parts:
-            self._send(messages.PartsRead(parts))
+
+    async def _tell_parts(self) -> None:
+        """Tell what was read where, soon: others ask for it meanwhile."""
+        async for _ in self.timers.subscribe(PARTS_MS):
+            parts = self.balancer.take_read()
+            if parts:
+                self._send(messages.PartsRead(parts))
 
     async def _repeat_tallies(self) -> None:
         """Tell the newest counts once more, in case some were lost."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -274,6 +274,32 @@
     instances.run(body)
 
 
+def test_parts_read_reach_the_edges_of_other_instances(tmp_path):
+    async def body():
+        engine = platform_engine.StandInEngine(["good"])
+        async with instances.fleet(tmp_path, edges=(8, 9)) as found:
+            await found.group.start(engine.run)
+            first, other = found.edges[8], found.edges[9]
+            await instances.until(lambda: len(found.leaders()) == 1)
+            await instances.put(2, routed.table_document(7))
+            await instances.beat(2, engine)
+            await instances.until(
+                lambda: (
+                    first.balancer.endpoints
+                    and other.balancer.endpoints
+                    and first.chosen != other.chosen
+                )
+            )
+            other.balancer.endpoints["i-0"].kv_tokens = 100_000
+            read = messages.PartRead("i-0", "part", 4000)
+            first.balancer.read["i-0", "part"] = read
+            await instances.until(
+                lambda: "part" in other.balancer.endpoints["i-0"].parts, 3
+            )
+
+    instances.run(body)
+
+
 @pytest.mark.parametrize(
     "method,path,status",
     [
