Fault soak of real processes: controls, edges, engines behind proxies

A seeded schedule kills, pauses, rolls and wipes, in series that overlap; at the end all is killed at once. The ledger is pure and has a failing case for each promise: runs once, 'not run' is true, answers whole and one's own, streams without gaps, final answers in time, nothing cut by planned work, reads never older than acknowledged, edges in touch not behind, no going back within one start, all served again.

Not simulated: clock steps, full disks, cuts between control instances other than pauses.

--- a/primrosehitch_lab/cli.py
+++ b/primrosehitch_lab/cli.py
@@ -86,6 +86,12 @@
 
         sys.exit(soak.run_many(seed, count))
 
+    def faults(self, seed: int = 1, count: int = 1) -> None:
+        """Run COUNT fault soaks of real processes from SEED on."""
+        from primrosehitch_lab import fault_soak
+
+        sys.exit(fault_soak.run_many(seed, count))
+
     def up(self, folder: str, out: str = "out", seconds: float = 0) -> None:
         """Start an example deployment; until Ctrl-C, or for SECONDS."""
         from primrosehitch_lab import fleet as fleet_module
--- /dev/null
+++ b/primrosehitch_lab/fault_fleet.py
@@ -0,0 +1,176 @@
+"""Real processes of routed services on loopback, and what is done to them."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+import anyio
+
+LINK_PORT, CONTROL_PORT, FRONT_PORT, READY_PORT = 28101, 28102, 28104, 28105
+CONTROLS = ("control-1", "control-2", "control-3")
+EDGES = ("edge-1", "edge-2")
+DOMAINS = ("za", "zb", "zc")
+GRACE_S = 3.0
+# A process that was asked to end is gone this long after its grace.
+END_SLACK_S = 1.0
+POLL_S = 0.02
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+class Process:
+    """One instance: its settings file, and its process while it runs.
+
+    Attributes:
+        start: number of the newest start.
+    """
+
+    def __init__(self, name: str, host: str, folder: pathlib.Path):
+        self.name = name
+        self.host = host
+        self.folder = folder
+        self.start = 0
+        self.popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def running(self) -> bool:
+        """Whether a process is there."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def begin(self) -> None:
+        """Start the process."""
+        self.start += 1
+        log = (self.folder / f"{self.name}.log").open("ab")
+        with log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "primrosehitch.platform"],
+                cwd=self.folder,
+                env=dict(
+                    os.environ,
+                    PRIMROSEHITCH_NODE_FILE=str(self.settings_file),
+                    PYTHONPATH=str(ROOT),
+                ),
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def settings_file(self) -> pathlib.Path:
+        """Where its settings are."""
+        return self.folder / f"{self.name}.json"
+
+    @property
+    def data_folder(self) -> pathlib.Path:
+        """Where a control instance keeps its log."""
+        return self.folder / "data" / self.name
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if the process is there."""
+        if self.running:
+            assert self.popen is not None
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        if self.popen is not None:
+            self.popen.kill()
+            self.popen.wait()
+
+    async def listens(self) -> bool:
+        """Return whether the process takes connections."""
+        try:
+            with anyio.fail_after(0.5):
+                stream = await anyio.connect_tcp(self.host, LINK_PORT)
+        except (OSError, TimeoutError):
+            return False
+        await stream.aclose()
+        return True
+
+    async def stop(self) -> int | None:
+        """Ask the process to end; return its exit status.
+
+        Returns:
+            None where it was still there after the time it has.
+        """
+        self.signal(signal.SIGTERM)
+        until = time.monotonic() + GRACE_S + END_SLACK_S
+        while self.running and time.monotonic() < until:
+            await anyio.sleep(POLL_S)
+        assert self.popen is not None
+        return self.popen.poll()
+
+
+class FaultFleet:
+    """The processes of one soak.
+
+    Args:
+        folder: where settings, data and logs go.
+        net: third number of the loopback addresses, one a soak.
+    """
+
+    def __init__(self, folder: pathlib.Path, net: int):
+        folder.mkdir(parents=True, exist_ok=True)
+        self.folder = folder
+        names = (*CONTROLS, *EDGES)
+        self.processes = {
+            name: Process(name, f"127.0.{net}.{number}", folder)
+            for number, name in enumerate(names, 1)
+        }
+        for number, name in enumerate(names):
+            self._write(self.processes[name], DOMAINS[number % 3], True)
+
+    def address(self, name: str, port: int) -> str:
+        """Return where an instance listens."""
+        return f"{self.processes[name].host}:{port}"
+
+    def _write(self, process: Process, domain: str, bootstrap: bool) -> None:
+        document: dict[str, Any] = {
+            "name": process.name,
+            "domain": domain,
+            "host": process.host,
+            "ports": [LINK_PORT, CONTROL_PORT],
+            "seeds": [self.address(name, CONTROL_PORT) for name in CONTROLS],
+            "bounds": {"grace_s": GRACE_S, "machines_lost": 1},
+        }
+        if process.name in CONTROLS:
+            document["listen"] = {
+                "control": self.address(process.name, CONTROL_PORT)
+            }
+            document["data_folder"] = str(process.data_folder)
+            document["bootstrap"] = bootstrap
+        else:
+            document["listen"] = {
+                "front": self.address(process.name, FRONT_PORT),
+                "ready": self.address(process.name, READY_PORT),
+            }
+        process.settings_file.write_text(json.dumps(document))
+
+    def begin(self) -> None:
+        """Start all; later starts of control instances join instead."""
+        for process in self.processes.values():
+            process.begin()
+
+    def no_bootstrap(self) -> None:
+        """From now on control instances with an empty disk join."""
+        for number, name in enumerate(CONTROLS):
+            self._write(self.processes[name], DOMAINS[number % 3], False)
+
+    def end(self) -> None:
+        """Kill all that is left."""
+        for process in self.processes.values():
+            process.kill()
+
+
+__all__ = [
+    "CONTROLS",
+    "CONTROL_PORT",
+    "EDGES",
+    "FRONT_PORT",
+    "FaultFleet",
+    "Process",
+    "READY_PORT",
+]
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -223,13 +223,16 @@
         for number in range(first, first + count):
             if number > self.events:
                 break
-            await self._chunk(stream, b"id: %d\ndata: x\n\n" % number)
+            await self._event(stream, seen, number)
         if not whole:
             await self._chunk(stream, b"id: %d\nda" % (first + count))
             return False
         await stream.send(b"0\r\n\r\n")
         return True
 
+    async def _event(self, stream, seen: Seen, number: int) -> None:
+        await self._chunk(stream, b"id: %d\ndata: x\n\n" % number)
+
     async def _chunk(self, stream, data: bytes) -> None:
         await stream.send(b"%x\r\n%s\r\n" % (len(data), data))
 
--- /dev/null
+++ b/tests/test_fault_soak.py
@@ -0,0 +1,106 @@
+"""The fault soak: its promises can fail, and a short seeded run."""
+
+import pytest
+
+from primrosehitch_lab import fault_ledger
+from primrosehitch_lab import fault_soak
+
+SEED = 1
+NET = 39
+
+
+def _try(path="/a/x", status=200, body=b"1", whole=True, end=10.1):
+    return fault_ledger.Try(
+        "1", path, "edge-1", 10.0, end, status, body, whole, 2.0
+    )
+
+
+def _run(path, at=10.0, endpoint="engine-1"):
+    return fault_ledger.Run("1", path, endpoint, at)
+
+
+def _events(count):
+    return b"".join(b"id: %d\ndata: 1\n\n" % n for n in range(1, count + 1))
+
+
+def _fault(target, planned=False, begin=9.0, end=10.05):
+    return fault_ledger.Fault("x", target, begin, end, planned)
+
+
+ALL = fault_ledger.STREAM_EVENTS
+
+
+@pytest.mark.parametrize(
+    ("runs", "item", "finding"),
+    [
+        ([], _try(), ""),
+        ([_run("/a/x"), _run("/a/x")], _try(), ""),
+        ([_run("/once/x")], _try("/once/x"), ""),
+        ([_run("/once/x")] * 2, _try("/once/x"), "ran twice"),
+        ([_run("/once/x")], _try("/once/x", 503), "yet was answered 503"),
+        ([_run("/once/x")], _try("/once/x", 502), ""),
+        ([], _try("/once/x", 503), ""),
+        ([_run("/a/x")], _try(body=b"2"), "another answer"),
+        ([], _try(end=12.4), ""),
+        ([], _try(end=12.6), "after 2.60 s"),
+        ([], _try("/resume/x", body=_events(ALL)), ""),
+        ([], _try("/resume/x", body=_events(ALL - 1)), "torn"),
+        ([], _try("/resume/x", body=_events(3) + _events(ALL)), "torn"),
+        ([], _try("/resume/x", body=_events(3), whole=False), ""),
+        ([], _try(status=0, whole=False), ""),
+        ([_run("/a/x")], _try(status=0, whole=False), "was cut by edge-1"),
+    ],
+)
+def test_promises_about_requests(runs, item, finding):
+    ledger = fault_ledger.Ledger()
+    for run in runs:
+        ledger.note_run(run)
+    ledger.tries.append(item)
+    found = ledger.close()
+    assert [finding in text for text in found] == [True] * bool(finding)
+
+
+@pytest.mark.parametrize(
+    ("fault", "found"),
+    [
+        (_fault("edge-1"), False),
+        (_fault("engine-2"), False),
+        (_fault("edge-2"), True),
+        (_fault("edge-1", planned=True), True),
+        (_fault("edge-1", begin=2.0, end=6.9), True),
+        (_fault("edge-1", begin=2.0, end=7.1), False),
+    ],
+)
+def test_planned_work_cuts_nothing_and_faults_may(fault, found):
+    ledger = fault_ledger.Ledger()
+    ledger.note_run(_run("/a/x"))
+    ledger.faults.append(fault)
+    ledger.tries.append(_try(status=0, whole=False))
+    assert bool(ledger.close()) == found
+
+
+def test_promises_about_tables():
+    ledger = fault_ledger.Ledger()
+    ledger.acknowledged += [(1, 1.0), (3, 2.0)]
+    ledger.note_read(3, 2.1, "control-1")
+    ledger.note_read(1, 1.9, "control-1")
+    ledger.note_probe("edge-1", 1, 3, False, 3.9)
+    ledger.note_probe("edge-1", 1, 3, True, 4.0)
+    ledger.note_probe("edge-1", 2, 3, False, 4.0 - 0.1)
+    assert ledger.findings == []
+    ledger.note_read(1, 2.1, "control-1")
+    ledger.note_probe("edge-1", 1, 3, False, 4.2)
+    ledger.note_probe("edge-2", 1, 3, False, 4.3)
+    assert [text.split()[1] for text in ledger.findings] == [
+        "read",
+        "went",
+        "was",
+    ]
+
+
+def test_a_short_soak_keeps_every_promise(tmp_path):
+    counters, findings = fault_soak.run_seed(SEED, NET, tmp_path)
+    assert findings == []
+    assert counters.served > 100
+    assert counters.tables > 2
+    assert counters.faults > 4
