End the process without taking the interpreter apart

Its log has 'stopped' 2.9 to 3.0 s after 'draining'; the rest is the interpreter's teardown: 0.31, 0.46, 0.45, 0.55, 0.61, 0.48 s after 'stopped' beside other work, where a start takes 1.4 to 1.8 s.

Ruled out: a late signal (draining begins within 7 ms of it), connections that stay open (the drain had ended).

Change: after the log is flushed the process ends at once. A restarted machine is back that much sooner.

--- a/primrosehitch/platform/__main__.py
+++ b/primrosehitch/platform/__main__.py
@@ -133,6 +133,9 @@
     except* (OSError, errors.PrimrosehitchError) as group:
         events.emit(events.TASK_FAILED, task="main", error=repr(group))
         sys.exit(f"primrosehitch: {group.exceptions[0]}")
+    sink.flush()
+    # Taking the interpreter apart would only delay the next start.
+    os._exit(0)
 
 
 if __name__ == "__main__":
