Assert in the program what four rules say

Added: forward.send (what may run once is not sent again), forward.answer (what may have run is not called not run), duties.charge (a fencing token never falls), control.read (a confirmed read never goes back). A failed assertion ends the request's connection without an answer, or that turn of the duty, with a log line; the process goes on.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -108,6 +108,7 @@
         self.sequence = 0
         self.leaving = False
         self.table = messages.Table()
+        self.confirmed_version = 0
         self.replicator = self._open_replica()
         self.proposer = proposals.Proposer(self.name, self)
         for seed in settings.seeds:
@@ -230,7 +231,14 @@
             while True:
                 index = await self._read_index()
                 if index is not None:
-                    return await self._applied_table(index)
+                    table = await self._applied_table(index)
+                    errors.require(
+                        table.version >= self.confirmed_version,
+                        "a confirmed read never goes back",
+                        "control.read",
+                    )
+                    self.confirmed_version = table.version
+                    return table
                 await anyio.sleep(READ_POLL_S * 5)
         events.emit(events.TABLE_UNCERTAIN, version=self.table.version)
         return None
--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -94,6 +94,7 @@
         self.scalers: dict[str, scaling.Scaler] = {}
         self.table: routes.RouteTable | None = None
         self.failed_at: dict[object, int] = {}
+        self.token = 0
 
     async def run(self) -> None:
         """Do the duties while this instance leads."""
@@ -107,6 +108,10 @@
             return None
         raft = self.control.replicator.raft
         term = raft.term
+        errors.require(
+            term >= self.token, "a fencing token never falls", "duties.charge"
+        )
+        self.token = term
 
         def holds() -> bool:
             return raft.term == term and self._holds()
@@ -125,10 +130,10 @@
 
     async def _run_usage(self) -> None:
         async for tick in self.control.timers.subscribe(TICK_MS):
-            charge = self.charge()
-            if charge is None or self._is_young(tick.now):
-                continue
             with _kept_alive("usage"):
+                charge = self.charge()
+                if charge is None or self._is_young(tick.now):
+                    continue
                 await self._seal_due()
                 await self._report_sealed(charge)
 
@@ -192,10 +197,10 @@
     async def _run_scaling(self) -> None:
         async for tick in self.control.timers.subscribe(TICK_MS):
             self._note_demand(tick.now)
-            charge = self.charge()
-            if charge is None or self._is_young(tick.now):
-                continue
             with _kept_alive("scaling"):
+                charge = self.charge()
+                if charge is None or self._is_young(tick.now):
+                    continue
                 await self._order_all(charge, tick.now)
 
     def _current_table(self) -> routes.RouteTable | None:
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -16,6 +16,7 @@
 from primrosehitch import budget as budget_module
 from primrosehitch import clock
 from primrosehitch import dialect as dialect_module
+from primrosehitch import errors
 from primrosehitch import eventframes
 from primrosehitch import events
 from primrosehitch import httpclient
@@ -52,6 +53,8 @@
 GAP_LEAST_MS = 700
 QUIET_PART = 0.8
 JSON = (b"content-type", b"application/json")
+# Statuses that tell a caller that the request has not run and never will.
+NOT_RUN = frozenset((408, 421, 429, 503))
 
 
 class Refused(NamedTuple):
@@ -286,6 +289,11 @@
     def _answer_own(
         self, status: int, reason: str, retry_s: float | None
     ) -> None:
+        errors.require(
+            status not in NOT_RUN or not self._may_have_run(),
+            "what may have run is not called not run",
+            "forward.answer",
+        )
         refused = Refused(status, reason, retry_s)
         answer_own(self.forwarder.dialect, self.call, self.responder, refused)
 
@@ -347,6 +355,11 @@
         connection: httpclient.EndpointConnection,
         choice: balancer_module.Choice,
     ) -> None:
+        errors.require(
+            self.route.repeatable or not self._may_have_run(),
+            "what may run once is not sent again",
+            "forward.send",
+        )
         record = choice.endpoint.record
         now = clock.now_ms()
         sending = dialect_module.Sending(
