--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -415,6 +415,62 @@
         "        return False",
         "tests/test_balancer.py",
     ),
+    Mutant(
+        "a dial that is not answered is given up soon",
+        "links.py",
+        "CONNECT_S = 0.3",
+        "CONNECT_S = 0.9",
+        "tests/test_links.py",
+    ),
+    Mutant(
+        "what may run once is never sent twice, as asserted",
+        "forwarding.py",
+        "            self.route.repeatable or not self._may_have_run(),",
+        "            True,",
+        "tests/test_assertions.py",
+    ),
+    Mutant(
+        "what may have run is never called not run, as asserted",
+        "forwarding.py",
+        "            status not in NOT_RUN or not self._may_have_run(),",
+        "            True,",
+        "tests/test_assertions.py",
+    ),
+    Mutant(
+        "a fencing token never falls, as asserted",
+        "duties.py",
+        "            term >= self.token, ",
+        "            True, ",
+        "tests/test_assertions.py",
+    ),
+    Mutant(
+        "a confirmed read never goes back, as asserted",
+        "control.py",
+        "                        table.version >= self.confirmed_version,",
+        "                        True,",
+        "tests/test_assertions.py",
+    ),
+    Mutant(
+        "settings of an instance are checked",
+        "instance.py",
+        "        instance_check.validate(document)",
+        "        pass",
+        "tests/test_instance.py",
+    ),
+    Mutant(
+        "only a failure to connect proves that nothing was sent",
+        "upstream.py",
+        '                str(exc), "upstream.connect", outgoing.address, False',
+        '                str(exc), "upstream.connect", outgoing.address, True',
+        "tests/test_upstream.py",
+    ),
+    Mutant(
+        "a kept connection that is in use is not swept",
+        "upstream.py",
+        "            self._pool(outgoing.address).release(connection)",
+        "            connection.abort()",
+        "tests/test_upstream.py",
+    ),
 ]
 
 
