--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PY = .venv/bin/python
 
-.PHONY: setup demo test lint bench soak fuzz slopes mutants messages
+.PHONY: setup demo test lint bench soak faults fuzz slopes mutants messages
 
 setup: .venv/installed
 
@@ -26,6 +26,9 @@
 soak: setup
 	$(PY) -m primrosehitch_lab.cli soak --seed $(or $(SEED),1)
 
+faults: setup
+	$(PY) -m primrosehitch_lab.cli faults --seed $(or $(SEED),1)
+
 fuzz: setup
 	FUZZ=explore $(PY) -m pytest -q --deselect tests/test_processes.py
 
