--- a/primrosehitch_lab/fault_fleet.py
+++ b/primrosehitch_lab/fault_fleet.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
@@ -11,6 +12,8 @@
 
 import anyio
 
+from primrosehitch_lab import fault_calls
+
 LINK_PORT, CONTROL_PORT, FRONT_PORT, READY_PORT = 28101, 28102, 28104, 28105
 CONTROLS = ("control-1", "control-2", "control-3")
 EDGES = ("edge-1", "edge-2")
@@ -159,6 +162,24 @@
         for number, name in enumerate(CONTROLS):
             self._write(self.processes[name], DOMAINS[number % 3], False)
 
+    async def control_call(
+        self, method: str, path: str, document: Any = None
+    ) -> tuple[int, bytes] | None:
+        """Call one control instance after the other until one answers.
+
+        Returns:
+            (status, body), or None where none answered well.
+        """
+        body = b"" if document is None else json.dumps(document).encode()
+        names = list(CONTROLS)
+        random.shuffle(names)
+        for name in names:
+            url = self.address(name, CONTROL_PORT)
+            got = await fault_calls.call(method, url, path, body, limit_s=3)
+            if got is not None and got[0] < 500:
+                return got
+        return None
+
     def end(self) -> None:
         """Kill all that is left."""
         for process in self.processes.values():
--- /dev/null
+++ b/primrosehitch_lab/fault_operator.py
@@ -0,0 +1,94 @@
+"""The operator of a fault soak: changes the table and looks at it."""
+
+import json
+import random
+from typing import Callable
+
+import anyio
+
+from primrosehitch_lab import fault_callers
+from primrosehitch_lab import fault_calls
+from primrosehitch_lab import fault_fleet
+from primrosehitch_lab import fault_ledger
+from primrosehitch_lab import platform_caller
+
+TABLE_S = 0.7
+PROBE_S = 0.15
+# A table keeps this many marks of versions before its own, so that a
+# newer one that is in force already does not hide an older one.
+MARKS = 20
+
+
+class Operator:
+    """Changes the table, reads it back, and asks edges what they obey.
+
+    Args:
+        fleet: the processes.
+        ledger: what is told.
+        callers: through which edges are asked.
+        now: the time since the soak began, in seconds.
+        rng: draws pauses and instances.
+    """
+
+    def __init__(
+        self,
+        fleet: fault_fleet.FaultFleet,
+        ledger: fault_ledger.Ledger,
+        callers: fault_callers.Callers,
+        now: Callable[[], float],
+        rng: random.Random,
+    ):
+        self.fleet = fleet
+        self.ledger = ledger
+        self.callers = callers
+        self.now = now
+        self.rng = rng
+        self.version = 0
+
+    async def put_table(self) -> None:
+        version = self.version + 1
+        document = platform_caller.table_document(version)
+        public = document["routes"][4]
+        for mark in range(max(1, version - MARKS), version + 1):
+            route = {**public, "path_prefix": f"/mark/{mark}/"}
+            document["routes"].append(route)
+        got = await self.fleet.control_call("POST", "/-/Config.Put", document)
+        self.version = version
+        if got is not None and got[0] == 200:
+            self.ledger.acknowledged.append((version, self.now()))
+
+    async def change_tables(self) -> None:
+        while True:
+            await anyio.sleep(self.rng.uniform(0.2, 2 * TABLE_S))
+            await self.put_table()
+
+    async def read_tables(self) -> None:
+        while True:
+            await anyio.sleep(PROBE_S)
+            name = self.rng.choice(fault_fleet.CONTROLS)
+            url = self.fleet.address(name, fault_fleet.CONTROL_PORT)
+            sent = self.now()
+            got = await fault_calls.call(
+                "GET", url, "/-/Config.Get", limit_s=2
+            )
+            if got is not None and got[0] == 200:
+                version = json.loads(got[1])["version"]
+                self.ledger.note_read(version, sent, name)
+
+    async def probe_edges(self) -> None:
+        while True:
+            await anyio.sleep(PROBE_S)
+            edge = self.rng.choice(fault_fleet.EDGES)
+            start = self.fleet.processes[edge].start
+            newest = self.ledger.newest(self.now())
+            if not newest:
+                continue
+            found = await self.callers.ask(edge, f"/mark/{newest}/x")
+            same = start == self.fleet.processes[edge].start
+            if found is None or not same or found.status == 503:
+                continue
+            known = found.status != 404
+            self.ledger.note_probe(edge, start, newest, known, found.begin)
+
+
+__all__ = ["Operator"]
--- /dev/null
+++ b/primrosehitch_lab/fault_schedule.py
@@ -0,0 +1,191 @@
+"""What is done to the processes, paths and engines of a fault soak."""
+
+import random
+import shutil
+import signal
+from typing import Any
+from typing import Awaitable
+from typing import Callable
+
+import anyio
+
+from primrosehitch_lab import fault_engines
+from primrosehitch_lab import fault_fleet
+from primrosehitch_lab import fault_ledger
+from primrosehitch_lab import fault_proxy
+
+STEPS = 10
+Step = Callable[[random.Random], Awaitable[None]]
+
+
+class Schedule:
+    """Faults and planned work, drawn from a seed.
+
+    Args:
+        fleet: the processes.
+        slots: the engines.
+        ledger: what is told.
+        now: the time since the soak began, in seconds.
+        rng: draws what and when.
+    """
+
+    def __init__(
+        self,
+        fleet: fault_fleet.FaultFleet,
+        slots: list[fault_engines.EngineSlot],
+        ledger: fault_ledger.Ledger,
+        now: Callable[[], float],
+        rng: random.Random,
+    ):
+        self.fleet = fleet
+        self.slots = slots
+        self.ledger = ledger
+        self.now = now
+        self.rng = rng
+        self.busy: set[str] = set()
+        self.wiped = False
+
+    async def run(self) -> None:
+        """Do one thing after the other, and several at once."""
+        steps: list[Step] = [
+            self._kill_edge,
+            self._roll_edges,
+            self._pause_edge,
+            self._kill_control,
+            self._roll_controls,
+            self._pause_control,
+            self._wipe_control,
+            self._harm_path,
+            self._crash_engine,
+            self._drain_engine,
+        ]
+        async with anyio.create_task_group() as group:
+            for _ in range(STEPS):
+                # Each step draws from its own numbers, so that timing
+                # does not change what the others do.
+                own = random.Random(self.rng.getrandbits(64))
+                group.start_soon(self.rng.choice(steps), own)
+                await anyio.sleep(self.rng.uniform(0.1, 2.5))
+
+    def fault(self, kind: str, target: str, planned: bool) -> "_Open":
+        return _Open(self, kind, target, planned)
+
+    def _take(
+        self, rng: random.Random, names: tuple[str, ...]
+    ) -> fault_fleet.Process | None:
+        """Return a process that no other fault has in hand."""
+        free = [n for n in names if n not in self.busy]
+        return self.fleet.processes[rng.choice(free)] if free else None
+
+    async def _kill(self, rng: random.Random, names: tuple[str, ...]) -> None:
+        process = self._take(rng, names)
+        if process is not None:
+            with self.fault("kill", process.name, False):
+                process.kill()
+                await anyio.sleep(rng.uniform(0, 1.5))
+                process.begin()
+
+    async def _pause(self, rng: random.Random, names: tuple[str, ...]) -> None:
+        process = self._take(rng, names)
+        if process is not None:
+            with self.fault("pause", process.name, False):
+                process.signal(signal.SIGSTOP)
+                await anyio.sleep(rng.uniform(0.1, 3))
+                process.signal(signal.SIGCONT)
+
+    async def _roll(self, rng: random.Random, names: tuple[str, ...]) -> None:
+        for name in names:
+            if name in self.busy:
+                continue
+            process = self.fleet.processes[name]
+            with self.fault("roll", name, name in fault_fleet.EDGES):
+                listens = await process.listens()
+                status = await process.stop()
+                early = not listens and status == -signal.SIGTERM
+                # Asked to end before it listened, a process just ends.
+                if status != 0 and not early:
+                    text = f"{name} ended with {status} after SIGTERM"
+                    self.ledger.findings.append(text)
+                    process.kill()
+                process.begin()
+                await anyio.sleep(1)
+
+    async def _kill_edge(self, rng: random.Random) -> None:
+        await self._kill(rng, fault_fleet.EDGES)
+
+    async def _kill_control(self, rng: random.Random) -> None:
+        await self._kill(rng, fault_fleet.CONTROLS)
+
+    async def _pause_edge(self, rng: random.Random) -> None:
+        await self._pause(rng, fault_fleet.EDGES)
+
+    async def _pause_control(self, rng: random.Random) -> None:
+        await self._pause(rng, fault_fleet.CONTROLS)
+
+    async def _roll_edges(self, rng: random.Random) -> None:
+        await self._roll(rng, fault_fleet.EDGES)
+
+    async def _roll_controls(self, rng: random.Random) -> None:
+        await self._roll(rng, fault_fleet.CONTROLS)
+
+    async def _wipe_control(self, rng: random.Random) -> None:
+        """Lose one disk, once; more than one at a time is not borne."""
+        process = self._take(rng, fault_fleet.CONTROLS)
+        if process is None or self.wiped:
+            return
+        self.wiped = True
+        with self.fault("wipe", process.name, False):
+            process.kill()
+            if process.data_folder.exists():
+                shutil.rmtree(process.data_folder)
+            process.begin()
+
+    async def _harm_path(self, rng: random.Random) -> None:
+        slot = rng.choice(self.slots)
+        mode = rng.choice(list(fault_proxy.Mode))
+        with self.fault(f"path {mode.value}", slot.name, False):
+            if mode is fault_proxy.Mode.PASS:
+                slot.proxy.reset_all()
+            slot.proxy.set_mode(mode, rng.uniform(0.01, 0.3))
+            await anyio.sleep(rng.uniform(0.2, 3))
+            slot.proxy.set_mode(fault_proxy.Mode.PASS)
+
+    async def _crash_engine(self, rng: random.Random) -> None:
+        slot = rng.choice(self.slots)
+        with self.fault("crash", slot.name, False):
+            slot.crash()
+            await anyio.sleep(0.5)
+
+    async def _drain_engine(self, rng: random.Random) -> None:
+        slot = rng.choice(self.slots)
+        with self.fault("drain", slot.name, True):
+            slot.state = "draining"
+            await anyio.sleep(rng.uniform(1, 3))
+            slot.state = "ready"
+            slot.born += 1
+            slot.sequence = 0
+
+
+class _Open:
+    """A fault under way; its end is noted when it is left."""
+
+    def __init__(
+        self, schedule: Schedule, kind: str, target: str, planned: bool
+    ):
+        self.schedule = schedule
+        self.fault = fault_ledger.Fault(
+            kind, target, schedule.now(), float("inf"), planned
+        )
+
+    def __enter__(self) -> None:
+        self.schedule.busy.add(self.fault.target)
+        self.schedule.ledger.faults.append(self.fault)
+
+    def __exit__(self, *_: Any) -> None:
+        self.schedule.busy.discard(self.fault.target)
+        faults = self.schedule.ledger.faults
+        faults.remove(self.fault)
+        faults.append(self.fault._replace(end=self.schedule.now()))
+
+
+__all__ = ["Schedule"]
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -460,8 +460,8 @@
     Mutant(
         "only a failure to connect proves that nothing was sent",
         "upstream.py",
-        '                str(exc), "upstream.connect", outgoing.address, False',
-        '                str(exc), "upstream.connect", outgoing.address, True',
+        '"upstream.connect", outgoing.address, False',
+        '"upstream.connect", outgoing.address, True',
         "tests/test_upstream.py",
     ),
     Mutant(
