Encode the path of a service call again before it is sent

The server hands a path on decoded. httpcore refused one with blanks or line ends (a 502 for '/services/x/a%20b'); the new client writes what it is given, so that '%0d%0a' in a caller's path could have put lines into the request to an endpoint.

Ruled out: the query and header values, which come as they were parsed; the edges, which pass the target's own bytes on; model calls, whose paths are fixed.

Change: target_of encodes the decoded path by RFC 3986, and the client refuses a target with anything outside visible ASCII before a connection is opened (nothing sent, so 'not run' is true).

--- a/primrosehitch/gateway.py
+++ b/primrosehitch/gateway.py
@@ -188,9 +188,8 @@
         body = await web.read_body(call, self.settings.max_body_bytes)
         self._check_no_key(call, caller.key, body)
         ticket = _ticket(exchange, caller, 1.0)
-        target = "/" + name + ("/" + rest if rest else "")
-        if call.query:
-            target += "?" + call.query.decode("latin-1")
+        path = "/" + name + ("/" + rest if rest else "")
+        target = upstream_module.target_of(path, call.query)
         outgoing = upstream_module.Outgoing(
             call.method,
             "",
--- a/primrosehitch/upstream.py
+++ b/primrosehitch/upstream.py
@@ -5,8 +5,10 @@
 """
 
 import contextlib
+import re
 from typing import AsyncIterator
 from typing import NamedTuple
+from urllib import parse
 
 import anyio
 
@@ -24,6 +26,10 @@
 # Endpoints of these calls need not echo an identifier that is matched on
 # the connection; the relay looks at it.
 UNMATCHED = httpclient.Matcher(b"", b"")
+# What RFC 3986 allows in a path as it is, besides letters and digits.
+PATH_SAFE = "/-._~!$&'()*+,;=:@"
+# A request line with one of these would be read as another request.
+BLANK = re.compile(r"[^\x21-\x7e]")
 
 
 class UpstreamError(errors.PrimrosehitchError):
@@ -125,6 +131,7 @@
         Raises:
             UpstreamError: the endpoint could not be reached or broke.
         """
+        head = _head(outgoing)
         pool = self._pool(outgoing.address)
         try:
             connection = await pool.acquire(
@@ -136,13 +143,11 @@
             ) from exc
         try:
             head_only = outgoing.method == "HEAD"
-            connection.send(
-                _head(outgoing), outgoing.body, UNMATCHED, head_only
-            )
-            head = await _receive(connection, outgoing.timeout_s)
-            if not isinstance(head, httpclient.Head):
+            connection.send(head, outgoing.body, UNMATCHED, head_only)
+            first = await _receive(connection, outgoing.timeout_s)
+            if not isinstance(first, httpclient.Head):
                 raise _broken(connection, "closed without an answer")
-            yield Response(head, connection, outgoing.timeout_s)
+            yield Response(first, connection, outgoing.timeout_s)
         finally:
             self._pool(outgoing.address).release(connection)
 
@@ -180,7 +185,27 @@
     return b"".join(parts)
 
 
+def target_of(path: str, query: bytes) -> str:
+    """Return the target of a request line.
+
+    Args:
+        path: the path, decoded, as servers hand it on.
+        query: the query as it came, without its question mark.
+    """
+    target = parse.quote(path, safe=PATH_SAFE)
+    return f"{target}?{query.decode('latin-1')}" if query else target
+
+
 def _head(outgoing: Outgoing) -> bytes:
+    """Return the bytes before the body.
+
+    Raises:
+        UpstreamError: the target would end the request line.
+    """
+    if BLANK.search(outgoing.target):
+        raise UpstreamError(
+            "a target with blanks", "upstream.send", outgoing.address, False
+        )
     lines = [
         f"{outgoing.method} {outgoing.target} HTTP/1.1".encode("latin-1"),
         b"host: " + outgoing.address.encode(),
@@ -215,4 +240,5 @@
     "Upstream",
     "UpstreamError",
     "read_whole",
+    "target_of",
 ]
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -115,6 +115,37 @@
     assert caught.value.step == "upstream.connect"
 
 
+@pytest.mark.parametrize(
+    ("path", "query", "target"),
+    [
+        ("/a/b", b"", "/a/b"),
+        ("/a b", b"c=%20d", "/a%20b?c=%20d"),
+        ("/a%20b", b"", "/a%2520b"),
+        ("/a?b", b"c", "/a%3Fb?c"),
+        ("/\u00e9", b"", "/%C3%A9"),
+        ("/a HTTP/1.1\r\nx: y", b"", "/a%20HTTP/1.1%0D%0Ax:%20y"),
+    ],
+)
+def test_decoded_path_is_encoded_again(path, query, target):
+    assert upstream_module.target_of(path, query) == target
+
+
+@pytest.mark.parametrize("target", ["/a b", "/a\r\nx: y", "/a\n", "/\u00e9"])
+def test_target_that_would_end_the_request_line_is_not_sent(target):
+    endpoint = Endpoint(WHOLE)
+
+    async def work():
+        upstream = upstream_module.Upstream()
+        async with endpoint.running():
+            outgoing = _outgoing(endpoint.address)
+            await upstream.call(outgoing._replace(target=target))
+
+    with pytest.raises(upstream_module.UpstreamError) as caught:
+        asyncio.run(work())
+    assert not caught.value.sent
+    assert endpoint.requests == []
+
+
 def test_answer_over_the_limit_is_refused(monkeypatch):
     monkeypatch.setattr(upstream_module, "ACCEPTED_BODY_BYTES", 4)
     with pytest.raises(upstream_module.UpstreamError, match="too large"):
