--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -471,6 +471,20 @@
         "            connection.abort()",
         "tests/test_upstream.py",
     ),
+    Mutant(
+        "a target that ends the request line is not sent",
+        "upstream.py",
+        "    if BLANK.search(outgoing.target):",
+        "    if False:",
+        "tests/test_upstream.py",
+    ),
+    Mutant(
+        "a decoded path is encoded again",
+        "upstream.py",
+        "    target = parse.quote(path, safe=PATH_SAFE)",
+        "    target = path",
+        "tests/test_upstream.py",
+    ),
 ]
 
 
