The gate holds only what it uses

Cause: Gate kept a balancer that nothing read, took a route and a priority that decided nothing, and gave a ticket of which only the service was used.

Change: enter takes a service and two times and returns a rejection or None; leave takes the service. Who is let in is the same.

Tests: test_forwarder, test_assertions and test_routed_processes, 59 passed; make lint clean. The whole suite was not run on this commit.

--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -106,7 +106,7 @@
             self.budget,
             self.meter,
             self.true_time,
-            overload.Gate(self.balancer),
+            overload.Gate(),
             self.rng,
         )
         self.front = httpserver.Server(
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -188,11 +188,10 @@
         forwarder = self.forwarder
         now = clock.now_ms()
         forwarder.budget.note_request(self.ask.service, now)
-        ticket = forwarder.gate.enter(
-            self.ask, self.route, self.priority, self.until, now
-        )
-        if isinstance(ticket, overload.Rejection):
-            refused = Refused(503, ticket.reason, ticket.retry_s)
+        service = self.ask.service
+        rejection = forwarder.gate.enter(service, self.until, now)
+        if rejection is not None:
+            refused = Refused(503, rejection.reason, rejection.retry_s)
             forwarder.refuse(self.call, self.responder, refused)
             return
         outcome = "gone"
@@ -202,7 +201,7 @@
             if scope.cancelled_caught:
                 outcome = self._time_out()
         finally:
-            forwarder.gate.leave(ticket)
+            forwarder.gate.leave(service)
             self._note(outcome)
 
     async def _attempt_all(self) -> str:
--- a/primrosehitch/overload.py
+++ b/primrosehitch/overload.py
@@ -6,16 +6,6 @@
 
 from typing import NamedTuple
 
-from primrosehitch import balancer as balancer_module
-from primrosehitch import routes
-
-
-class Ticket(NamedTuple):
-    """A request that was let in."""
-
-    service: str
-    priority: int
-
 
 class Rejection(NamedTuple):
     """A request that was not let in, and when to come back."""
@@ -27,39 +17,29 @@
 class Gate:
     """Lets requests in, or not.
 
-    Args:
-        balancer: knows the endpoints and their load.
+    Attributes:
+        inside: requests let in that have not ended, by service.
     """
 
-    def __init__(self, balancer: balancer_module.Balancer):
-        self.balancer = balancer
+    def __init__(self) -> None:
         self.inside: dict[str, int] = {}
 
-    def enter(
-        self,
-        ask: balancer_module.Ask,
-        route: routes.Route,
-        priority: int,
-        until: int,
-        now: int,
-    ) -> Ticket | Rejection:
-        """Let a request in or say why not.
+    def enter(self, service: str, until: int, now: int) -> Rejection | None:
+        """Let a request in, or say why not.
 
         Args:
-            ask: what it needs.
-            route: its route.
-            priority: its rank, 0 first.
+            service: what it asks for.
             until: when its caller leaves, in ms.
             now: the current time in ms.
         """
         if now >= until:
             return Rejection("too-late", 0.0)
-        self.inside[ask.service] = self.inside.get(ask.service, 0) + 1
-        return Ticket(ask.service, priority)
+        self.inside[service] = self.inside.get(service, 0) + 1
+        return None
 
-    def leave(self, ticket: Ticket) -> None:
-        """Note that a request ended."""
-        self.inside[ticket.service] -= 1
+    def leave(self, service: str) -> None:
+        """Note that a request that was let in ended."""
+        self.inside[service] -= 1
 
 
-__all__ = ["Gate", "Rejection", "Ticket"]
+__all__ = ["Gate", "Rejection"]
