Keep a candidate's time-out apart from contact with a leader

A replica that is no voter by its own log (it lacks the entry that made it one) restarts its time-out every 0.25 to 0.6 s now, and that counted as contact with a leader, so it refused every vote, and three of four voters were needed.

Change: timeout_started_ms is apart from last_contact_ms, which only a leader's message and a granted vote set.

--- a/primrosehitch/raft.py
+++ b/primrosehitch/raft.py
@@ -92,9 +92,10 @@
             ``take_committed`` or covered by an installed snapshot.
         durable_index: index of the last entry known to be synced here.
         outbox: messages to send after the next sync.
-        last_contact_ms: when a leader was last heard from, a vote was
-            granted or an election was started; the election timeout
-            counts from here.
+        last_contact_ms: when a leader was last heard from or a vote was
+            granted; no other vote is granted soon after.
+        timeout_started_ms: the election timeout counts from here; it is
+            the last contact or the last candidacy.
         lease_valid_from_ms: acknowledgements of messages sent earlier do
             not extend the lease.
     """
@@ -117,6 +118,7 @@
         # Before a restart this voter may have acknowledged a leader, whose
         # lease can still be valid.
         self.last_contact_ms = now
+        self.timeout_started_ms = now
         self.last_tick_ms = now
         self.last_heartbeat_ms = now
         self.lease_valid_from_ms = now
@@ -199,7 +201,7 @@
             self._recover_from_freeze(now)
         if self.role == LEADER:
             self._tick_leader(now)
-        elif now - self.last_contact_ms >= self.election_timeout_ms:
+        elif now - self.timeout_started_ms >= self.election_timeout_ms:
             self._start_pre_vote(now)
 
     def receive(self, sender: str, message: tuple, now: int) -> None:
@@ -331,6 +333,7 @@
         self.log.set_term_and_vote(1, "" if voters else self.name)
         # A new cluster has had no leader, so there is no lease to wait for.
         self.last_contact_ms -= ELECTION_TIMEOUT_MAX_MS
+        self.timeout_started_ms -= ELECTION_TIMEOUT_MAX_MS
         self.election_timeout_ms = ELECTION_TIMEOUT_MAX_MS + self.rng.randint(
             *FIRST_ELECTION_DELAY_MS
         )
@@ -363,6 +366,10 @@
         for peer in set(self.progress) - members:
             del self.progress[peer]
 
+    def _record_contact(self, now: int) -> None:
+        self.last_contact_ms = now
+        self.timeout_started_ms = now
+
     def _reset_timeout(self) -> None:
         self.election_timeout_ms = self.rng.randint(
             ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS
@@ -370,7 +377,7 @@
 
     def _await_votes(self, now: int) -> None:
         """Start the time after which this replica stands once more."""
-        self.last_contact_ms = now
+        self.timeout_started_ms = now
         self.election_timeout_ms = self.rng.randint(*RETRY_ELECTION_MS)
 
     def _recover_from_freeze(self, now: int) -> None:
@@ -378,7 +385,7 @@
         self.lease_valid_from_ms = now
         if self.role == LEADER:
             self._become_follower(self.term, "", now)
-        self.last_contact_ms = now
+        self._record_contact(now)
         self._reset_timeout()
 
     def _tick_leader(self, now: int) -> None:
@@ -473,7 +480,7 @@
             # that can win.
             self._await_votes(now)
         elif self.role != FOLLOWER or leader:
-            self.last_contact_ms = now
+            self._record_contact(now)
             self._reset_timeout()
         self.role = FOLLOWER
         self.leader = leader
@@ -487,7 +494,7 @@
             if request.term > self.term:
                 self._become_follower(request.term, "", now)
             self.log.set_term_and_vote(self.term, sender)
-            self.last_contact_ms = now
+            self._record_contact(now)
             self._reset_timeout()
         term = request.term if granted else self.term
         self._queue_message(
@@ -608,7 +615,7 @@
         )
         if term > self.term or self.role != FOLLOWER or not self.leader:
             self._become_follower(term, sender, now)
-        self.last_contact_ms = now
+        self._record_contact(now)
         return True
 
     def _on_append(
--- a/primrosehitch_lab/slopes.py
+++ b/primrosehitch_lab/slopes.py
@@ -310,6 +310,7 @@
     replica.raft.bootstrap()
     replica.flush()
     replica.raft.last_contact_ms = -10_000
+    replica.raft.timeout_started_ms = -10_000
     replica.tick(100)
     replica.flush()
     replica.flush()
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -317,9 +317,9 @@
     for name in (later, earlier):
         raft = cluster.replicas[name].raft
         raft.rng.seed(f"{seed} {name}")
-        raft.last_contact_ms = cluster.now
+        raft._record_contact(cluster.now)
         raft._reset_timeout()
-    cluster.replicas[later].raft.last_contact_ms += lead_ms
+    cluster.replicas[later].raft._record_contact(cluster.now + lead_ms)
     cluster.partitioned.add(old)
     began = cluster.now
     while not cluster.leader():
@@ -343,3 +343,20 @@
     while not cluster.leader():
         cluster.run(SHORT_STEP_MS)
         assert cluster.now - heal_at <= 1000
+
+
+def test_replica_that_cannot_stand_still_votes(cluster):
+    """A voter that lacks the entry that made it one has no leader either.
+
+    It must not take its own expired time-outs for contact with a leader.
+    """
+    raft = cluster.replicas["b"].raft
+    raft.voters = tuple(v for v in raft.voters if not v.startswith("b"))
+    cluster.partitioned = {"a", "c"}
+    request = messages.VoteRequest(
+        raft.term + 1, raft.log.last_index, raft.log.last_term, True, False
+    )
+    cluster.run(raft_module.ELECTION_TIMEOUT_MAX_MS + STEP_MS)
+    for _ in range(20):
+        cluster.run(STEP_MS)
+        assert raft._can_grant_vote("a/1", request, cluster.now)
