Tell edges and instances that join which prompt parts are cached

Change: a control instance keeps the parts used in the last 15 s (at most 2,000) and sends them with the first message it can to an edge or instance that joins. An edge keeps a batch until a link takes it.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -47,6 +47,11 @@
 # Usage counts of edges are batched for this long, so that the number of
 # messages a control instance sends does not grow with its edges.
 TALLY_BATCH_DELAY_S = 0.25
+# Cached prompt parts that an edge or instance gets when it joins: parts
+# used longer ago are likely evicted, and the number bounds the message to
+# some ten KB.
+RECENT_PARTS_TTL_MS = 15_000
+MAX_RECENT_PARTS = 2000
 # An edge that did not subscribe for this long gets no more messages.
 SUBSCRIPTION_TIMEOUT_MS = 2000
 # No code reads this limit: the link of an expired edge stays.
@@ -107,6 +112,11 @@
         self.subscribers: dict[str, Subscriber] = {}
         self.edge_parts = balancer.make_part_updates()
         self.all_parts = balancer.make_part_updates()
+        self.recent_parts: gathering.RecentUpdates[
+            tuple[str, str], messages.PartRead
+        ] = gathering.RecentUpdates(RECENT_PARTS_TTL_MS, MAX_RECENT_PARTS)
+        # Edges and instances that joined and have not got them yet.
+        self.lacking_parts: set[str] = set()
         self.edge_tallies: gathering.UpdateBatcher[
             tuple[str, int, int], messages.WindowTally
         ] = gathering.UpdateBatcher(TALLY_BATCH_DELAY_S)
@@ -438,6 +448,7 @@
                     > SUBSCRIPTION_TIMEOUT_MS
                 ):
                     del self.subscribers[name]
+                    self.lacking_parts.discard(name)
             for name in self.peers.expire(tick.now):
                 if name not in self._control_instances():
                     self.links.remove(name)
@@ -453,7 +464,11 @@
 
     def _on_presence(self, sender: str, presence: messages.Presence) -> None:
         now = clock.now_ms()
+        known = self.peers.presences.get(sender)
         self.peers.apply_presence(presence, now)
+        if known is None or known.presence.incarnation != presence.incarnation:
+            self.lacking_parts.add(sender)
+        self._send_recent_parts(sender, now)
         self.true_time.add_report(sender, presence.wall_ms, now)
         for name in presence.peers:
             self._add_link(name)
@@ -463,6 +478,9 @@
     ) -> None:
         """Answer an edge with the status and with what it lacks."""
         now = clock.now_ms()
+        if sender not in self.subscribers:
+            self.lacking_parts.add(sender)
+        self._send_recent_parts(sender, now)
         self.subscribers[sender] = Subscriber(now)
         self.true_time.add_report(sender, subscription.wall_ms, now)
         is_fresh = self._has_quorum_contact(now)
@@ -534,13 +552,26 @@
 
     def _on_parts(self, sender: str, parts_read: messages.PartsRead) -> None:
         """Queue prefix parts for the edges; those from edges for peers too."""
+        now = clock.now_ms()
         from_edge = sender not in self.peers.presences
         for part in parts_read.parts:
             key = (part.endpoint, part.part)
+            self.recent_parts.put(key, part, now)
             self.all_parts.put(key, part)
             if from_edge:
                 self.edge_parts.put(key, part)
 
+    def _send_recent_parts(self, receiver: str, now: int) -> None:
+        """Send an edge or instance that joined what it has missed.
+
+        The link to a new peer comes up only after its first message.
+        """
+        if receiver not in self.lacking_parts:
+            return
+        parts = self.recent_parts.values(now)
+        if not parts or self.links.send(receiver, messages.PartsRead(parts)):
+            self.lacking_parts.discard(receiver)
+
     async def _forward_batches(
         self,
         gatherer: gathering.UpdateBatcher,
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -503,7 +503,9 @@
         """
         while True:
             parts = await self.balancer.part_updates.take()
-            self._send(messages.PartsRead(parts))
+            while not self._send(messages.PartsRead(parts)):
+                # No link at present; the parts stay cached meanwhile.
+                await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
 
     async def _resend_tallies(self) -> None:
         """Mark the two newest windows for sending, as messages get lost."""
--- a/primrosehitch/gathering.py
+++ b/primrosehitch/gathering.py
@@ -6,6 +6,7 @@
 however many updates it received meanwhile.
 """
 
+from collections import OrderedDict
 from typing import Generic
 from typing import Hashable
 from typing import TypeVar
@@ -50,4 +51,41 @@
         return tuple(pending.values())
 
 
-__all__ = ["UpdateBatcher"]
+class RecentUpdates(Generic[Key, Value]):
+    """The newest value of each key, for receivers that join later.
+
+    Does no I/O; the caller passes the current time in ms.
+
+    Args:
+        ttl_ms: how long a value is kept after its last update.
+        max_items: the least recently updated values beyond this number
+            are dropped.
+
+    Attributes:
+        items: values and times of the last update in ms, by key, least
+            recently updated first.
+    """
+
+    def __init__(self, ttl_ms: int, max_items: int):
+        self.ttl_ms = ttl_ms
+        self.max_items = max_items
+        self.items: OrderedDict[Key, tuple[Value, int]] = OrderedDict()
+
+    def put(self, key: Key, value: Value, now: int) -> None:
+        """Store a value, which replaces an older value of the same key."""
+        self.items[key] = (value, now)
+        self.items.move_to_end(key)
+        while len(self.items) > self.max_items:
+            self.items.popitem(last=False)
+
+    def values(self, now: int) -> tuple[Value, ...]:
+        """Return the values updated within the time to live."""
+        while self.items:
+            key, (_, updated_at) = next(iter(self.items.items()))
+            if now - updated_at <= self.ttl_ms:
+                break
+            del self.items[key]
+        return tuple(value for value, _ in self.items.values())
+
+
+__all__ = ["RecentUpdates", "UpdateBatcher"]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -337,6 +337,31 @@
     instances.run_test(body)
 
 
+def test_edge_that_joins_later_learns_of_cached_prefixes(tmp_path):
+    """Pattern: an edge restarts while all others share a warm cache."""
+
+    async def body():
+        engine = platform_engine.StandInEngine(["good"])
+        async with instances.running_fleet(tmp_path, edges=(8,)) as fleet:
+            await fleet.group.start(engine.run)
+            first = fleet.edges[8]
+            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
+            await instances.put_table(2, routed.table_document(7))
+            await instances.send_heartbeat(2, engine)
+            await instances.wait_until(lambda: first.balancer.endpoints)
+            read = messages.PartRead("i-0", "part", 4000)
+            first.balancer.part_updates.put(("i-0", "part"), read)
+            await anyio.sleep(0.5)
+            fleet.start_edge(9)
+            other = fleet.edges[9]
+            learned = []
+            other.balancer.apply_part_updates = learned.append
+            await instances.wait_until(lambda: learned, 4)
+            assert learned[0].parts == (read,)
+
+    instances.run_test(body)
+
+
 @pytest.mark.parametrize(
     "method,path,status",
     [
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -60,3 +60,14 @@
         return None
 
     assert anyio.run(body) is None
+
+
+def test_recent_updates_are_bounded_in_age_and_number():
+    recent = gathering.RecentUpdates(ttl_ms=100, max_items=3)
+    for number in range(5):
+        recent.put(number, f"v{number}", number * 10)
+    assert recent.values(40) == ("v2", "v3", "v4")
+    recent.put(2, "again", 90)
+    assert recent.values(125) == ("v3", "v4", "again")
+    assert recent.values(135) == ("v4", "again")
+    assert recent.values(191) == ()
