Order endpoints by a robust initial count; on-demand ones by the demand

Domains filled with on-demand endpoints in a dry spell had no room for spot ones. Overload orders came only at 16 requests in flight per engine.

Change: every instance learns the initial count before the first spot endpoint; one that started later halves what it finds, and orders no reduction for 30 s. One place of a full domain is left for a spot endpoint. On-demand orders follow the count at which prompts still meet their objectives (8), the same as spot ones. First orders after 3 s, not 5.

--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -32,6 +32,8 @@
 # After its start a control instance waits this long, until it has the
 # counts and the endpoints of the others.
 WARM_UP_MS = 5000
+# Endpoints report about every 1.2 s; orders wait until all have done so.
+SCALING_WARM_UP_MS = 3000
 RETRY_DELAY_MS = 1000
 # After a long outage only this many of the newest windows are sealed.
 MAX_SEAL_AGE_WINDOWS = 60
@@ -154,6 +156,9 @@
     def _is_warming_up(self, now: int) -> bool:
         return now - self.control.started_ms < WARM_UP_MS
 
+    def _knows_endpoints(self, now: int) -> bool:
+        return now - self.control.started_ms >= SCALING_WARM_UP_MS
+
     async def _seal_ended_windows(self) -> None:
         """Seal the counts of ended windows in the replicated log."""
         control = self.control
@@ -220,10 +225,10 @@
 
     async def _scale_periodically(self) -> None:
         async for tick in self.control.timers.subscribe(TICK_PERIOD_MS):
-            self._record_demand(tick.now)
+            self._observe(tick.now)
             with _log_exceptions("scaling"):
                 lease = self.current_lease()
-                if lease is None or self._is_warming_up(tick.now):
+                if lease is None or not self._knows_endpoints(tick.now):
                     continue
                 await self._place_orders(lease, tick.now)
 
@@ -236,13 +241,27 @@
             self.table = self.decode_table(current.body)
         return self.table
 
-    def _record_demand(self, now: int) -> None:
-        """Pass the in-flight requests of each service to its scaler."""
+    def _observe(self, now: int) -> None:
+        """Pass the demand and the endpoints to the scalers.
+
+        Instances that do not lead do so too, in case they lead next.
+        """
         for service, in_flight in self.control.in_flight_by_service().items():
-            scaler = self.scalers.get(service)
-            if scaler is None:
-                scaler = self.scalers[service] = scaling.Scaler(service)
-            scaler.record_demand(in_flight, now)
+            self._scaler(service).record_demand(in_flight, now)
+        table = self._current_table()
+        if table is None:
+            return
+        records = self.control.registry.live_records()
+        is_warm = self._knows_endpoints(now)
+        for service in table.services.values():
+            if service.scaling is not None:
+                self._scaler(service.name).observe(records, is_warm)
+
+    def _scaler(self, service: str) -> scaling.Scaler:
+        """Return the scaler of a service."""
+        if service not in self.scalers:
+            self.scalers[service] = scaling.Scaler(service)
+        return self.scalers[service]
 
     async def _place_orders(self, lease: Lease, now: int) -> None:
         """Send the orders of all services that can be scaled."""
@@ -252,10 +271,7 @@
         for service in table.services.values():
             if service.scaling is None:
                 continue
-            scaler = self.scalers.get(service.name)
-            if scaler is None:
-                scaler = scaling.Scaler(service.name)
-                self.scalers[service.name] = scaler
+            scaler = self._scaler(service.name)
             for want in scaler.plan_orders(
                 service.scaling,
                 self._scaling_domains(service.scaling),
--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -2,11 +2,15 @@
 
 Does no I/O; the caller passes the current time in ms and sends the orders.
 
+The number follows the measured requests in flight, and is never below a
+multiple of what the operators started the service with: spot endpoints are
+cheap, and one that is ordered for a burst serves only after it.
+
 Spot endpoints cost a fraction of the on-demand price, but the platform may
 reclaim all those of a failure domain at once. They are therefore spread
-over the failure domains with enough capacity to lose one domain. On-demand
-endpoints are ordered only as far as spot endpoints are unavailable. Scaling
-up is immediate, scaling down is delayed.
+over the failure domains. On-demand endpoints are ordered only as far as
+spot endpoints are unavailable. Scaling up is immediate, scaling down is
+delayed.
 """
 
 from collections import deque
@@ -21,9 +25,6 @@
 # Requests in flight at one model engine with which the prefill of one more
 # prompt still meets common objectives.
 TARGET_REQUESTS_PER_ENGINE = 8.0
-# Requests in flight at one engine with which most answers are late. Below
-# it, waiting for spot endpoints costs less than on-demand endpoints do.
-MAX_REQUESTS_PER_ENGINE = 16.0
 # Endpoints to keep ready, relative to the endpoints with which the operators
 # started the service. With spot endpoints at a fifth of the on-demand price
 # this costs less than half of what the initial endpoints do.
@@ -106,10 +107,11 @@
     Attributes:
         long_peak: peak of the demand over PEAK_WINDOW_MS.
         short_peak: peak of the demand over OVERLOAD_WINDOW_MS.
-        initial_count: largest number of ready endpoints before the first
-            accepted order.
-        retained: on-demand endpoints present at first that spot endpoints
-            have not yet replaced, by failure domain.
+        initial_count: endpoints with which the operators started the
+            service, as far as it can be told.
+        saw_start: whether all endpoints were seen before the first spot
+            endpoint of the service.
+        first_plan_ms: when orders were first planned, or -1.
         unavailable_until: time of the next retry of an order for spot
             endpoints, in ms, by failure domain.
         last_orders: count and time in ms of the last accepted order, by
@@ -121,7 +123,8 @@
         self.long_peak = SlidingPeak(PEAK_WINDOW_MS)
         self.short_peak = SlidingPeak(OVERLOAD_WINDOW_MS)
         self.initial_count = 0
-        self.retained: dict[str, int] = {}
+        self.saw_start = False
+        self.first_plan_ms = -1
         self.unavailable_until: dict[str, int] = {}
         self.last_orders: dict[tuple[str, bool], tuple[int, int]] = {}
 
@@ -130,6 +133,35 @@
         self.long_peak.add(running, now)
         self.short_peak.add(running, now)
 
+    def observe(
+        self, records: Iterable[messages.EndpointRecord], is_warm: bool
+    ) -> None:
+        """Learn the initial count, whether or not this instance leads.
+
+        Operators start on-demand endpoints only, so the count is the
+        largest number of ready ones before the first spot endpoint. An
+        instance that started later finds what an earlier leader ordered,
+        standby endpoints among them.
+
+        Args:
+            records: the newest records of all known endpoints.
+            is_warm: whether the instance runs for so long that all
+                endpoints have reported.
+        """
+        if self.last_orders:
+            return
+        ready = [
+            r
+            for r in records
+            if r.service == self.service and r.state == registry.READY
+        ]
+        if not any(r.spot for r in ready):
+            self.saw_start = self.saw_start or is_warm
+            self.initial_count = max(self.initial_count, len(ready))
+        elif not self.saw_start:
+            initial = math.ceil(len(ready) / STANDBY_FACTOR)
+            self.initial_count = max(self.initial_count, initial)
+
     def mark_spot_unavailable(self, domain: str, now: int) -> None:
         """Record that a failure domain has no spot endpoints at present."""
         self.unavailable_until[domain] = now + UNAVAILABLE_RETRY_MS
@@ -159,11 +191,9 @@
         by_price = sorted(
             domains, key=lambda d: (scaling.prices.get(d, 1.0), d)
         )
+        if self.first_plan_ms < 0:
+            self.first_plan_ms = now
         ready = self._count_ready(by_price, records, now)
-        ready_total = sum(sum(counts) for counts in ready.values())
-        self.initial_count = max(
-            self.initial_count, ready_total if not self.last_orders else 0
-        )
         spot_domains = [
             d for d in by_price if self._is_spot_available(scaling, d, now)
         ]
@@ -174,10 +204,7 @@
         orders: list[CapacityOrder] = []
         for domain in by_price:
             counts = ready[domain]
-            retained = self._retained_on_demand(scaling, domain, counts)
-            on_demand = min(
-                max(retained, on_demand_targets[domain]), scaling.max_endpoints
-            )
+            on_demand = min(on_demand_targets[domain], scaling.max_endpoints)
             orders.append(
                 CapacityOrder(self.service, domain, False, on_demand)
             )
@@ -187,36 +214,16 @@
                 orders.append(CapacityOrder(self.service, domain, True, spot))
         return [o for o in orders if self._is_due(o, ready, now)]
 
-    def _retained_on_demand(
-        self, scaling: routes.Scaling, domain: str, counts: ReadyCounts
-    ) -> int:
-        """Return how many of the initial on-demand endpoints remain.
-
-        Each is removed once a spot endpoint serves in its place. Without
-        a spot price below the on-demand price all of them remain.
-        """
-        retained = self.retained.setdefault(domain, counts.on_demand)
-        if not 0 < scaling.spot_price < 1:
-            return retained
-        if counts.spot >= retained:
-            self.retained[domain] = 0
-        return max(0, retained - counts.spot)
-
     def required_count(self, domain_count: int, now: int) -> int:
         """Return how many endpoints the service should have.
 
         The count covers the demand after the loss of one failure domain.
-        It is at least a multiple of the initial count: an additional spot
-        endpoint costs little compared to the requests that a burst loses
-        without spare capacity, and a new endpoint starts too late for the
-        burst.
         """
-        required = math.ceil(
-            self.long_peak.peak(now) / TARGET_REQUESTS_PER_ENGINE
-        )
+        required = self.long_peak.peak(now) / TARGET_REQUESTS_PER_ENGINE
         if domain_count > 1:
-            required = math.ceil(required * domain_count / (domain_count - 1))
-        return max(1, required, math.ceil(STANDBY_FACTOR * self.initial_count))
+            required *= domain_count / (domain_count - 1)
+        standby = STANDBY_FACTOR * self.initial_count
+        return max(1, math.ceil(required), math.ceil(standby))
 
     def _on_demand_targets(
         self,
@@ -229,8 +236,7 @@
 
         Where spot endpoints are offered, on-demand ones replace only the
         spot endpoints that are missing from the initial count or from the
-        count that an overload needs. They are no longer needed once the
-        spot endpoints are back. Domains that lack spot endpoints come
+        count that an overload needs. Domains that lack spot endpoints come
         first.
 
         Args:
@@ -239,39 +245,56 @@
             ready: ready endpoints by failure domain.
             now: the current time in ms.
         """
-        on_demand_targets = dict.fromkeys(by_price, 0)
-        spot_offered = 0 < scaling.spot_price < 1
-        if spot_offered:
-            missing = max(
-                self.initial_count,
-                math.ceil(self.short_peak.peak(now) / MAX_REQUESTS_PER_ENGINE),
-            )
-            missing -= sum(counts.spot for counts in ready.values())
-        else:
-            missing = self.required_count(len(by_price), now)
-        lacking_spot = {
-            d for d in by_price if self._was_spot_unavailable(d, now)
-        }
-        while missing > 0:
-            below_limit = [
-                d
-                for d in by_price
-                if on_demand_targets[d] + ready[d].spot < scaling.max_endpoints
-            ]
-            if not below_limit:
-                break
-            chosen = min(
-                below_limit,
-                key=lambda d: (d not in lacking_spot, on_demand_targets[d]),
-            )
-            on_demand_targets[chosen] += 1
-            missing -= 1
-        if not spot_offered:
-            on_demand_targets = {
-                d: max(n, scaling.min_endpoints)
-                for d, n in on_demand_targets.items()
-            }
-        return on_demand_targets
+        if not 0 < scaling.spot_price < 1:
+            targets = dict.fromkeys(by_price, scaling.min_endpoints)
+            limits = dict.fromkeys(by_price, scaling.max_endpoints)
+            required = self.required_count(len(by_price), now)
+            _distribute(required, targets, limits, by_price)
+            return targets
+        overload = math.ceil(
+            self.short_peak.peak(now) / TARGET_REQUESTS_PER_ENGINE
+        )
+        missing = max(self.initial_count, overload) - sum(
+            counts.spot for counts in ready.values()
+        )
+        targets = dict.fromkeys(by_price, 0)
+        room = {d: scaling.max_endpoints - ready[d].spot for d in by_price}
+        lacking_first = sorted(
+            by_price, key=lambda d: not self._was_spot_unavailable(d, now)
+        )
+        present = {d: ready[d].on_demand for d in by_price}
+        _distribute(missing, targets, present, lacking_first)
+        _distribute(missing, targets, room, lacking_first)
+        spare = sum(sum(counts) for counts in ready.values()) - overload
+        self._make_room(targets, room, max(1, spare), now)
+        return targets
+
+    def _make_room(
+        self,
+        targets: dict[str, int],
+        room: dict[str, int],
+        most: int,
+        now: int,
+    ) -> None:
+        """Leave out one on-demand endpoint of each full failure domain.
+
+        Without room no spot endpoint could replace them.
+
+        Args:
+            targets: on-demand counts by failure domain, which are lowered.
+            room: largest on-demand counts beside the spot endpoints.
+            most: how many endpoints may be left out at a time.
+            now: the current time in ms.
+        """
+        for domain, count in targets.items():
+            is_full = 0 < room[domain] <= count
+            if (
+                most > 0
+                and is_full
+                and not self._was_spot_unavailable(domain, now)
+            ):
+                targets[domain] = room[domain] - 1
+                most -= 1
 
     def _spot_targets(
         self,
@@ -285,17 +308,12 @@
         The required count is spread evenly over the domains with spot
         endpoints, cheapest first.
         """
-        required = self.required_count(len(by_price), now)
-        eligible = spot_domains or by_price
         targets = dict.fromkeys(by_price, scaling.min_endpoints)
-        while sum(targets[d] for d in eligible) < required:
-            below_limit = [
-                d for d in eligible if targets[d] < scaling.max_endpoints
-            ]
-            if not below_limit:
-                break
-            chosen = min(below_limit, key=lambda d: targets[d])
-            targets[chosen] += 1
+        eligible = spot_domains or by_price
+        required = self.required_count(len(by_price), now)
+        others = sum(targets[d] for d in by_price if d not in eligible)
+        limits = dict.fromkeys(eligible, scaling.max_endpoints)
+        _distribute(required + others, targets, limits, eligible)
         return targets
 
     def _is_spot_available(
@@ -348,7 +366,10 @@
         count = counts.spot if order.spot else counts.on_demand
         last_order = self.last_orders.get((order.domain, order.spot))
         if last_order is None:
-            return order.count != count
+            # An instance that took over may not know yet what the load is.
+            is_settled = now - self.first_plan_ms > SCALE_DOWN_DELAY_MS
+            is_reduction = order.spot and order.count < count
+            return order.count != count and (is_settled or not is_reduction)
         if order.count > last_order[0] or not order.spot:
             return order.count != last_order[0]
         if order.count < last_order[0]:
@@ -356,4 +377,27 @@
         return count < order.count and now - last_order[1] > RESEND_MS
 
 
+def _distribute(
+    count: int,
+    targets: dict[str, int],
+    limits: dict[str, int],
+    preferred: list[str],
+) -> None:
+    """Raise targets one by one until their sum reaches a count.
+
+    Args:
+        count: the sum to reach, if the limits allow it.
+        targets: counts by failure domain, which are raised.
+        limits: largest counts; domains without one are not raised.
+        preferred: the failure domains; the earlier of two with equal
+            targets is raised first.
+    """
+    while sum(targets.values()) < count:
+        below_limit = [d for d in preferred if targets[d] < limits.get(d, 0)]
+        if not below_limit:
+            return
+        chosen = min(below_limit, key=lambda d: targets[d])
+        targets[chosen] += 1
+
+
 __all__ = ["CapacityOrder", "ReadyCounts", "Scaler", "SlidingPeak"]
