Time a failover by the prediction, not by the penalties of the choice

Cause: the timeout for the first byte was three times the cost of the choice, and a cost has penalties in it: 1.5 or 3 s for a misplaced stream, 4 s for a suspect engine.

Change: the timeout follows the predicted time without penalties, which plain calls have now too.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -373,7 +373,8 @@
                 1 + queue_ratio + 0.5 * utilisation
             )
             jitter_ms = self.rng.random()
-            return Choice(endpoint, wait_ms + penalty_ms + jitter_ms, 0)
+            cost_ms = wait_ms + penalty_ms + jitter_ms
+            return Choice(endpoint, cost_ms, 0, wait_ms)
         cached_tokens = endpoint.expected_cached_tokens(
             profile.parts, presumed_depth
         )
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -262,7 +262,7 @@
         cost_ms: predicted time to first byte plus penalties.
         prefill_tokens: prompt tokens that the endpoint has to prefill.
         expected_ms: predicted time to first byte without penalties, at
-            an engine that is not slow; 0 for plain calls.
+            an engine that is not slow.
     """
 
     endpoint: Endpoint
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -524,13 +524,17 @@
         )
 
     def _first_byte_timeout_ms(self, choice: balancer_module.Choice) -> float:
-        """Return the timeout for the first byte of a response."""
+        """Return the timeout for the first byte of a response.
+
+        The prediction has no penalties in it: they rank endpoints, and an
+        endpoint that was chosen in spite of one is no slower to answer.
+        """
         objective_timeout_ms = (
             FIRST_BYTE_OBJECTIVE_FRACTION * self.route.objective_ms
         )
         return max(
             objective_timeout_ms,
-            FIRST_BYTE_PREDICTION_FACTOR * choice.cost_ms,
+            FIRST_BYTE_PREDICTION_FACTOR * choice.expected_ms,
         )
 
     async def _receive(
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -404,6 +404,33 @@
     run(body)
 
 
+def test_penalty_of_an_endpoint_does_not_delay_its_failover():
+    """Pattern: engines go dark while all the others have a penalty.
+
+    A short stream sent to a misplaced or suspect engine waited for three
+    times the penalty, longer than its caller.
+    """
+
+    async def body():
+        silent, good = Engine(["silent"]), Engine(["stream"])
+        async with routed.running_edge(silent, good) as edge:
+            choose = edge.balancer.choose
+
+            def choose_despite_penalty(profile, tried, now):
+                choice = choose(profile, tried, now)
+                return choice._replace(cost_ms=choice.cost_ms + 4000)
+
+            edge.balancer.choose = choose_despite_penalty
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            began = anyio.current_time()
+            data = routed.request("/resume/x", Deadline_Ms="1500")
+            response = await routed.send_request(edge, data)
+            assert response[0] == 200
+            assert anyio.current_time() - began < 0.8
+
+    run(body)
+
+
 def test_non_repeatable_request_waits_for_a_silent_engine():
     async def body():
         silent, good = Engine(["silent"]), Engine(["good"])
