Bound the bytes of an exchange that are no body

Cause: a parser keeps a header without end to itself until it is complete, so nothing counted it. An engine could send one, or headers, trailers, interim responses or another request's answer without end, until the request's deadline; a caller one header at any speed for 3 s.

Change: each response may have 64 KiB besides its body, and 16 bytes for each byte of the body (chunks of one byte); beyond it the connection is aborted and the response is broken. A caller's incomplete header or trailer counts against max_header_bytes (431).

--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -40,6 +40,11 @@
 # Reading pauses while more than this of a response waits for a slow reader.
 MAX_BUFFERED_BYTES = 64 * 1024
 BODYLESS_STATUSES = frozenset((204, 304))
+# Bytes that are no body: heads, chunk framing, trailers and discarded
+# messages. A response may have this many, and some for each byte of its
+# body, because a chunk may hold a single one.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_PER_BODY_BYTE = 16
 
 
 class EndpointError(errors.PrimrosehitchError):
@@ -121,6 +126,8 @@
         idle_timeout_ms: how long the connection stays reusable when idle.
         ends_at_close: whether the response has neither a length nor chunks
             and so ends when the endpoint closes the connection.
+        overhead_allowance: bytes other than the body that may still arrive
+            for the current request.
     """
 
     def __init__(self, address: settings_module.Address):
@@ -146,6 +153,7 @@
         self.status = 0
         self.headers: list[Header] = []
         self.ends_at_close = False
+        self.overhead_allowance = MAX_OVERHEAD_BYTES
 
     def connection_made(self, transport: Any) -> None:
         """Set the socket options of the new connection."""
@@ -171,13 +179,21 @@
         if not self.response_pending:
             self.abort()
             return
+        self.overhead_allowance -= len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.reusable = False
-            if self.response_pending:
-                self._end_response(ResponseEnd.BROKEN)
-            self.abort()
+            self._break_off()
+        else:
+            if self.response_pending and self.overhead_allowance < 0:
+                self._break_off()
+
+    def _break_off(self) -> None:
+        """Abort the connection; the pending response is broken."""
+        self.reusable = False
+        if self.response_pending:
+            self._end_response(ResponseEnd.BROKEN)
+        self.abort()
 
     def on_message_begin(self) -> None:
         """Start a response (parser callback)."""
@@ -216,6 +232,7 @@
         """Pass on a part of the body (parser callback)."""
         if self.discarding or not self.response_pending:
             return
+        self.overhead_allowance += (1 + MAX_OVERHEAD_PER_BODY_BYTE) * len(body)
         self.buffered_bytes += len(body)
         if self.buffered_bytes > MAX_BUFFERED_BYTES:
             self.transport.pause_reading()
@@ -288,6 +305,7 @@
         self.response_pending = True
         self.in_body = False
         self.discarding = False
+        self.overhead_allowance = MAX_OVERHEAD_BYTES
         self.transport.write(head + body if body else head)
 
     async def receive(self) -> ResponseHead | bytes | ResponseEnd:
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -36,6 +36,8 @@
 # caller receives the response before the connection closes.
 LINGERING_CLOSE_MS = 1000
 TIMEOUT_CHECK_INTERVAL_MS = 500
+# Bytes of chunk framing that a byte of a request body may cost.
+MAX_FRAMING_PER_BODY_BYTE = 16
 LISTEN_BACKLOG = 1024
 # How often a server that stops checks whether it is idle.
 STOP_POLL_S = 0.02
@@ -209,6 +211,7 @@
         self.body_parts: list[bytes] = []
         self.head_bytes = 0
         self.body_bytes = 0
+        self.unparsed_bytes = 0
         self.started_ms = -1
         self.in_body = False
 
@@ -239,6 +242,23 @@
         except httptools.HttpParserError as exc:
             if not self.discarding_input:
                 self.refuse(400, f"malformed HTTP request: {exc}")
+        else:
+            self._count_unparsed_bytes(len(data))
+
+    def _count_unparsed_bytes(self, size: int) -> None:
+        """Bound a header or trailer whose end does not come.
+
+        The parser keeps such a one to itself until it is complete.
+        """
+        self.unparsed_bytes += size
+        excess = self.unparsed_bytes - self.head_bytes
+        excess -= (1 + MAX_FRAMING_PER_BODY_BYTE) * self.body_bytes
+        if (
+            self.started_ms >= 0
+            and not self.discarding_input
+            and excess > self.server.limits.header_bytes
+        ):
+            self.refuse(431, "request header or trailer too large")
 
     def on_message_begin(self) -> None:
         """Start a request (parser callback)."""
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -173,6 +173,51 @@
         await stream.send(b"0\r\n\r\n")
         return True
 
+    async def _pour(self, stream, data: bytes) -> bool:
+        """Send bytes again and again, up to FLOOD_BYTES."""
+        while self.flooded_bytes < FLOOD_BYTES:
+            await stream.send(data)
+            self.flooded_bytes += len(data)
+        return False
+
+    async def _play_endless_head(self, stream, seen: Seen) -> bool:
+        """Send a header whose value has no end."""
+        await stream.send(b"HTTP/1.1 200 OK\r\n" + self._echo(seen) + b"X: ")
+        return await self._pour(stream, b"x" * 8000)
+
+    async def _play_endless_headers(self, stream, seen: Seen) -> bool:
+        """Send headers without end."""
+        await stream.send(b"HTTP/1.1 200 OK\r\n" + self._echo(seen))
+        return await self._pour(stream, b"X: y\r\n" * 1000)
+
+    async def _play_endless_trailer(self, stream, seen: Seen) -> bool:
+        """Send a whole answer in chunks, then trailers without end."""
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\n"
+            + self._echo(seen)
+            + STAMP
+            + b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n"
+        )
+        return await self._pour(stream, b"X: y\r\n" * 1000)
+
+    async def _play_endless_interim(self, stream, seen: Seen) -> bool:
+        """Send interim responses without end."""
+        return await self._pour(stream, b"HTTP/1.1 100 Continue\r\n\r\n" * 9)
+
+    async def _play_endless_other(self, stream, seen: Seen) -> bool:
+        """Send the answer to another request, whose body has no end."""
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: 0ther\r\n" + STAMP + b"\r\n"
+        )
+        return await self._pour(stream, b"x" * 8000)
+
+    async def _play_drip(self, stream, seen: Seen) -> bool:
+        """Send two events, then one byte now and then."""
+        await self._stream(stream, seen, 2, False)
+        while True:
+            await anyio.sleep(0.1)
+            await self._chunk(stream, b"x")
+
     # -- torn answers ------------------------------------------------------
 
     async def _play_cut(self, stream, seen: Seen) -> bool:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -515,3 +515,48 @@
             assert engine.connections == 2
 
     run(body)
+
+
+ENDLESS = ("head", "headers", "trailer", "interim", "other")
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_bytes_without_end_that_are_no_answer_are_bounded(kind):
+    """Pattern: an engine sends until the caller closes, and no answer.
+
+    The edge reads a bounded part of it and takes another engine.
+    """
+
+    async def body():
+        endless, good = Engine([f"endless_{kind}"]), Engine(["good"])
+        async with routed.running_edge(endless, good) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            began = anyio.current_time()
+            response = await routed.send_request(edge, routed.request("/a/x"))
+            assert response[0] == 200
+            assert anyio.current_time() - began < 1.0
+            assert endless.flooded_bytes < platform_engine.FLOOD_BYTES / 4
+
+    run(body)
+
+
+@pytest.mark.parametrize("end", (b"", b"\r\n"))
+def test_request_header_without_end_is_refused(end):
+    """Pattern: a caller sends one header for ever, faster than a timeout."""
+
+    async def body():
+        engine = Engine(["good"])
+        async with routed.running_edge(engine) as edge:
+            async with routed.connected_caller(edge) as caller:
+                await caller.send(b"GET /a/x HTTP/1.1\r\nX: ")
+                with anyio.move_on_after(2):
+                    for _ in range(200):
+                        await caller.send(b"x" * 1000 + end)
+                        await anyio.sleep(0)
+                answer = await caller.answer()
+                assert answer[0] in (400, 431)
+            with anyio.fail_after(3):
+                while edge.server.connections:
+                    await anyio.sleep(0.05)
+
+    run(body)
