Take over a stream whose bytes complete no event

Cause: every byte counted as progress, so a stalled engine that sends a byte now and then kept its stream until the deadline, and looked active to all other requests.

Change: a resumable stream goes on elsewhere when no event was completed for twice the allowed gap (1 s at least) while bytes arrive. One that may not run again waits until its deadline, as before. Whole events, however late, are progress.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -59,6 +59,10 @@
 # for this fraction of the timeout: an endpoint that responds to other
 # requests is busy rather than stalled.
 ENDPOINT_SILENCE_FRACTION = 0.8
+# A resumable stream also fails over if bytes keep arriving but complete no
+# event for this many times the allowed gap, and at least for the minimum.
+EVENT_GAP_FACTOR = 2.0
+MIN_EVENT_TIMEOUT_MS = 1000
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 # Statuses that tell a caller that the request has not run and will not.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -749,7 +753,11 @@
         read_timeout_ms = max(
             STREAM_GAP_FRACTION * self.route.gap_ms, MIN_STREAM_GAP_TIMEOUT_MS
         )
+        event_timeout_ms = max(
+            EVENT_GAP_FACTOR * self.route.gap_ms, MIN_EVENT_TIMEOUT_MS
+        )
         item = await self._receive(connection, choice, read_timeout_ms)
+        last_event_ms = clock.now_ms()
         while isinstance(item, bytes):
             try:
                 complete_events = self.event_frames.feed(item)
@@ -759,6 +767,13 @@
                 self._record_first_byte(choice, response_began, clock.now_ms())
                 self._ensure_head_sent(head)
                 await self.responder.write(complete_events)
+                last_event_ms = clock.now_ms()
+            elif (
+                clock.now_ms() - last_event_ms > event_timeout_ms
+                and self._can_fail_over()
+            ):
+                item = None
+                break
             item = await self._receive(connection, choice, read_timeout_ms)
         if (
             item is httpclient.ResponseEnd.COMPLETE
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -218,6 +218,20 @@
             await anyio.sleep(0.1)
             await self._chunk(stream, b"x")
 
+    async def _play_slow_stream(self, stream, seen: Seen) -> bool:
+        """Send whole events, one every 0.9 s."""
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\n"
+            + self._echo(seen)
+            + STAMP
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        for number in range(1, self.events + 1):
+            await self._event(stream, seen, number)
+            await anyio.sleep(0.9)
+        await stream.send(b"0\r\n\r\n")
+        return True
+
     # -- torn answers ------------------------------------------------------
 
     async def _play_cut(self, stream, seen: Seen) -> bool:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -560,3 +560,48 @@
                     await anyio.sleep(0.05)
 
     run(body)
+
+
+@pytest.mark.parametrize("path,whole", [("/resume/x", True), ("/stream/x", 0)])
+def test_stream_that_drips_bytes_is_taken_over_if_it_may_be(path, whole):
+    """Pattern: a stalled engine sends a byte now and then, for ever."""
+
+    async def body():
+        table = routed.table_document()
+        for route in table["routes"]:
+            route["timeout_ms"] = 3000
+        engines = Engine(["drip"]), Engine(["stream"])
+        async with routed.running_edge(
+            *engines, table=routed.decode_table(routes=table["routes"])
+        ) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            began = anyio.current_time()
+            data = routed.request(path, Deadline_Ms="3000")
+            status, _, got, is_whole = await routed.send_request(edge, data)
+            took = anyio.current_time() - began
+            assert (status, is_whole) == (200, bool(whole))
+            assert got.count(b"\n\n") == (4 if whole else 2)
+            assert took < 2.0 if whole else took < 3.5
+
+    run(body)
+
+
+def test_slow_sound_stream_is_not_cut():
+    """Pattern: whole events, each later than the allowed gap."""
+
+    async def body():
+        table = routed.table_document()
+        for route in table["routes"]:
+            route["timeout_ms"] = 6000
+        slow, other = Engine(["slow_stream"]), Engine(["stream"])
+        async with routed.running_edge(
+            slow, other, table=routed.decode_table(routes=table["routes"])
+        ) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            data = routed.request("/stream/x", Deadline_Ms="6000")
+            status, _, got, whole = await routed.send_request(edge, data)
+            assert (status, whole) == (200, True)
+            assert got.count(b"\n\n") == 4
+            assert not other.seen
+
+    run(body)
