Order on-demand endpoints only where spot ones cannot come as soon

Change: a need counts the spot endpoints that can be ordered now, in domains that did not lack them recently. Present on-demand endpoints stay until spot ones serve.

--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -198,8 +198,15 @@
             d for d in by_price if self._is_spot_available(scaling, d, now)
         ]
         spot_targets = self._spot_targets(scaling, by_price, spot_domains, now)
+        coming_spot = {d: ready[d].spot for d in by_price}
+        for domain in by_price:
+            if not self._was_spot_unavailable(domain, now):
+                room = scaling.max_endpoints - ready[domain].on_demand
+                coming_spot[domain] = max(
+                    ready[domain].spot, min(spot_targets[domain], room)
+                )
         on_demand_targets = self._on_demand_targets(
-            scaling, by_price, ready, now
+            scaling, by_price, ready, coming_spot, now
         )
         orders: list[CapacityOrder] = []
         for domain in by_price:
@@ -230,6 +237,7 @@
         scaling: routes.Scaling,
         by_price: list[str],
         ready: dict[str, ReadyCounts],
+        coming_spot: dict[str, int],
         now: int,
     ) -> dict[str, int]:
         """Return how many on-demand endpoints each failure domain needs.
@@ -243,6 +251,8 @@
             scaling: the service's limits and prices.
             by_price: the failure domains, cheapest first.
             ready: ready endpoints by failure domain.
+            coming_spot: spot endpoints by failure domain, those that can
+                be ordered now among them.
             now: the current time in ms.
         """
         if not 0 < scaling.spot_price < 1:
@@ -254,16 +264,18 @@
         overload = math.ceil(
             self.short_peak.peak(now) / TARGET_REQUESTS_PER_ENGINE
         )
-        missing = max(self.initial_count, overload) - sum(
-            counts.spot for counts in ready.values()
-        )
+        needed = max(self.initial_count, overload)
         targets = dict.fromkeys(by_price, 0)
         room = {d: scaling.max_endpoints - ready[d].spot for d in by_price}
+        present = {d: ready[d].on_demand for d in by_price}
         lacking_first = sorted(
             by_price, key=lambda d: not self._was_spot_unavailable(d, now)
         )
-        present = {d: ready[d].on_demand for d in by_price}
-        _distribute(missing, targets, present, lacking_first)
+        # Present ones stay until spot endpoints serve. New ones serve no
+        # sooner than spot endpoints that are ordered now.
+        spot_count = sum(counts.spot for counts in ready.values())
+        _distribute(needed - spot_count, targets, present, lacking_first)
+        missing = needed - sum(coming_spot.values())
         _distribute(missing, targets, room, lacking_first)
         spare = sum(sum(counts) for counts in ready.values()) - overload
         self._make_room(targets, room, max(1, spare), now)
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -290,3 +290,16 @@
     assert counts_by_kind(platform)[0] >= 8
     platform.run(60_000, running=150)
     assert counts_by_kind(platform) == (0, 9)
+
+
+def test_overload_orders_spot_endpoints_where_there_are_any():
+    """Pattern: a burst while spot endpoints are to be had everywhere.
+
+    On-demand ones would serve no sooner, and take the room of spot ones.
+    """
+    platform = SimulatedPlatform(on_demand=1)
+    platform.run(10_000)
+    order_count = len(platform.orders)
+    platform.run(6000, running=110)
+    assert not [o for _, o in platform.orders[order_count:] if not o.spot]
+    assert counts_by_kind(platform) == (0, 15)
