Prefer endpoints to which a connection is kept

Change: an endpoint without a kept connection costs 25 ms more for a generation, a tenth of a call's mean time for a call, and endpoints with a kept one are among the candidates. Pools are keyed by the address's text.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -10,6 +10,7 @@
 
 import random
 import statistics
+from typing import Callable
 from typing import Iterable
 
 import xxhash
@@ -52,6 +53,11 @@
 RUNNING_REQUEST_MS = 1.0
 # Additional round-trip time to another failure domain.
 CROSS_DOMAIN_MS = 2.0
+# Cost of an endpoint to which no connection is kept: the handshake, and
+# the slot that a new connection holds for a moment. For a plain call it is
+# a fraction of the mean call time.
+NEW_CONNECTION_MS = 25.0
+NEW_CONNECTION_CALL_FRACTION = 0.1
 # After EJECTION_FAILURES consecutive failures an endpoint is ejected for
 # MIN_EJECTION_MS. Each further failure doubles the time.
 MIN_EJECTION_MS = 400
@@ -125,6 +131,8 @@
             endpoint.
         part_updates: prompt parts that this edge's requests put into the
             endpoints' prefix caches, to be sent to the other edges.
+        has_kept_connection: returns whether an idle connection to an
+            address (``host:port``) is kept.
     """
 
     def __init__(self, domain: str, rng: random.Random):
@@ -137,6 +145,7 @@
         self.gap_sensitive_share: dict[str, float] = {}
         self.recent_failures: dict[str, dict[str, int]] = {}
         self.part_updates = make_part_updates()
+        self.has_kept_connection: Callable[[str], bool] = lambda address: False
 
     def update_endpoint(
         self,
@@ -250,8 +259,8 @@
         """Return the endpoints to compare.
 
         Among many endpoints these are the ones that hold or are presumed
-        to hold a shared part of the prompt, and random samples of the
-        rest. This bounds the time of a choice; the best endpoint of a
+        to hold a shared part of the prompt, the ones to which a connection
+        is kept, and random samples of the rest. This bounds the time of a choice; the best endpoint of a
         sample is close to the best of all.
 
         Args:
@@ -270,6 +279,7 @@
             for e in usable
             if e.record.id in presumed_depths
             or (shared_parts and e.cached_depth(shared_parts))
+            or self.has_kept_connection(e.record.address)
         ]
         local = [e for e in matching if e.record.domain == self.domain]
         for group, count in (
@@ -366,6 +376,12 @@
             penalty_ms += SUSPECT_PENALTY_MS
         if endpoint.record.domain != self.domain:
             penalty_ms += CROSS_DOMAIN_MS
+        if not self.has_kept_connection(endpoint.record.address):
+            penalty_ms += (
+                NEW_CONNECTION_MS
+                if profile.prompt_tokens
+                else NEW_CONNECTION_CALL_FRACTION * endpoint.mean_call_ms
+            )
         if not profile.prompt_tokens:
             queue_ratio = max(0.0, load + 1 - slots) / slots
             utilisation = load / slots
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -71,9 +71,8 @@
         self.rng = rng
         self.table: routes.RouteTable | None = None
         self.routing_changed = anyio.Event()
-        self.pools: dict[
-            settings_module.Address, httpclient.ConnectionPool
-        ] = {}
+        self.pools: dict[str, httpclient.ConnectionPool] = {}
+        balancer.has_kept_connection = self.has_kept_connection
         self.active: set[ForwardedRequest] = set()
         self.ended = False
 
@@ -154,15 +153,19 @@
             version=self.table.version if self.table else 0,
         )
 
-    def connection_pool(
-        self, address: settings_module.Address
-    ) -> httpclient.ConnectionPool:
+    def connection_pool(self, address: str) -> httpclient.ConnectionPool:
         """Return the connection pool of an endpoint's address."""
         pool = self.pools.get(address)
         if pool is None:
-            pool = self.pools[address] = httpclient.ConnectionPool(address)
+            parsed = settings_module.parse_address(address)
+            pool = self.pools[address] = httpclient.ConnectionPool(parsed)
         return pool
 
+    def has_kept_connection(self, address: str) -> bool:
+        """Return whether an idle connection to an address is kept."""
+        pool = self.pools.get(address)
+        return pool is not None and bool(pool.idle)
+
     def close_expired_connections(self, now: int) -> None:
         """Close expired connections and drop pools of unused addresses.
 
@@ -174,7 +177,7 @@
         }
         for address, pool in list(self.pools.items()):
             pool.close_expired(now)
-            if not pool.idle and str(address) not in addresses_in_use:
+            if not pool.idle and address not in addresses_in_use:
                 del self.pools[address]
 
 
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -26,7 +26,6 @@
 from primrosehitch import metrics
 from primrosehitch import overload
 from primrosehitch import routes
-from primrosehitch import settings as settings_module
 from primrosehitch import truetime as truetime_module
 
 # Responses up to this size are buffered, so that the request can be
@@ -162,9 +161,7 @@
     rng: random.Random
     routing_changed: anyio.Event
 
-    def connection_pool(
-        self, address: settings_module.Address
-    ) -> httpclient.ConnectionPool:
+    def connection_pool(self, address: str) -> httpclient.ConnectionPool:
         """Return the connection pool of an endpoint's address."""
 
     def refuse(
@@ -409,8 +406,7 @@
         record = choice.endpoint.record
         self.tried_endpoints.append(record.id)
         now = clock.now_ms()
-        address = settings_module.parse_address(record.address)
-        pool = self.shared.connection_pool(address)
+        pool = self.shared.connection_pool(record.address)
         try:
             connection = await pool.acquire(now, self.deadline_at_ms - now)
         except httpclient.EndpointError as exc:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -345,3 +345,47 @@
     assert balancer.choose(RequestProfile("s"), (), 0) is None
     balancer.edge_count = 1
     assert balancer.choose(RequestProfile("s"), (), 0) is not None
+
+
+def count_new_connections(balancer, kept, profiles):
+    """Send requests one after the other, each on its own connection."""
+    opened = 0
+    for profile in profiles:
+        choice = send_request(balancer, profile, took_ms=60)
+        address = choice.endpoint.record.address
+        opened += address not in kept
+        kept.add(address)
+    return opened
+
+
+def test_edge_with_few_requests_reuses_its_connections():
+    """Pattern: hundreds of edges, each with a request a second.
+
+    Without the preference nearly every request opens a connection.
+    """
+    opened = {}
+    for prefers in (False, True):
+        balancer = make_balancer(84, domains=("za", "zb", "zc"))
+        kept = set()
+        if prefers:
+            balancer.has_kept_connection = kept.__contains__
+        profiles = [
+            RequestProfile("s", (PromptPart(f"own{n}", 900),), 900, 100, 500)
+            for n in range(40)
+        ]
+        opened[prefers] = count_new_connections(balancer, kept, profiles)
+    assert opened[True] * 4 < opened[False]
+
+
+def test_kept_connection_does_not_outweigh_a_cached_prefix_or_load():
+    balancer = make_balancer(6)
+    holder = send_request(balancer, make_profile("a"), took_ms=400).endpoint
+    other = next(e for e in balancer.endpoints.values() if e is not holder)
+    balancer.has_kept_connection = other.record.address.__eq__
+    assert balancer.choose(make_profile("a", "b"), (), 0).endpoint is holder
+    for _ in range(40):
+        balancer.record_start(
+            balancer_module.Choice(other, 0.0, 0), RequestProfile("s"), 0
+        )
+    short = RequestProfile("s", (PromptPart("own", 900),), 900, 100, 2000)
+    assert balancer.choose(short, (), 0).endpoint is not other
