--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -260,8 +260,8 @@
 
         Among many endpoints these are the ones that hold or are presumed
         to hold a shared part of the prompt, the ones to which a connection
-        is kept, and random samples of the rest. This bounds the time of a choice; the best endpoint of a
-        sample is close to the best of all.
+        is kept, and random samples of the rest. This bounds the time of a
+        choice; the best endpoint of a sample is close to the best of all.
 
         Args:
             profile: the request.
