Do not take an answer without an identifier on a kept connection

Cause: an error without the echoed identifier was accepted as the request's own. A late second copy of a refusal that reached a kept connection told the next caller that its booking had not run, or sent it to another engine while the first ran it.

Change: without the identifier only the first response on a connection belongs to its request. On a kept one such a response ends the connection, and the request may have run.

--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -126,6 +126,8 @@
         idle_timeout_ms: how long the connection stays reusable when idle.
         ends_at_close: whether the response has neither a length nor chunks
             and so ends when the endpoint closes the connection.
+        is_ambiguous: whether a response without an identifier arrived that
+            may or may not be the current request's.
         overhead_allowance: bytes other than the body that may still arrive
             for the current request.
     """
@@ -153,6 +155,7 @@
         self.status = 0
         self.headers: list[Header] = []
         self.ends_at_close = False
+        self.is_ambiguous = False
         self.overhead_allowance = MAX_OVERHEAD_BYTES
 
     def connection_made(self, transport: Any) -> None:
@@ -185,7 +188,9 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._break_off()
         else:
-            if self.response_pending and self.overhead_allowance < 0:
+            if self.response_pending and (
+                self.is_ambiguous or self.overhead_allowance < 0
+            ):
                 self._break_off()
 
     def _break_off(self) -> None:
@@ -218,6 +223,9 @@
         if not self._matches_request(head):
             self.discarding = True
             self.reusable = False
+            if head.header(self.correlation_id.header) is None:
+                # Whose response it is cannot be told.
+                self.is_ambiguous = True
             return
         self.in_body = True
         self.ends_at_close = head.length is None and not _is_chunked(head)
@@ -251,14 +259,14 @@
     def _matches_request(self, head: ResponseHead) -> bool:
         """Return whether a response belongs to the current request.
 
-        Without an echoed identifier only an error is accepted, or the
-        first response on the connection, which cannot be a late one.
+        Without an echoed identifier only the first response on the
+        connection does, since it cannot be a late one.
         """
         if not self.correlation_id.value:
             return True
         echoed = head.header(self.correlation_id.header)
         if echoed is None:
-            return head.status >= 400 or self.request_count == 1
+            return self.request_count == 1
         return echoed == self.correlation_id.value
 
     def _read_keep_alive_timeout(self, head: ResponseHead) -> None:
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -269,6 +269,13 @@
         await self._play_good(stream, seen)
         return True
 
+    async def _play_late_refusal(self, stream, seen: Seen) -> bool:
+        """Send a late refusal without an identifier, then the answer."""
+        await stream.send(
+            b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        return await self._play_good(stream, seen)
+
     async def _play_torn_event(self, stream, seen: Seen) -> bool:
         """Stop in the middle of the third event."""
         return await self._stream(stream, seen, 2, False)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -517,6 +517,30 @@
     run(body)
 
 
+def test_late_refusal_on_a_kept_connection_is_not_the_next_callers():
+    """Pattern: the second copy of a refusal, without an identifier.
+
+    Taken for the answer to the booking that came next, it would be sent on
+    as not run, or the booking would run at another engine too.
+    """
+
+    async def body():
+        engine = Engine(["good", "late_refusal"])
+        other = Engine(["good"])
+        async with routed.running_edge(engine, other) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            first = await routed.send_request(edge, routed.request("/a/x"))
+            assert first[0] == 200
+            data = routed.request("/once/x", "POST", b"", "78")
+            answer = await routed.send_request(edge, data)
+            assert engine.connections == 1
+            assert len(engine.seen) == 2
+            assert answer[0] == 502
+            assert not other.seen
+
+    run(body)
+
+
 ENDLESS = ("head", "headers", "trailer", "interim", "other")
 
 
