--- a/tools/day_table.py
+++ b/tools/day_table.py
@@ -1,8 +1,8 @@
 """Print the parts and prices of days from two entries of the journal.
 
-``tools/day_table.py BEFORE AFTER`` takes two entries of ``journal/``,
-scores of one site, and prints a table in Markdown. A price is shown where
-it costs at least ``LEAST`` of worth on a day.
+``tools/day_table.py BEFORE [AFTER]`` takes one or two entries of
+``journal/``, scores of one site, and prints a table in Markdown. A price is
+shown where it costs at least ``LEAST`` of worth on a day.
 """
 
 import json
@@ -36,14 +36,15 @@
     return "; ".join(shown)
 
 
-def main(before, after):
-    """Print the table."""
-    old, new = days(before), days(after)
-    names = [name for name, _, _ in next(iter(new.values()))["parts"]]
+def main(before, after=None):
+    """Print the table, with rows of both entries for each day."""
+    old = days(before)
+    new = days(after) if after else {}
+    names = [name for name, _, _ in next(iter(old.values()))["parts"]]
     print("| day | | worth | " + " | ".join(names) + " | prices |")
     print("| --- " * (len(names) + 4) + "|")
-    for name, day in new.items():
-        rows = (("before", old.get(name)), ("after", day))
+    for name, day in old.items():
+        rows = (("before", day), ("after", new.get(name)))
         for label, figures in rows:
             if figures is not None:
                 cells = [name, label, *parts(figures), prices(figures)]
