--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -158,12 +158,7 @@
 
     async def _play_flood(self, stream, seen: Seen) -> bool:
         """Send events as fast as they are taken, up to FLOOD_BYTES."""
-        await stream.send(
-            b"HTTP/1.1 200 OK\r\n"
-            + self._echo(seen)
-            + STAMP
-            + b"Transfer-Encoding: chunked\r\n\r\n"
-        )
+        await self._begin_chunks(stream, seen)
         number = 0
         while self.flooded_bytes < FLOOD_BYTES:
             number += 1
@@ -192,12 +187,8 @@
 
     async def _play_endless_trailer(self, stream, seen: Seen) -> bool:
         """Send a whole answer in chunks, then trailers without end."""
-        await stream.send(
-            b"HTTP/1.1 200 OK\r\n"
-            + self._echo(seen)
-            + STAMP
-            + b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n"
-        )
+        await self._begin_chunks(stream, seen)
+        await stream.send(b"4\r\ndone\r\n0\r\n")
         return await self._pour(stream, b"X: y\r\n" * 1000)
 
     async def _play_endless_interim(self, stream, seen: Seen) -> bool:
@@ -220,12 +211,7 @@
 
     async def _play_slow_stream(self, stream, seen: Seen) -> bool:
         """Send whole events, one every 0.9 s."""
-        await stream.send(
-            b"HTTP/1.1 200 OK\r\n"
-            + self._echo(seen)
-            + STAMP
-            + b"Transfer-Encoding: chunked\r\n\r\n"
-        )
+        await self._begin_chunks(stream, seen)
         for number in range(1, self.events + 1):
             await self._event(stream, seen, number)
             await anyio.sleep(0.9)
@@ -300,6 +286,15 @@
         await stream.send(b"0\r\n\r\n")
         return True
 
+    async def _begin_chunks(self, stream, seen: Seen) -> None:
+        """Send the head of an answer in chunks."""
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\n"
+            + self._echo(seen)
+            + STAMP
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+
     async def _event(self, stream, seen: Seen, number: int) -> None:
         await self._chunk(stream, b"id: %d\ndata: x\n\n" % number)
 
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -9,6 +9,7 @@
 
 import anyio
 import httpcore
+import routed
 
 from primrosehitch import edge as edge_module
 from primrosehitch import instance
@@ -175,3 +176,16 @@
     }
     path = f"/-/Instances.Heartbeat/{identifier}"
     return await send_call(number, "POST", path, json.dumps(report).encode())
+
+
+async def serve_from(fleet, engine, table=None):
+    """Run an engine and wait until all edges of a fleet serve from it."""
+    await fleet.group.start(engine.run)
+    await wait_until(lambda: len(fleet.leaders()) == 1)
+    assert await put_table(2, table or routed.table_document(7)) == 200
+    await send_heartbeat(2, engine)
+    await wait_until(
+        lambda: all(
+            e.is_ready and e.balancer.endpoints for e in fleet.edges.values()
+        )
+    )
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -343,12 +343,8 @@
     async def body():
         engine = platform_engine.StandInEngine(["good"])
         async with instances.running_fleet(tmp_path, edges=(8,)) as fleet:
-            await fleet.group.start(engine.run)
+            await instances.serve_from(fleet, engine)
             first = fleet.edges[8]
-            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
-            await instances.put_table(2, routed.table_document(7))
-            await instances.send_heartbeat(2, engine)
-            await instances.wait_until(lambda: first.balancer.endpoints)
             read = messages.PartRead("i-0", "part", 4000)
             first.balancer.part_updates.put(("i-0", "part"), read)
             await anyio.sleep(0.5)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -116,16 +116,8 @@
         rng = random.Random(seed)
         engine = routed.platform_engine.StandInEngine(["brief"])
         async with instances.running_fleet(tmp_path, edges=EDGES) as fleet:
-            await fleet.group.start(engine.run)
-            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
-            await instances.put_table(2, routed.table_document(7))
-            await instances.send_heartbeat(2, engine)
+            await instances.serve_from(fleet, engine)
             edges = fleet.edges
-            await instances.wait_until(
-                lambda: all(
-                    e.is_ready and e.balancer.endpoints for e in edges.values()
-                )
-            )
             callers, logs = [], []
             async with anyio.create_task_group() as group:
                 for number in EDGES:
@@ -164,17 +156,11 @@
     async def body():
         engine = routed.platform_engine.StandInEngine(["silent"])
         async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
-            await fleet.group.start(engine.run)
-            edge = fleet.edges[9]
-            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
             table = routed.table_document(7)
             for route in table["routes"]:
                 route["timeout_ms"] = 20_000
-            await instances.put_table(2, table)
-            await instances.send_heartbeat(2, engine)
-            await instances.wait_until(
-                lambda: edge.is_ready and edge.balancer.endpoints
-            )
+            await instances.serve_from(fleet, engine, table)
+            edge = fleet.edges[9]
             host = instances.host(9)
             async with await anyio.connect_tcp(
                 host, instances.FRONT_PORT
@@ -197,14 +183,7 @@
     async def body():
         engine = routed.platform_engine.StandInEngine(["brief"])
         async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
-            await fleet.group.start(engine.run)
-            edge = fleet.edges[9]
-            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
-            await instances.put_table(2, routed.table_document(7))
-            await instances.send_heartbeat(2, engine)
-            await instances.wait_until(
-                lambda: edge.is_ready and edge.balancer.endpoints
-            )
+            await instances.serve_from(fleet, engine)
             statuses = {}
             async with await anyio.connect_tcp(
                 instances.host(9), instances.FRONT_PORT
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -237,16 +237,8 @@
     async def body():
         engine = routed.platform_engine.StandInEngine(["slow"])
         async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
-            await fleet.group.start(engine.run)
+            await instances.serve_from(fleet, engine)
             edge = fleet.edges[9]
-            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
-            assert (
-                await instances.put_table(2, routed.table_document(7)) == 200
-            )
-            await instances.send_heartbeat(2, engine)
-            await instances.wait_until(
-                lambda: edge.is_ready and edge.balancer.endpoints
-            )
             host = instances.host(9)
             port = instances.FRONT_PORT
             async with await anyio.connect_tcp(host, port) as stream:
