Do not count on spot orders that bring nothing

Change: an order whose endpoints are missing for its boot time and 3 s more no longer counts, until they are there.

Measured: a new test: no endpoint at all before, six on-demand ones after; test_scaling 19 passed.

--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -41,6 +41,9 @@
 # An order stands at least this long before a smaller one replaces it,
 # because each removed endpoint loses its prefix cache.
 SCALE_DOWN_DELAY_MS = 30_000
+# An endpoint that has booted reports itself within this time. A spot
+# endpoint that does not is no longer counted on.
+BOOT_MARGIN_MS = 3_000
 # An order that the endpoints' reports do not confirm is sent again after
 # this time.
 RESEND_MS = 10_000
@@ -116,6 +119,8 @@
             endpoints, in ms, by failure domain.
         last_orders: count and time in ms of the last accepted order, by
             failure domain and whether it was for spot endpoints.
+        undelivered_since: since when a failure domain has fewer spot
+            endpoints than were ordered, in ms.
     """
 
     def __init__(self, service: str):
@@ -127,6 +132,7 @@
         self.first_plan_ms = -1
         self.unavailable_until: dict[str, int] = {}
         self.last_orders: dict[tuple[str, bool], tuple[int, int]] = {}
+        self.undelivered_since: dict[str, int] = {}
 
     def record_demand(self, running: float, now: int) -> None:
         """Record how many requests are in flight now."""
@@ -198,13 +204,10 @@
             d for d in by_price if self._is_spot_available(scaling, d, now)
         ]
         spot_targets = self._spot_targets(scaling, by_price, spot_domains, now)
-        coming_spot = {d: ready[d].spot for d in by_price}
-        for domain in by_price:
-            if not self._was_spot_unavailable(domain, now):
-                room = scaling.max_endpoints - ready[domain].on_demand
-                coming_spot[domain] = max(
-                    ready[domain].spot, min(spot_targets[domain], room)
-                )
+        coming_spot = {
+            d: self._coming_spot(scaling, d, ready[d], spot_targets[d], now)
+            for d in by_price
+        }
         on_demand_targets = self._on_demand_targets(
             scaling, by_price, ready, coming_spot, now
         )
@@ -221,6 +224,31 @@
                 orders.append(CapacityOrder(self.service, domain, True, spot))
         return [o for o in orders if self._is_due(o, ready, now)]
 
+    def _coming_spot(
+        self,
+        scaling: routes.Scaling,
+        domain: str,
+        counts: ReadyCounts,
+        target: int,
+        now: int,
+    ) -> int:
+        """Return how many spot endpoints a domain has or will soon have.
+
+        Those to be ordered count, unless the domain lacked spot endpoints
+        recently or an accepted order is overdue.
+        """
+        ordered, _ = self.last_orders.get((domain, True), (0, 0))
+        if counts.spot >= ordered:
+            self.undelivered_since.pop(domain, None)
+        since = self.undelivered_since.get(domain, now)
+        if counts.spot < ordered:
+            self.undelivered_since[domain] = since
+        is_overdue = now - since > 1000 * scaling.boot_s + BOOT_MARGIN_MS
+        if is_overdue or self._was_spot_unavailable(domain, now):
+            return counts.spot
+        room = scaling.max_endpoints - counts.on_demand
+        return max(counts.spot, min(target, room))
+
     def required_count(self, domain_count: int, now: int) -> int:
         """Return how many endpoints the service should have.
 
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -303,3 +303,22 @@
     platform.run(6000, running=110)
     assert not [o for _, o in platform.orders[order_count:] if not o.spot]
     assert counts_by_kind(platform) == (0, 15)
+
+
+def test_spot_orders_that_bring_nothing_are_not_counted_on():
+    """Pattern: the platform accepts orders for spot endpoints, none come."""
+    platform = SimulatedPlatform(on_demand=2)
+    platform.run(10_000)
+    order = platform.handle_order
+
+    def accept_without_effect(placed):
+        if placed.spot:
+            platform.scaler.record_accepted(placed, platform.now)
+        else:
+            order(placed)
+
+    platform.handle_order = accept_without_effect
+    for domain in DOMAINS:
+        platform.counts[domain, True] = 0
+    platform.run(30_000, running=40)
+    assert counts_by_kind(platform) == (6, 0)
