--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -148,16 +148,14 @@
         async for tick in self.control.timers.subscribe(TICK_PERIOD_MS):
             with _log_exceptions("usage"):
                 lease = self.current_lease()
-                if lease is None or self._is_warming_up(tick.now):
+                if lease is None or not self._has_run(WARM_UP_MS, tick.now):
                     continue
                 await self._seal_ended_windows()
                 await self._report_sealed_windows(lease)
 
-    def _is_warming_up(self, now: int) -> bool:
-        return now - self.control.started_ms < WARM_UP_MS
-
-    def _knows_endpoints(self, now: int) -> bool:
-        return now - self.control.started_ms >= SCALING_WARM_UP_MS
+    def _has_run(self, duration_ms: int, now: int) -> bool:
+        """Return whether the instance has run for so long."""
+        return now - self.control.started_ms >= duration_ms
 
     async def _seal_ended_windows(self) -> None:
         """Seal the counts of ended windows in the replicated log."""
@@ -228,7 +226,9 @@
             self._observe(tick.now)
             with _log_exceptions("scaling"):
                 lease = self.current_lease()
-                if lease is None or not self._knows_endpoints(tick.now):
+                if lease is None or not self._has_run(
+                    SCALING_WARM_UP_MS, tick.now
+                ):
                     continue
                 await self._place_orders(lease, tick.now)
 
@@ -252,7 +252,7 @@
         if table is None:
             return
         records = self.control.registry.live_records()
-        is_warm = self._knows_endpoints(now)
+        is_warm = self._has_run(SCALING_WARM_UP_MS, now)
         for service in table.services.values():
             if service.scaling is not None:
                 self._scaler(service.name).observe(records, is_warm)
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -259,7 +259,7 @@
             with self.scope:
                 outcome = await self._try_endpoints()
             if self.scope.cancelled_caught:
-                outcome = self._respond_with_timeout()
+                outcome = self._respond_after_end()
         finally:
             shared.gate.record_end(service)
             self._record_outcome(outcome)
@@ -358,7 +358,7 @@
         self.end_reason = reason
         self.scope.cancel()
 
-    def _respond_with_timeout(self) -> str:
+    def _respond_after_end(self) -> str:
         """Respond after the scope's end; return the outcome to log."""
         reason = self.end_reason
         if self.responder.head_sent:
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -187,11 +187,10 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._break_off()
-        else:
-            if self.response_pending and (
-                self.is_ambiguous or self.overhead_allowance < 0
-            ):
-                self._break_off()
+            return
+        is_acceptable = self.overhead_allowance >= 0 and not self.is_ambiguous
+        if self.response_pending and not is_acceptable:
+            self._break_off()
 
     def _break_off(self) -> None:
         """Abort the connection; the pending response is broken."""
--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -204,6 +204,7 @@
             d for d in by_price if self._is_spot_available(scaling, d, now)
         ]
         spot_targets = self._spot_targets(scaling, by_price, spot_domains, now)
+        self._track_deliveries(ready, now)
         coming_spot = {
             d: self._coming_spot(scaling, d, ready[d], spot_targets[d], now)
             for d in by_price
@@ -224,6 +225,17 @@
                 orders.append(CapacityOrder(self.service, domain, True, spot))
         return [o for o in orders if self._is_due(o, ready, now)]
 
+    def _track_deliveries(
+        self, ready: dict[str, ReadyCounts], now: int
+    ) -> None:
+        """Note since when each domain lacks spot endpoints ordered there."""
+        for domain, counts in ready.items():
+            ordered, _ = self.last_orders.get((domain, True), (0, 0))
+            if counts.spot < ordered:
+                self.undelivered_since.setdefault(domain, now)
+            else:
+                self.undelivered_since.pop(domain, None)
+
     def _coming_spot(
         self,
         scaling: routes.Scaling,
@@ -237,12 +249,7 @@
         Those to be ordered count, unless the domain lacked spot endpoints
         recently or an accepted order is overdue.
         """
-        ordered, _ = self.last_orders.get((domain, True), (0, 0))
-        if counts.spot >= ordered:
-            self.undelivered_since.pop(domain, None)
         since = self.undelivered_since.get(domain, now)
-        if counts.spot < ordered:
-            self.undelivered_since[domain] = since
         is_overdue = now - since > 1000 * scaling.boot_s + BOOT_MARGIN_MS
         if is_overdue or self._was_spot_unavailable(domain, now):
             return counts.spot
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -34,33 +34,32 @@
     Args:
         host: address of the instance.
         port: its port.
-        rng: draws paths and pauses.
+        rng: draws requests and pauses.
+        make_request: returns a request's bytes from the rng and an
+            identifier.
+        max_pause_s: longest pause between two calls.
     """
 
-    def __init__(self, host, port, rng):
+    def __init__(self, host, port, rng, make_request, max_pause_s):
         self.host = host
         self.port = port
         self.rng = rng
-        self.sent = 0
+        self.make_request = make_request
+        self.max_pause_s = max_pause_s
         self.outcomes = {}
+        self.statuses = set()
 
-    def next_request(self):
-        """Return the identifier and the bytes of the next request."""
-        self.sent += 1
-        identifier = f"{self.rng.getrandbits(64):016x}"
-        path = self.rng.choice(("/a/x", "/once/x", "/brief/x"))
-        method = "POST" if path.startswith("/once") else "GET"
-        deadline = self.rng.choice(("120", "1500"))
-        return identifier, routed.request(
-            path, method, b"", identifier, Deadline_Ms=deadline
-        )
+    def identifiers(self, *outcomes):
+        """Return the identifiers of the calls that ended so."""
+        return {i for i, o in self.outcomes.items() if o in outcomes}
 
     async def run(self):
         while await self._call_once() != END:
-            await anyio.sleep(self.rng.uniform(0, 0.12))
+            await anyio.sleep(self.rng.uniform(0, self.max_pause_s))
 
     async def _call_once(self):
-        identifier, data = self.next_request()
+        identifier = f"{self.rng.getrandbits(64):016x}"
+        data = self.make_request(self.rng, identifier)
         try:
             stream = await anyio.connect_tcp(self.host, self.port)
         except OSError:
@@ -71,6 +70,7 @@
             try:
                 await caller.send(data)
                 status, _, _, whole = await caller.answer()
+                self.statuses.add(status)
                 if whole:
                     outcome = {503: NOT_RUN, 504: MAY_HAVE_RUN}.get(
                         status, ANSWERED
@@ -83,6 +83,24 @@
         return outcome
 
 
+def edge_request(rng, identifier):
+    path = rng.choice(("/a/x", "/once/x", "/brief/x"))
+    method = "POST" if path.startswith("/once") else "GET"
+    deadline = rng.choice(("120", "1500"))
+    return routed.request(path, method, b"", identifier, Deadline_Ms=deadline)
+
+
+def edit_request(rng, identifier):
+    body = instances.encode(routed.table_document(rng.randrange(8, 40)))
+    return routed.request("/-/Config.Put", "POST", body, identifier)
+
+
+def probe_request(rng, identifier):
+    return routed.request(
+        "/healthz", "GET", b"", identifier, Connection="close"
+    )
+
+
 class ReadLog:
     """Identifiers of the requests that a server's handler has got.
 
@@ -128,6 +146,8 @@
                             instances.host(number),
                             instances.FRONT_PORT,
                             random.Random(rng.random()),
+                            edge_request,
+                            0.12,
                         )
                         callers.append(caller)
                         group.start_soon(caller.run)
@@ -218,47 +238,28 @@
             await instances.put_table(leader, routed.table_document(7))
             process = fleet.processes[leader]
             assert isinstance(process, platform_main.ControlProcess)
-            read, cut, answered = set(), set(), set()
-            handler = process.server.handler
-
-            async def serve(request, responder):
-                read.add(request.header(b"request-id"))
-                await handler(request, responder)
-
-            process.server.handler = serve
-
-            async def call_forever(caller_rng):
-                while True:
-                    identifier = f"{caller_rng.getrandbits(64):016x}"
-                    version = caller_rng.randrange(8, 40)
-                    body = instances.encode(routed.table_document(version))
-                    data = routed.request(
-                        "/-/Config.Put", "POST", body, identifier
-                    )
-                    try:
-                        stream = await anyio.connect_tcp(
-                            instances.host(leader), instances.CONTROL_PORT
-                        )
-                    except OSError:
-                        return
-                    async with stream:
-                        caller = routed.Caller(stream)
-                        try:
-                            await caller.send(data)
-                            got = await caller.answer()
-                            answered.add((identifier, got[0]))
-                        except fault_calls.TORN:
-                            cut.add(identifier)
-                    await anyio.sleep(caller_rng.uniform(0, 0.03))
-
+            log = ReadLog(process.server)
+            callers = [
+                DrainCaller(
+                    instances.host(leader),
+                    instances.CONTROL_PORT,
+                    random.Random(rng.random()),
+                    edit_request,
+                    0.03,
+                )
+                for _ in range(CALLERS_PER_EDGE)
+            ]
             async with anyio.create_task_group() as group:
-                for _ in range(CALLERS_PER_EDGE):
-                    group.start_soon(call_forever, random.Random(rng.random()))
+                for caller in callers:
+                    group.start_soon(caller.run)
                 await anyio.sleep(0.2)
                 group.start_soon(end_process, fleet, leader, process.server)
-            assert not cut & read
-            assert {status for _, status in answered} <= {200, 503}
-            assert len(answered) > 20
+            cut = set().union(*(c.identifiers(CUT) for c in callers))
+            assert not cut & log.identifiers
+            statuses = set().union(*(c.statuses for c in callers))
+            assert statuses <= {200, 503}
+            answered = [c.identifiers(ANSWERED, NOT_RUN) for c in callers]
+            assert len(set().union(*answered)) > 20
             status, _ = await instances.send_call(
                 other, "GET", "/-/Config.Get"
             )
@@ -325,40 +326,29 @@
 
     async def body():
         daemon = StoppableDaemon(settings_module.load(file))
-        cut, answered = set(), set()
-
-        async def call_forever(number):
-            rng = random.Random(f"{seed} {number}")
-            while True:
-                identifier = f"{rng.getrandbits(64):016x}"
-                data = routed.request(
-                    "/healthz", "GET", b"", identifier, Connection="close"
-                )
-                try:
-                    stream = await anyio.connect_tcp(host, port)
-                except OSError:
-                    return
-                async with stream:
-                    caller = routed.Caller(stream)
-                    try:
-                        await caller.send(data)
-                        await caller.answer()
-                        answered.add(identifier)
-                    except fault_calls.TORN:
-                        cut.add(identifier)
-                await anyio.sleep(rng.uniform(0, 0.06))
-
-        async with anyio.create_task_group() as callers:
+        callers = [
+            DrainCaller(
+                host,
+                port,
+                random.Random(f"{seed} {number}"),
+                probe_request,
+                0.06,
+            )
+            for number in range(2)
+        ]
+        async with anyio.create_task_group() as calls:
             async with anyio.create_task_group() as group:
                 group.start_soon(daemon.run)
                 await instances.wait_until(lambda: is_listening(host, port))
-                for number in range(2):
-                    callers.start_soon(call_forever, number)
+                for caller in callers:
+                    calls.start_soon(caller.run)
                 await anyio.sleep(0.15 + 0.01 * seed)
                 daemon.stop.set()
             # The process exits now; its listener must be closed already.
             assert not is_listening(host, port)
-        assert len(answered) > 2
+        outcomes = [c.identifiers(ANSWERED, NOT_RUN) for c in callers]
+        assert len(set().union(*outcomes)) > 2
+        cut = set().union(*(c.identifiers(CUT) for c in callers))
         assert not cut & daemon.read
 
     instances.run_test(body)
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -73,6 +73,17 @@
             self.pending_boots.append((self.now + 4000, key, order.count))
 
 
+def run_dry_spell(platform):
+    """Run until just before spot endpoints return to any domain."""
+    platform.run(12_000, running=150)
+    for domain in DOMAINS:
+        platform.reclaimed_until[domain] = platform.now + 20_000
+    platform.run(2500, running=150)
+    for domain in DOMAINS:
+        platform.counts[domain, True] = 0
+    platform.run(17_000, running=150)
+
+
 def counts_by_kind(platform):
     on_demand = sum(n for (_, spot), n in platform.counts.items() if not spot)
     return on_demand, sum(
@@ -171,13 +182,7 @@
     order spot endpoints beside them.
     """
     platform = SimulatedPlatform(on_demand=2)
-    platform.run(12_000, running=150)
-    for domain in DOMAINS:
-        platform.reclaimed_until[domain] = platform.now + 20_000
-    platform.run(2500, running=150)
-    for domain in DOMAINS:
-        platform.counts[domain, True] = 0
-    platform.run(17_000, running=150)
+    run_dry_spell(platform)
     # All but the one place in which a spot endpoint is tried.
     assert counts_by_kind(platform)[0] == 14
     platform.run(90_000, running=20)
@@ -280,13 +285,7 @@
     """Pattern: a dry spell in which each domain was filled at full price."""
     limits = SCALING._replace(max_endpoints=3)
     platform = SimulatedPlatform(on_demand=2, scaling_limits=limits)
-    platform.run(12_000, running=150)
-    for domain in DOMAINS:
-        platform.reclaimed_until[domain] = platform.now + 20_000
-    platform.run(2500, running=150)
-    for domain in DOMAINS:
-        platform.counts[domain, True] = 0
-    platform.run(17_000, running=150)
+    run_dry_spell(platform)
     assert counts_by_kind(platform)[0] >= 8
     platform.run(60_000, running=150)
     assert counts_by_kind(platform) == (0, 9)
