Log why an endpoint's state changed and why none was usable

Change: 1501 carries a cause; 1413 counts the endpoints of the service that are known, ready, ejected and at their connection limit; 1411 carries the priority, so that a tier's outcomes can be counted from the log.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -12,6 +12,7 @@
 import statistics
 from typing import Callable
 from typing import Iterable
+from typing import NamedTuple
 
 import xxhash
 
@@ -105,6 +106,23 @@
 ZERO_LOAD = messages.EndpointLoad()
 
 
+class Availability(NamedTuple):
+    """Endpoints of a service by what rules them out, for the log.
+
+    Attributes:
+        known: all endpoints that have not left.
+        ready: those that take new requests.
+        ejected: ready ones put aside after failures.
+        at_connection_limit: ready ones to which this edge may open no
+            further connection.
+    """
+
+    known: int
+    ready: int
+    ejected: int
+    at_connection_limit: int
+
+
 PartUpdates = gathering.UpdateBatcher[tuple[str, str], messages.PartRead]
 
 
@@ -208,6 +226,26 @@
             e for e in connectable if e.ejected_until <= now
         ] or connectable
 
+    def availability(self, service: str, now: int) -> Availability:
+        """Return how many endpoints of a service are in which state.
+
+        Args:
+            service: the service.
+            now: the current time in ms.
+        """
+        known = [
+            e for e in self.endpoints.values() if e.record.service == service
+        ]
+        ready = self.ready_by_service.get(service, ())
+        return Availability(
+            known=len(known),
+            ready=len(ready),
+            ejected=sum(e.ejected_until > now for e in ready),
+            at_connection_limit=sum(
+                not e.has_free_connection(self.edge_count) for e in ready
+            ),
+        )
+
     def choose(
         self, profile: RequestProfile, tried: Iterable[str], now: int
     ) -> Choice | None:
@@ -646,6 +684,7 @@
 
 
 __all__ = [
+    "Availability",
     "Balancer",
     "Choice",
     "Endpoint",
--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -304,7 +304,7 @@
         self.refreshed_ids.add(record.id)
         change = self.registry.apply_record(record, clock.now_ms())
         if change is not None:
-            self._broadcast_endpoint(change.record)
+            self._broadcast_endpoint(change)
 
     def record_departure(self, identifier: str, born: int) -> None:
         """Mark an endpoint as gone.
@@ -316,20 +316,26 @@
         """
         change = self.registry.mark_left(identifier, born, clock.now_ms())
         if change is not None:
-            self._broadcast_endpoint(change.record)
+            self._broadcast_endpoint(change)
 
-    def _broadcast_endpoint(self, record: messages.EndpointRecord) -> None:
+    def _broadcast_endpoint(
+        self, change: registry_module.EndpointChange
+    ) -> None:
         """Send a changed record to the edges and the other instances."""
-        update = messages.EndpointUpdate((record,), False)
-        self._log_endpoint_change(record)
+        update = messages.EndpointUpdate((change.record,), False)
+        self._log_endpoint_change(change)
         targets = [*self.subscribers, *self.peers.link_names()]
         self.links.multicast(targets, update)
 
-    def _log_endpoint_change(self, record: messages.EndpointRecord) -> None:
+    def _log_endpoint_change(
+        self, change: registry_module.EndpointChange
+    ) -> None:
+        record = change.record
         events.emit(
             events.ENDPOINT_CHANGED,
             endpoint=record.id,
             state=record.state,
+            cause=change.cause,
             address=record.address,
             service=record.service,
         )
@@ -439,7 +445,7 @@
         """Drop endpoints, edges and peers that were silent for too long."""
         async for tick in self.timers.subscribe(EXPIRE_PERIOD_MS):
             for change in self.registry.expire(tick.now):
-                self._broadcast_endpoint(change.record)
+                self._broadcast_endpoint(change)
             for name, subscriber in list(self.subscribers.items()):
                 if (
                     tick.now - subscriber.last_seen_ms
@@ -528,7 +534,7 @@
         for record in update.records:
             change = self.registry.apply_record(record, now)
             if change is not None:
-                self._log_endpoint_change(change.record)
+                self._log_endpoint_change(change)
                 forward = messages.EndpointUpdate((change.record,), False)
                 self.links.multicast(self.subscribers, forward)
 
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -433,7 +433,9 @@
         """Remove the endpoints that a complete update does not list."""
         for record in self.registry.live_records():
             if record.id not in listed_ids:
-                change = self.registry.mark_left(record.id, record.born, now)
+                change = self.registry.mark_left(
+                    record.id, record.born, now, registry_module.UNLISTED
+                )
                 if change is not None:
                     self._apply_change(change)
 
@@ -445,6 +447,7 @@
             events.ENDPOINT_CHANGED,
             endpoint=record.id,
             state=record.state,
+            cause=change.cause,
             address=record.address,
             service=record.service,
         )
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -161,10 +161,18 @@
     "A request on a route was rejected without being sent to an endpoint.",
     "Look up the reason in docs/OPERATIONS.md.",
 )
+NO_ENDPOINT = Event(
+    1413,
+    "no-endpoint",
+    "No endpoint could take a request; the fields count the endpoints of"
+    " the service by what ruled them out.",
+    "If it persists, look for 1501 of the service's endpoints.",
+)
 ENDPOINT_CHANGED = Event(
     1501,
     "endpoint-changed",
-    "An endpoint joined, is draining or left.",
+    "An endpoint joined, is draining or left; `cause` says how this"
+    " instance learned of it.",
     NO_ACTION,
 )
 ENDPOINT_ASIDE = Event(
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -272,6 +272,7 @@
             if choice is None and not self.tried_endpoints:
                 choice = await self._wait_for_endpoint()
             if choice is None:
+                self._emit_no_endpoint()
                 return self._respond_with_failure(NotRun("no-endpoint"))
             outcome = await self._attempt(choice)
             self.earlier_may_have_run |= isinstance(outcome, Broken | Failed)
@@ -284,6 +285,19 @@
             if not self._acquire_retry(outcome):
                 return self._respond_with_failure(outcome)
 
+    def _emit_no_endpoint(self) -> None:
+        now = clock.now_ms()
+        availability = self.balancer.availability(self.ask.service, now)
+        events.emit(
+            events.NO_ENDPOINT,
+            request_id=self.call.identifier.decode("latin-1"),
+            service=self.ask.service,
+            priority=self.priority,
+            tried=len(self.tried_endpoints),
+            waited_ms=now - self.request.started_ms,
+            **availability._asdict(),
+        )
+
     async def _wait_for_endpoint(self) -> balancer_module.Choice | None:
         """Wait until an endpoint is available; return None on timeout."""
         wait_ms = min(
@@ -395,6 +409,7 @@
             route=self.route.name,
             service=self.ask.service,
             customer=self.customer,
+            priority=self.priority,
             endpoints=" ".join(self.trail),
             first_ms=self.first_ms,
             took_ms=clock.now_ms() - self.request.started_ms,
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -17,6 +17,12 @@
 DRAINING = "draining"
 LEFT = "left"
 
+# How an instance learned of a change, for the log.
+REPORTED = "reported"
+DEPARTED = "departed"
+TIMED_OUT = "heartbeat-timeout"
+UNLISTED = "unlisted"
+
 # An endpoint reports about once a second, but during a network partition
 # many reports may be lost while the endpoint still serves well.
 HEARTBEAT_TIMEOUT_MS = 12_000
@@ -25,10 +31,17 @@
 
 
 class EndpointChange(NamedTuple):
-    """An endpoint's new record and the one that it replaces, if any."""
+    """An endpoint's new record.
+
+    Attributes:
+        record: the new record.
+        previous: the record that it replaces, or None.
+        cause: REPORTED, DEPARTED, TIMED_OUT or UNLISTED.
+    """
 
     record: messages.EndpointRecord
     previous: messages.EndpointRecord | None
+    cause: str = REPORTED
 
 
 class RegistryEntry:
@@ -87,7 +100,7 @@
         return EndpointChange(record, previous)
 
     def mark_left(
-        self, identifier: str, born: int, now: int
+        self, identifier: str, born: int, now: int, cause: str = DEPARTED
     ) -> EndpointChange | None:
         """Mark an endpoint as left, so that it gets no more requests.
 
@@ -95,6 +108,7 @@
             identifier: the endpoint's identifier.
             born: its incarnation, or 0 for the newest known.
             now: the current time in ms.
+            cause: why it counts as left, for the log.
 
         Returns:
             The change, or None if there is none.
@@ -112,7 +126,7 @@
         return (
             None
             if previous.state == LEFT
-            else EndpointChange(record, previous)
+            else EndpointChange(record, previous, cause)
         )
 
     def expire(self, now: int) -> list[EndpointChange]:
@@ -128,7 +142,7 @@
                 entry.record.state != LEFT
                 and silence_ms > HEARTBEAT_TIMEOUT_MS
             ):
-                change = self.mark_left(identifier, 0, now)
+                change = self.mark_left(identifier, 0, now, TIMED_OUT)
                 if change is not None:
                     changes.append(change)
             elif entry.record.state == LEFT and silence_ms > LEFT_RETENTION_MS:
@@ -219,4 +233,11 @@
     )
 
 
-__all__ = ["DRAINING", "EndpointChange", "LEFT", "READY", "Registry"]
+__all__ = [
+    "DRAINING",
+    "EndpointChange",
+    "LEFT",
+    "READY",
+    "Registry",
+    "UNLISTED",
+]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 
+import eliot
 from forwarder import LinkProxy
 import hypothesis
 import pytest
@@ -168,6 +169,15 @@
         fleet.link_proxy.stop()
 
 
+@pytest.fixture
+def log_lines():
+    """The events that this process logs during the test, as mappings."""
+    lines = []
+    eliot.add_destinations(lines.append)
+    yield lines
+    eliot.remove_destination(lines.append)
+
+
 def pytest_collection_modifyitems(items):
     """Allow the tests that KNOWN-RED.txt lists to fail (non-strict xfail)."""
     text = (pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt").read_text()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -650,3 +650,26 @@
             assert not other.seen
 
     run(body)
+
+
+def test_log_says_why_no_endpoint_was_usable(log_lines):
+    """On-call engineers tell unknown endpoints from full or ejected ones."""
+
+    async def body():
+        engines = [Engine(["good"]), Engine(["good"])]
+        async with routed.running_edge(*engines) as edge:
+            endpoints = edge.balancer.endpoints
+            for endpoint in endpoints.values():
+                endpoint.connections = 1
+                endpoint.inflight = 2
+            endpoints["i-0"].ejected_until = routed.clock.now_ms() + 60_000
+            response = await routed.send_request(
+                edge, routed.request("/a/x", **{"Deadline-Ms": "200"})
+            )
+            assert response[0] == 503
+
+    run(body)
+    (line,) = [x for x in log_lines if x.get("event") == 1413]
+    counts = ("known", "ready", "ejected", "at_connection_limit", "tried")
+    assert [line[name] for name in counts] == [2, 2, 1, 2, 0]
+    assert line["service"] == "svc"
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -89,6 +89,16 @@
     assert endpoints.owner_by_address == {}
 
 
+def test_change_says_how_it_was_learned():
+    endpoints = registry.Registry()
+    reported = endpoints.apply_record(make_record(), 0)
+    departed = endpoints.mark_left("a", 1, 1)
+    endpoints.apply_record(make_record(born=2), 2)
+    (timed_out,) = endpoints.expire(registry.HEARTBEAT_TIMEOUT_MS + 3)
+    causes = [c.cause for c in (reported, departed, timed_out)]
+    assert causes == ["reported", "departed", "heartbeat-timeout"]
+
+
 REPORTS = st.lists(
     st.tuples(
         st.sampled_from(("a", "b")),
