--- a/tests/instances.py
+++ b/tests/instances.py
@@ -104,6 +104,35 @@
         self.controls.pop(number, None)
         await anyio.sleep(0.1)
 
+    def isolate(self, number):
+        """Drop all messages between a control instance and the others.
+
+        Edges and endpoints still reach all of them.
+        """
+        names = {n: str(address(n, LINK_PORT)) for n in self.controls}
+
+        def filtered(handler, dropped_senders):
+            def handle(control, sender, message):
+                if sender not in dropped_senders:
+                    handler(control, sender, message)
+
+            return handle
+
+        for n, control in self.controls.items():
+            if n == number:
+                dropped = set(names.values())
+            else:
+                dropped = {names[number]}
+            control._HANDLERS = {
+                kind: filtered(handler, dropped)
+                for kind, handler in type(control)._HANDLERS.items()
+            }
+
+    def heal(self):
+        """End all isolations."""
+        for control in self.controls.values():
+            del control._HANDLERS
+
     def wipe_disk(self, number):
         shutil.rmtree(self.folder / str(number))
 
@@ -178,6 +207,15 @@
     return await send_call(number, "POST", path, json.dumps(report).encode())
 
 
+async def send_heartbeats(number, engine, identifier="i-0"):
+    """Send an endpoint's heartbeats until cancelled."""
+    sequence = 1
+    while True:
+        sequence += 1
+        await send_heartbeat(number, engine, identifier, seq=sequence)
+        await anyio.sleep(0.1)
+
+
 async def serve_from(fleet, engine, table=None):
     """Run an engine and wait until all edges of a fleet serve from it."""
     await fleet.group.start(engine.run)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,8 +9,10 @@
 import pytest
 import routed
 
+from primrosehitch import edge as edge_module
 from primrosehitch import links
 from primrosehitch import messages
+from primrosehitch import registry
 from primrosehitch_lab import platform_engine
 
 
@@ -358,6 +360,39 @@
     instances.run_test(body)
 
 
+# Guards against: endpoints that one side of a cut did not hear stayed out
+# of use on that side after the cut, although they ran on (incident inc1).
+def test_edges_use_endpoints_of_the_other_side_after_a_cut(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(registry, "HEARTBEAT_TIMEOUT_MS", 700)
+    monkeypatch.setattr(edge_module, "MIN_DOMAIN_SWITCH_INTERVAL_MS", 200)
+    own = str(instances.address(3, instances.LINK_PORT))
+
+    async def body():
+        engine = platform_engine.StandInEngine(["good"])
+        async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
+            await instances.serve_from(fleet, engine)
+            edge = fleet.edges[9]
+            fleet.group.start_soon(instances.send_heartbeats, 2, engine)
+            await instances.wait_until(lambda: edge.current_control == own)
+            fleet.isolate(3)
+            entries = fleet.controls[3].registry
+            await instances.wait_until(
+                lambda: entries.records()[0].state != registry.READY
+            )
+            fleet.heal()
+            await instances.wait_until(lambda: edge.current_control == own)
+            await anyio.sleep(1.5)
+            usable = edge.balancer.usable_endpoints(
+                "svc", (), routed.clock.now_ms()
+            )
+            assert [e.record.id for e in usable] == ["i-0"]
+            assert (await send_request())[0] == 200
+
+    instances.run_test(body)
+
+
 @pytest.mark.parametrize(
     "method,path,status",
     [
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -89,6 +89,20 @@
     assert endpoints.owner_by_address == {}
 
 
+# Guards against: an endpoint whose heartbeats were lost for a while was
+# refused for the rest of its life (incident inc1).
+def test_silent_endpoint_is_ready_again_once_it_is_heard():
+    endpoints = registry.Registry()
+    endpoints.apply_record(make_record(sequence=5), 0)
+    endpoints.expire(registry.HEARTBEAT_TIMEOUT_MS + 1)
+    assert states_by_id(endpoints) != {"a": "ready"}
+    heard_at = registry.HEARTBEAT_TIMEOUT_MS + 2
+    assert endpoints.apply_record(make_record(sequence=5), heard_at) is None
+    change = endpoints.apply_record(make_record(sequence=6), heard_at)
+    assert change is not None and change.record.state == "ready"
+    assert states_by_id(endpoints) == {"a": "ready"}
+
+
 def test_change_says_how_it_was_learned():
     endpoints = registry.Registry()
     reported = endpoints.apply_record(make_record(), 0)
