Do not take an endpoint's silence for its departure

Callers saw: 21 of 23 chats answered 503 no-endpoint beside idle engines, while less urgent requests ran at the edges of another failure domain. Cause: a control instance that heard no heartbeat for 12 s recorded the endpoint as left, told everyone so, and what left is refused for the rest of its incarnation. After a cut among control instances each side had lost the other side's endpoints for good. An edge did the same with endpoints that a complete update did not list. The class: suspicion, which only its observer has and which may be wrong, stored and spread as a fact. Ruled out: ejection and connection limits, since these edges knew no ready endpoint at all. Change: a state 'silent' that the endpoint's next report ends. It goes to the edges of the observer, not to other control instances. Edges use a silent endpoint while it answers them, else only if nothing else is left; departures stay final.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -112,6 +112,7 @@
     Attributes:
         known: all endpoints that have not left.
         ready: those that take new requests.
+        silent: those that the control instance does not hear.
         ejected: ready ones put aside after failures.
         at_connection_limit: ready ones to which this edge may open no
             further connection.
@@ -119,6 +120,7 @@
 
     known: int
     ready: int
+    silent: int
     ejected: int
     at_connection_limit: int
 
@@ -142,6 +144,7 @@
         edge_count: number of edges, this one among them.
         endpoints: all known endpoints by identifier.
         ready_by_service: endpoints in the ready state by service.
+        silent_by_service: endpoints in the silent state by service.
         prefill_tokens_per_ms: prefill rate of an engine by service.
         gap_sensitive_share: fraction of the engine time that
             gap-sensitive streams take, by service.
@@ -159,6 +162,7 @@
         self.edge_count = 1
         self.endpoints: dict[str, Endpoint] = {}
         self.ready_by_service: dict[str, list[Endpoint]] = {}
+        self.silent_by_service: dict[str, list[Endpoint]] = {}
         self.prefill_tokens_per_ms: dict[str, float] = {}
         self.gap_sensitive_share: dict[str, float] = {}
         self.recent_failures: dict[str, dict[str, int]] = {}
@@ -193,22 +197,31 @@
             )
         if record.state == registry.LEFT:
             self.endpoints.pop(record.id, None)
-        self._index_ready()
+        self._index_by_state()
 
-    def _index_ready(self) -> None:
+    def remove_endpoint(self, identifier: str) -> None:
+        """Remove an endpoint, if it is known."""
+        self.endpoints.pop(identifier, None)
+        self._index_by_state()
+
+    def _index_by_state(self) -> None:
         self.ready_by_service = {}
+        self.silent_by_service = {}
         for endpoint in self.endpoints.values():
+            service = endpoint.record.service
             if endpoint.record.state == registry.READY:
-                self.ready_by_service.setdefault(
-                    endpoint.record.service, []
-                ).append(endpoint)
+                self.ready_by_service.setdefault(service, []).append(endpoint)
+            elif endpoint.record.state == registry.SILENT:
+                self.silent_by_service.setdefault(service, []).append(endpoint)
 
     def usable_endpoints(
         self, service: str, tried: Iterable[str], now: int
     ) -> list[Endpoint]:
         """Return the endpoints to which a request may be sent.
 
-        Ejected endpoints are returned only if there are no others.
+        An endpoint that the control instance does not hear counts as ready
+        while it answers this edge. Other silent endpoints, and then
+        ejected ones, are returned only if there are no others.
 
         Args:
             service: the service.
@@ -216,15 +229,29 @@
             now: the current time in ms.
         """
         excluded = set(tried)
-        connectable = [
+        ready = self._connectable(
+            self.ready_by_service.get(service, ()), excluded
+        )
+        silent = self._connectable(
+            self.silent_by_service.get(service, ()), excluded
+        )
+        ready += [e for e in silent if e.is_answering(now)]
+        return (
+            [e for e in ready if e.ejected_until <= now]
+            or [e for e in silent if e.ejected_until <= now]
+            or ready
+        )
+
+    def _connectable(
+        self, endpoints: Iterable[Endpoint], excluded: set[str]
+    ) -> list[Endpoint]:
+        """Return the endpoints to which this edge may open a connection."""
+        return [
             e
-            for e in self.ready_by_service.get(service, ())
+            for e in endpoints
             if e.record.id not in excluded
             and e.has_free_connection(self.edge_count)
         ]
-        return [
-            e for e in connectable if e.ejected_until <= now
-        ] or connectable
 
     def availability(self, service: str, now: int) -> Availability:
         """Return how many endpoints of a service are in which state.
@@ -240,6 +267,7 @@
         return Availability(
             known=len(known),
             ready=len(ready),
+            silent=len(self.silent_by_service.get(service, ())),
             ejected=sum(e.ejected_until > now for e in ready),
             at_connection_limit=sum(
                 not e.has_free_connection(self.edge_count) for e in ready
--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -323,9 +323,14 @@
     ) -> None:
         """Send a changed record to the edges and the other instances."""
         update = messages.EndpointUpdate((change.record,), False)
+        self._send_to_edges(change)
+        self.links.multicast(self.peers.link_names(), update)
+
+    def _send_to_edges(self, change: registry_module.EndpointChange) -> None:
+        """Log a changed record and send it to the subscribed edges."""
         self._log_endpoint_change(change)
-        targets = [*self.subscribers, *self.peers.link_names()]
-        self.links.multicast(targets, update)
+        update = messages.EndpointUpdate((change.record,), False)
+        self.links.multicast(self.subscribers, update)
 
     def _log_endpoint_change(
         self, change: registry_module.EndpointChange
@@ -445,7 +450,8 @@
         """Drop endpoints, edges and peers that were silent for too long."""
         async for tick in self.timers.subscribe(EXPIRE_PERIOD_MS):
             for change in self.registry.expire(tick.now):
-                self._broadcast_endpoint(change)
+                # Not to the other instances, which may still hear it.
+                self._send_to_edges(change)
             for name, subscriber in list(self.subscribers.items()):
                 if (
                     tick.now - subscriber.last_seen_ms
@@ -534,9 +540,7 @@
         for record in update.records:
             change = self.registry.apply_record(record, now)
             if change is not None:
-                self._log_endpoint_change(change)
-                forward = messages.EndpointUpdate((change.record,), False)
-                self.links.multicast(self.subscribers, forward)
+                self._send_to_edges(change)
 
     def _on_tallies(self, sender: str, batch: messages.TallyBatch) -> None:
         """Store usage counts; those of an edge are forwarded to peers."""
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -419,22 +419,25 @@
         self.forwarder.notify_routing_change()
 
     def _on_endpoints(self, update: messages.EndpointUpdate) -> None:
-        """Apply changed records; a complete update removes all others."""
+        """Apply changed records; a complete update lists all endpoints."""
         now = clock.now_ms()
         for record in update.records:
             change = self.registry.apply_record(record, now)
             if change is not None:
                 self._apply_change(change)
         if update.whole:
-            self._remove_unlisted({r.id for r in update.records}, now)
+            self._mark_unlisted_silent({r.id for r in update.records})
         self.forwarder.notify_routing_change()
 
-    def _remove_unlisted(self, listed_ids: set[str], now: int) -> None:
-        """Remove the endpoints that a complete update does not list."""
+    def _mark_unlisted_silent(self, listed_ids: set[str]) -> None:
+        """Take endpoints that a complete update does not list for silent.
+
+        The control instance has not heard them, which is no departure.
+        """
         for record in self.registry.live_records():
             if record.id not in listed_ids:
-                change = self.registry.mark_left(
-                    record.id, record.born, now, registry_module.UNLISTED
+                change = self.registry.mark_silent(
+                    record.id, registry_module.UNLISTED
                 )
                 if change is not None:
                     self._apply_change(change)
@@ -516,9 +519,11 @@
             self.meter.changed_windows |= set(sorted(self.meter.totals)[-2:])
 
     async def _sweep(self) -> None:
-        """Close endpoint connections that were idle for too long."""
+        """Drop old connections and old endpoint records."""
         async for tick in self.timers.subscribe(SWEEP_PERIOD_MS):
             self.forwarder.close_expired_connections(tick.now)
+            for record in self.registry.remove_old(tick.now):
+                self.balancer.remove_endpoint(record.id)
 
 
 __all__ = ["Edge"]
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from primrosehitch import messages
+from primrosehitch import registry
 
 # Assumed duration of a plain call before the first answer.
 INITIAL_CALL_MS = 25.0
@@ -199,6 +200,16 @@
             MIN_CALL_SILENCE_MS, CALL_SILENCE_FACTOR * self.mean_call_ms
         )
 
+    def is_answering(self, now: int) -> bool:
+        """Return whether the endpoint sent bytes to this edge lately.
+
+        They count as much as a heartbeat to a control instance.
+        """
+        since = now - self.last_heard_at
+        return 0 <= self.last_heard_at and (
+            since <= registry.HEARTBEAT_TIMEOUT_MS
+        )
+
     def estimated_load(self, now: int) -> float:
         """Return the estimated number of requests at the endpoint."""
         known = self.inflight + self.remote_inflight
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -5,6 +5,10 @@
 the sequence number within the incarnation, so that a delayed report changes
 nothing. An address belongs to the newest incarnation that reported it. An
 endpoint that left does not come back in the same incarnation.
+
+A silent endpoint has not left: its reports may be lost on their way here.
+Silence is this registry's own observation. It is not passed on to other
+registries as a report, and ends with the endpoint's next report.
 """
 
 from typing import NamedTuple
@@ -15,6 +19,7 @@
 
 READY = "ready"
 DRAINING = "draining"
+SILENT = "silent"
 LEFT = "left"
 
 # How an instance learned of a change, for the log.
@@ -26,8 +31,9 @@
 # An endpoint reports about once a second, but during a network partition
 # many reports may be lost while the endpoint still serves well.
 HEARTBEAT_TIMEOUT_MS = 12_000
-# Longer than a network partition can delay any report.
-LEFT_RETENTION_MS = 120_000
+# How long silent and left endpoints are remembered: longer than a network
+# partition can delay any report.
+RETENTION_MS = 120_000
 
 
 class EndpointChange(NamedTuple):
@@ -58,7 +64,7 @@
 
 
 class Registry:
-    """Newest records of all endpoints, including those that left.
+    """Newest records of all endpoints, including silent and left ones.
 
     Attributes:
         entries: entries by endpoint identifier.
@@ -100,7 +106,7 @@
         return EndpointChange(record, previous)
 
     def mark_left(
-        self, identifier: str, born: int, now: int, cause: str = DEPARTED
+        self, identifier: str, born: int, now: int
     ) -> EndpointChange | None:
         """Mark an endpoint as left, so that it gets no more requests.
 
@@ -108,7 +114,6 @@
             identifier: the endpoint's identifier.
             born: its incarnation, or 0 for the newest known.
             now: the current time in ms.
-            cause: why it counts as left, for the log.
 
         Returns:
             The change, or None if there is none.
@@ -126,31 +131,61 @@
         return (
             None
             if previous.state == LEFT
-            else EndpointChange(record, previous, cause)
+            else EndpointChange(record, previous, DEPARTED)
         )
 
+    def mark_silent(
+        self, identifier: str, cause: str
+    ) -> EndpointChange | None:
+        """Mark an endpoint as silent until its next report.
+
+        Args:
+            identifier: the endpoint's identifier.
+            cause: why it counts as silent, for the log.
+
+        Returns:
+            The change, or None if it is silent or has left already.
+        """
+        self.cached_digest = None
+        entry = self.entries[identifier]
+        previous = entry.record
+        if previous.state in (SILENT, LEFT):
+            return None
+        entry.record = previous._replace(state=SILENT)
+        return EndpointChange(entry.record, previous, cause)
+
     def expire(self, now: int) -> list[EndpointChange]:
-        """Mark silent endpoints as left, and remove old left ones.
+        """Mark endpoints as silent after a timeout, and remove old ones.
 
         Returns:
-            The endpoints that were marked as left.
+            The endpoints that were marked as silent.
         """
         changes = []
-        for identifier, entry in list(self.entries.items()):
-            silence_ms = now - entry.last_heard_at
-            if (
-                entry.record.state != LEFT
-                and silence_ms > HEARTBEAT_TIMEOUT_MS
-            ):
-                change = self.mark_left(identifier, 0, now, TIMED_OUT)
+        for identifier, entry in self.entries.items():
+            if now - entry.last_heard_at > HEARTBEAT_TIMEOUT_MS:
+                change = self.mark_silent(identifier, TIMED_OUT)
                 if change is not None:
                     changes.append(change)
-            elif entry.record.state == LEFT and silence_ms > LEFT_RETENTION_MS:
-                self._remove(identifier)
+        self.remove_old(now)
         return changes
 
+    def remove_old(self, now: int) -> list[messages.EndpointRecord]:
+        """Remove and return the silent and left records past retention."""
+        old = [
+            entry.record
+            for entry in self.entries.values()
+            if entry.record.state in (SILENT, LEFT)
+            and now - entry.last_heard_at > RETENTION_MS
+        ]
+        for record in old:
+            self._remove(record.id)
+        return old
+
     def records(self) -> list[messages.EndpointRecord]:
-        """Return the newest record of each endpoint, including left ones."""
+        """Return the newest record of each endpoint.
+
+        Silent and left endpoints are included.
+        """
         return [entry.record for entry in self.entries.values()]
 
     def live_records(self) -> list[messages.EndpointRecord]:
@@ -158,9 +193,11 @@
         return [r for r in self.records() if r.state != LEFT]
 
     def digest(self) -> int:
-        """Return a hash of the identifiers, incarnations and states.
+        """Return a hash of the endpoints that are ready or draining.
 
-        Equal digests mean that two registries agree on them.
+        Equal digests mean that two registries agree on their identifiers,
+        incarnations and states. Silent and left endpoints are not hashed,
+        since each registry removes them at a time of its own.
         """
         if self.cached_digest is None:
             self.cached_digest = self._compute_digest()
@@ -170,6 +207,8 @@
         hasher = xxhash.xxh64()
         for identifier in sorted(self.entries):
             record = self.entries[identifier].record
+            if record.state in (SILENT, LEFT):
+                continue
             text = f"{record.id} {record.born} {record.state}\n"
             hasher.update(text.encode())
         return hasher.intdigest()
@@ -214,9 +253,15 @@
 def _supersedes(
     record: messages.EndpointRecord, known: messages.EndpointRecord
 ) -> bool:
-    """Return whether a record of the same incarnation is newer."""
+    """Return whether a record of the same incarnation is newer.
+
+    A control instance tells edges of silence with the sequence number of
+    the last report, which may be the one that the edge has.
+    """
     if known.state == LEFT:
         return False
+    if record.state == SILENT and known.state != SILENT:
+        return record.sequence >= known.sequence
     return record.state == LEFT or record.sequence > known.sequence
 
 
@@ -239,5 +284,6 @@
     "LEFT",
     "READY",
     "Registry",
+    "SILENT",
     "UNLISTED",
 ]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -174,6 +174,8 @@
     """The events that this process logs during the test, as mappings."""
     lines = []
     eliot.add_destinations(lines.append)
+    # The first destination gets what was logged before it.
+    lines.clear()
     yield lines
     eliot.remove_destination(lines.append)
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -302,6 +302,27 @@
     assert max(e.inflight for e in balancer.endpoints.values()) <= 20
 
 
+def usable_ids(balancer, now):
+    return [e.record.id for e in balancer.usable_endpoints("s", (), now)]
+
+
+def test_silent_endpoints_are_used_while_they_answer_or_as_a_last_resort():
+    """Pattern: control instances cut off from endpoints that edges reach."""
+    balancer = make_balancer(3)
+    for number in (1, 2):
+        silent = make_record(number)._replace(state="silent")
+        balancer.update_endpoint(silent, KV_TOKENS)
+    assert usable_ids(balancer, 50_000) == ["e0"]
+    balancer.record_activity(balancer.endpoints["e1"], 50_000)
+    assert usable_ids(balancer, 50_000) == ["e0", "e1"]
+    assert usable_ids(balancer, 90_000) == ["e0"]
+    for name in ("e0", "e1"):
+        balancer.endpoints[name].ejected_until = 95_000
+    assert usable_ids(balancer, 90_000) == ["e2"]
+    balancer.endpoints["e2"].ejected_until = 95_000
+    assert usable_ids(balancer, 90_000) == ["e0"]
+
+
 def test_unreachable_domain_is_avoided_as_a_whole():
     """In a partition the engines fail one by one, by timeouts.
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -256,6 +256,30 @@
     instances.run_test(body)
 
 
+def test_edge_uses_unlisted_endpoints_again_once_they_are_reported(tmp_path):
+    """A control instance may not have heard of all endpoints yet."""
+    record = messages.EndpointRecord(
+        "i-0", 1, 1, "svc", "127.0.0.1:1", "z0", 8, "ready"
+    )
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
+            edge = fleet.edges[9]
+            states = []
+            for records, complete in (
+                ((record,), True),
+                ((), True),
+                ((record._replace(sequence=2),), False),
+            ):
+                update = messages.EndpointUpdate(records, complete)
+                await edge.links.inbox.send(links.Received("c", update))
+                await anyio.sleep(0.05)
+                states += [r.state for r in edge.registry.records()]
+            assert states == ["ready", "silent", "ready"]
+
+    instances.run_test(body)
+
+
 def test_edge_switches_from_dead_control_instance(tmp_path):
     async def body():
         async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
