Log what a failed request held and what ran beside it

Change: 1511 carries the shared parts, the times since the request was sent and its answer began, and what this edge had under way there.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -339,7 +339,7 @@
         """
         if len(usable) <= FULL_SCAN_ENDPOINTS:
             return usable
-        shared_parts = profile.parts[:-1]
+        shared_parts = profile.shared_parts
         candidates = [
             e
             for e in usable
@@ -410,7 +410,7 @@
         depths: dict[str, int] = {}
         if not usable:
             return depths
-        shared_parts = profile.parts[:-1]
+        shared_parts = profile.shared_parts
         max_cached_depth = max(e.cached_depth(shared_parts) for e in usable)
         for i, part in enumerate(shared_parts):
             if i < max_cached_depth:
@@ -543,7 +543,7 @@
     def _queue_part_updates(
         self, endpoint: Endpoint, profile: RequestProfile
     ) -> None:
-        for part in profile.parts[:-1]:
+        for part in profile.shared_parts:
             key = (endpoint.record.id, part.identifier)
             update = messages.PartRead(
                 endpoint.record.id, part.identifier, part.tokens
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -70,6 +70,11 @@
     output_tokens: int = 0
     gap_ms: int = 0
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may hold as well."""
+        return self.parts[:-1]
+
     @property
     def is_gap_sensitive(self) -> bool:
         """Whether prefill of a long prompt would make its events late.
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -185,7 +185,9 @@
 ENDPOINT_FAILED = Event(
     1511,
     "endpoint-failed",
-    "A request to an endpoint failed.",
+    "A request to an endpoint failed; the fields say which prompt parts it"
+    " shares, how long ago it was sent and its answer began, and what this"
+    " edge had under way there.",
     "If it recurs, check the endpoint.",
 )
 CALL_REFUSED = Event(
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -192,7 +192,10 @@
         in_flight: whether it was sent in the current attempt and the
             endpoint has not said that it did not run it.
         earlier_may_have_run: whether an earlier attempt may have run it.
-        sent_at_ms: when it was last sent.
+        sent_at_ms: when it was last sent, -1 before the current attempt
+            has sent it.
+        answer_began_at_ms: when the first byte of the current attempt's
+            answer came, -1 before that.
         usage_counted: whether it was counted for the customer's usage.
         first_ms: time to the first byte of a response, -1 before it.
         trail: each attempt's endpoint and outcome, for the log.
@@ -233,7 +236,8 @@
         self.attempts = 0
         self.in_flight = False
         self.earlier_may_have_run = False
-        self.sent_at_ms = 0
+        self.sent_at_ms = -1
+        self.answer_began_at_ms = -1
         self.usage_counted = False
         self.first_ms = -1
         self.trail: list[str] = []
@@ -420,6 +424,7 @@
         """Send the request to one endpoint and relay its response."""
         record = choice.endpoint.record
         self.tried_endpoints.append(record.id)
+        self.sent_at_ms = self.answer_began_at_ms = -1
         now = clock.now_ms()
         pool = self.shared.connection_pool(record.address)
         try:
@@ -634,8 +639,17 @@
             address=choice.endpoint.record.address,
             error=error_text,
             failures=choice.endpoint.consecutive_failures,
+            parts=" ".join(p.identifier for p in self.ask.shared_parts),
+            sent_ms=self._since(self.sent_at_ms),
+            answering_ms=self._since(self.answer_began_at_ms),
+            inflight=choice.endpoint.inflight,
+            inflight_tokens=choice.endpoint.inflight_tokens,
         )
 
+    def _since(self, began_at_ms: int) -> int:
+        """Return the time in ms since a moment, -1 if it has not come."""
+        return clock.now_ms() - began_at_ms if began_at_ms >= 0 else -1
+
     def _record_load(
         self,
         endpoint: balancer_module.Endpoint,
@@ -666,6 +680,7 @@
         now = clock.now_ms()
         if not response_began[0]:
             response_began[0] = True
+            self.answer_began_at_ms = now
             first_byte_latency_ms = now - self.sent_at_ms
             self.balancer.record_first_byte(
                 choice, self.ask, first_byte_latency_ms
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -673,3 +673,19 @@
     counts = ("known", "ready", "ejected", "at_connection_limit", "tried")
     assert [line[name] for name in counts] == [2, 2, 1, 2, 0]
     assert line["service"] == "svc"
+
+
+def test_log_says_what_a_failed_request_held(log_lines):
+    """On-call engineers look for what the failures of endpoints share."""
+
+    async def body():
+        async with routed.running_edge(Engine(["torn_event"])) as edge:
+            headers = {"Prefix-Hash": "a:9,b:8,own:7", "Token-Count": "24,5"}
+            request = routed.request("/stream/x", **headers)
+            await routed.send_request(edge, request)
+
+    run(body)
+    (line,) = [x for x in log_lines if x.get("event") == 1511]
+    assert line["parts"] == "a b"
+    assert line["inflight"] == 1 and line["inflight_tokens"] == 29
+    assert 0 <= line["answering_ms"] <= line["sent_ms"] < 1000
