--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -13,6 +13,8 @@
 
 STAMP = b"Response-Stamp: 1.1.1\r\n"
 FLOOD_BYTES = 64 << 20
+# How long a crashed engine takes to start again.
+RESTART_S = 0.5
 
 
 class Seen(NamedTuple):
@@ -36,11 +38,21 @@
         behaviours: names of methods without ``_play_``; the last one is
             played for all further requests.
         events: how many events a stream has.
+        crashing_part: a prompt part that ends the engine's process as soon
+            as it answers a request that holds it, but as the last part.
+
+    Attributes:
+        incarnation: how often the process has started.
     """
 
-    def __init__(self, behaviours: list[str], events: int = 4):
+    def __init__(
+        self, behaviours: list[str], events: int = 4, crashing_part: str = ""
+    ):
         self.behaviours = deque(behaviours)
         self.events = events
+        self.crashing_part = crashing_part
+        self.incarnation = 1
+        self.crash = anyio.Event()
         self.seen: list[Seen] = []
         self.connections = 0
         self.cancelled = 0
@@ -57,12 +69,26 @@
         *,
         task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until cancelled."""
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        async with listener:
-            task_status.started()
-            await listener.serve(self._serve)
+        """Serve until cancelled; after a crash start again."""
+        while True:
+            listener = await anyio.create_tcp_listener(
+                local_host="127.0.0.1", local_port=self.port
+            )
+            self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as group:
+                if self.incarnation == 1:
+                    task_status.started()
+                group.start_soon(listener.serve, self._serve)
+                await self.crash.wait()
+                group.cancel_scope.cancel()
+            await anyio.sleep(RESTART_S)
+            self.crash = anyio.Event()
+            self.incarnation += 1
+
+    def _is_crashed_by(self, seen: Seen) -> bool:
+        items = seen.headers.get("prefix-hash", "").split(",")[:-1]
+        parts = [item.strip().partition(":")[0] for item in items]
+        return bool(self.crashing_part) and self.crashing_part in parts
 
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
         self.connections += 1
@@ -71,6 +97,10 @@
                 while True:
                     seen = await self._read(stream)
                     self.seen.append(seen)
+                    if self._is_crashed_by(seen):
+                        await self._stream(stream, seen, 1, False)
+                        self.crash.set()
+                        return
                     name = self.behaviours[0]
                     if len(self.behaviours) > 1:
                         self.behaviours.popleft()
@@ -209,6 +239,15 @@
             await anyio.sleep(0.1)
             await self._chunk(stream, b"x")
 
+    async def _play_paced_stream(self, stream, seen: Seen) -> bool:
+        """Send whole events, one every 40 ms."""
+        await self._begin_chunks(stream, seen)
+        for number in range(1, self.events + 1):
+            await self._event(stream, seen, number)
+            await anyio.sleep(0.04)
+        await stream.send(b"0\r\n\r\n")
+        return True
+
     async def _play_slow_stream(self, stream, seen: Seen) -> bool:
         """Send whole events, one every 0.9 s."""
         await self._begin_chunks(stream, seen)
