Quarantine prompt parts that crash the endpoints that answer them

Callers saw: streams of every kind broken off, as requests of one kind ended 59 and 55 engines with all that ran on them. Cause: the router accounts for failures by endpoint only. What endpoints that crash have in common, a part of the prompts under way, was recorded nowhere, so that each such request, and each retry, went on to the next sound endpoint. The class: a failure that follows the request, handled as if it stayed with the endpoint. Ruled out: overload (one engine in fourteen serves each request; each ends within 0.3 s of that request, whatever else runs) and crashes of their own (none ends in the 3 s between the two groups without such a request). Change: edges exchange which parts were under way at crashes and which were answered; a part at three crashes and in no answer for a second is refused (503, crashing-part).

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -28,6 +28,7 @@
 from primrosehitch import metrics
 from primrosehitch import peers as peers_module
 from primrosehitch import proposals
+from primrosehitch import quarantine
 from primrosehitch import registry as registry_module
 from primrosehitch import replica as replica_module
 from primrosehitch import replicator as replicator_module
@@ -113,6 +114,13 @@
         self.recent_parts: gathering.RecentUpdates[
             tuple[str, str], messages.PartRead
         ] = gathering.RecentUpdates(RECENT_PARTS_TTL_MS, MAX_RECENT_PARTS)
+        self.edge_findings = quarantine.make_findings()
+        self.all_findings = quarantine.make_findings()
+        self.quarantined: gathering.RecentUpdates[
+            str, messages.PartFinding
+        ] = gathering.RecentUpdates(
+            quarantine.QUARANTINE_MS, quarantine.MAX_QUARANTINED
+        )
         # Edges and instances that joined and have not got them yet.
         self.lacking_parts: set[str] = set()
         # The digests of a peer's and the own registry by peer, if they
@@ -378,6 +386,16 @@
                 ),
                 (self.edge_parts, messages.PartsRead, self.peers.link_names),
                 (self.all_parts, messages.PartsRead, self.subscribers.keys),
+                (
+                    self.edge_findings,
+                    messages.PartFindings,
+                    self.peers.link_names,
+                ),
+                (
+                    self.all_findings,
+                    messages.PartFindings,
+                    self.subscribers.keys,
+                ),
             ):
                 group.start_soon(
                     self._forward_batches, gatherer, make_message, targets
@@ -605,6 +623,23 @@
             if from_edge:
                 self.edge_parts.put(key, part)
 
+    def _on_part_findings(
+        self, sender: str, message: messages.PartFindings
+    ) -> None:
+        """Queue findings for the edges; those from edges for peers too."""
+        now = clock.now_ms()
+        from_edge = sender not in self.peers.presences
+        for finding in message.findings:
+            key = quarantine.finding_key(finding)
+            self.all_findings.put(key, finding)
+            if from_edge:
+                self.edge_findings.put(key, finding)
+            for part in finding.parts:
+                if finding.finding == quarantine.QUARANTINED:
+                    self.quarantined.put(part, finding, now)
+                elif finding.finding == quarantine.SOUND:
+                    self.quarantined.discard(part)
+
     def _send_recent_parts(self, receiver: str, now: int) -> None:
         """Send an edge or instance that joined what it has missed.
 
@@ -613,7 +648,13 @@
         if receiver not in self.lacking_parts:
             return
         parts = self.recent_parts.values(now)
-        if not parts or self.links.send(receiver, messages.PartsRead(parts)):
+        findings = self.quarantined.values(now)
+        if (
+            not parts or self.links.send(receiver, messages.PartsRead(parts))
+        ) and (
+            not findings
+            or self.links.send(receiver, messages.PartFindings(findings))
+        ):
             self.lacking_parts.discard(receiver)
 
     async def _forward_batches(
@@ -702,6 +743,7 @@
         messages.TallyBatch: _on_tallies,
         messages.LoadReport: _on_load,
         messages.PartsRead: _on_parts,
+        messages.PartFindings: _on_part_findings,
         messages.ReplicaMessage: _on_replica_message,
         messages.Proposal: _on_proposal,
         messages.ProposalReply: _on_proposal_reply,
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -29,6 +29,7 @@
 from primrosehitch import metering
 from primrosehitch import metrics
 from primrosehitch import overload
+from primrosehitch import quarantine as quarantine_module
 from primrosehitch import registry as registry_module
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
@@ -115,6 +116,7 @@
         self.meter = metering.WindowMeter(
             settings.name, self.incarnation, bounds.usage_window_ms
         )
+        self.quarantine = quarantine_module.Quarantine()
         self.forwarder = forwarder_module.Forwarder(
             dialect,
             self.balancer,
@@ -122,6 +124,7 @@
             self.meter,
             self.true_time,
             overload.AdmissionGate(),
+            self.quarantine,
             self.rng,
         )
         self.front = httpserver.Server(
@@ -213,6 +216,7 @@
             group.start_soon(self._dispatch_messages, self.inbox)
             group.start_soon(self._poll_control)
             group.start_soon(self._send_parts_read)
+            group.start_soon(self._send_part_findings)
             group.start_soon(self._resend_tallies)
             group.start_soon(self._sweep)
             await self._listen(group, self.ready, settings.ready)
@@ -282,6 +286,7 @@
         self._connect_to_control(self.current_control)
         async for tick in self.timers.subscribe(SUBSCRIBE_PERIOD_MS):
             self._check_control(tick.now)
+            self.quarantine.judge(tick.now)
             table = self.forwarder.table
             self._send(
                 messages.Subscribe(
@@ -341,6 +346,10 @@
                 self.balancer.apply_load_totals(message)
             elif isinstance(message, messages.PartsRead):
                 self.balancer.apply_part_updates(message)
+            elif isinstance(message, messages.PartFindings):
+                now = clock.now_ms()
+                for finding in message.findings:
+                    self.quarantine.apply_finding(finding, now)
 
     def _on_status(self, sender: str, status: messages.ControlStatus) -> None:
         """Apply the status of the current control instance.
@@ -513,6 +522,13 @@
                 # No link at present; the parts stay cached meanwhile.
                 await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
 
+    async def _send_part_findings(self) -> None:
+        """Send what is found of prompt parts that crash endpoints."""
+        while True:
+            findings = await self.quarantine.findings.take()
+            while not self._send(messages.PartFindings(findings)):
+                await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
+
     async def _resend_tallies(self) -> None:
         """Mark the two newest windows for sending, as messages get lost."""
         async for _ in self.timers.subscribe(TALLY_REPEAT_PERIOD_MS):
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -196,6 +196,21 @@
     "A call from an endpoint or an operator was rejected as invalid.",
     "Check the sender; the error text says what is wrong.",
 )
+PART_QUARANTINED = Event(
+    1521,
+    "part-quarantined",
+    "Endpoints crashed under requests that share a prompt part; requests"
+    " with it are refused.",
+    "Look for 1511 of the endpoints named; report the part's content to the"
+    " owners of the endpoints' software.",
+)
+PART_RELEASED = Event(
+    1522,
+    "part-released",
+    "A prompt part is no longer quarantined: its time is over, or an"
+    " endpoint answered a request with it.",
+    NO_ACTION,
+)
 ORDER_SENT = Event(
     1601, "order-sent", "An order was sent to the platform.", NO_ACTION
 )
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -17,6 +17,7 @@
 from primrosehitch import metering
 from primrosehitch import metrics
 from primrosehitch import overload
+from primrosehitch import quarantine as quarantine_module
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
 from primrosehitch import truetime as truetime_module
@@ -41,6 +42,7 @@
         meter: counts requests by customer for usage reports.
         true_time: the clock by which requests are counted.
         gate: admission control.
+        quarantine: prompt parts that are kept from endpoints.
         rng: picks a service of a route by weight.
 
     Attributes:
@@ -60,6 +62,7 @@
         meter: metering.WindowMeter,
         true_time: truetime_module.TrueTime,
         gate: overload.AdmissionGate,
+        quarantine: quarantine_module.Quarantine,
         rng: random.Random,
     ):
         self.dialect = dialect
@@ -68,6 +71,7 @@
         self.meter = meter
         self.true_time = true_time
         self.gate = gate
+        self.quarantine = quarantine
         self.rng = rng
         self.table: routes.RouteTable | None = None
         self.routing_changed = anyio.Event()
@@ -150,6 +154,7 @@
             request_id=call.identifier.decode("latin-1"),
             status=refused.status,
             reason=refused.reason,
+            part=refused.part,
             version=self.table.version if self.table else 0,
         )
 
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -25,6 +25,8 @@
 from primrosehitch import metering
 from primrosehitch import metrics
 from primrosehitch import overload
+from primrosehitch import quarantine as quarantine_module
+from primrosehitch import registry
 from primrosehitch import routes
 from primrosehitch import truetime as truetime_module
 
@@ -62,6 +64,8 @@
 # event for this many times the allowed gap, and at least for the minimum.
 EVENT_GAP_FACTOR = 2.0
 MIN_EVENT_TIMEOUT_MS = 1000
+# A stream that goes on clears its prompt parts of suspicion this often.
+SOUND_REPORT_PERIOD_MS = 500
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 # Statuses that tell a caller that the request has not run and will not.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -75,11 +79,13 @@
         reason: one word for the reply's body, logs and metrics.
         retry_after_s: when the caller may retry, in seconds, or None to
             send no Retry-After header.
+        part: the quarantined prompt part for which it is refused, if any.
     """
 
     status: int
     reason: str
     retry_after_s: float | None = None
+    part: str = ""
 
 
 class Passed(NamedTuple):
@@ -158,6 +164,7 @@
     meter: metering.WindowMeter
     true_time: truetime_module.TrueTime
     gate: overload.AdmissionGate
+    quarantine: quarantine_module.Quarantine
     rng: random.Random
     routing_changed: anyio.Event
 
@@ -185,6 +192,7 @@
 
     Attributes:
         ask: what the balancer chooses an endpoint by.
+        part_ids: identifiers of the prompt parts that it shares.
         deadline_at_ms: when the request times out, by ``clock.now_ms``.
         event_frames: splits a stream into whole events.
         tried_endpoints: identifiers of the endpoints chosen so far.
@@ -227,6 +235,7 @@
             call.output_tokens,
             self.route.gap_ms if self.route.kind == routes.STREAM else 0,
         )
+        self.part_ids = tuple(p.identifier for p in self.ask.shared_parts)
         time_limit_ms = self.route.timeout_ms
         if call.deadline_ms is not None:
             time_limit_ms = min(time_limit_ms, call.deadline_ms)
@@ -250,6 +259,10 @@
         now = clock.now_ms()
         shared.retry_budget.record_request(self.ask.service, now)
         service = self.ask.service
+        part = shared.quarantine.quarantined_part(self.part_ids, now)
+        if part is not None:
+            self._refuse_quarantined(part, now)
+            return
         rejection = shared.gate.admit(service, self.deadline_at_ms, now)
         if rejection is not None:
             refused = Refused(503, rejection.reason, rejection.retry_after_s)
@@ -268,6 +281,12 @@
             shared.gate.record_end(service)
             self._record_outcome(outcome)
 
+    def _refuse_quarantined(self, part: str, now: int) -> None:
+        """Refuse a request that would crash the endpoint it is sent to."""
+        retry_after_s = self.shared.quarantine.retry_after_s(part, now)
+        refused = Refused(503, "crashing-part", retry_after_s, part)
+        self.shared.refuse(self.call, self.responder, refused)
+
     async def _try_endpoints(self) -> str:
         """Try endpoints until one responds; return the outcome to log."""
         while True:
@@ -330,6 +349,8 @@
         may_have_run = not isinstance(outcome, NotRun)
         if may_have_run and not self.route.repeatable:
             return False
+        if self.shared.quarantine.quarantined_part(self.part_ids, now):
+            return False
         if self.attempts >= self.route.max_attempts:
             return False
         remaining_endpoints = self.balancer.usable_endpoints(
@@ -525,6 +546,7 @@
         if head is None:
             return self._record_broken(choice, "silent")
         if not isinstance(head, httpclient.ResponseHead):
+            self._report_crash(choice)
             return self._record_broken(choice, "closed without a response")
         info = self.shared.dialect.read_answer(head)
         self._record_load(choice.endpoint, info)
@@ -629,6 +651,30 @@
         self._emit_endpoint_failure(choice, error_text)
         return Broken(error_text)
 
+    def _report_crash(self, choice: balancer_module.Choice) -> None:
+        """Report that the endpoint closed its connection during a request.
+
+        An answer that has gone on for some time is not what crashed it,
+        and an endpoint that is leaving may close its connections.
+        """
+        record = choice.endpoint.record
+        is_leaving = record.state in (registry.DRAINING, registry.LEFT)
+        answering_ms = self._since(self.answer_began_at_ms)
+        if (
+            self.part_ids
+            and not is_leaving
+            and (answering_ms < quarantine_module.SOUND_ANSWER_MS)
+        ):
+            crashed = quarantine_module.Incarnation(record.id, record.born)
+            self.shared.quarantine.report_crash(
+                crashed, self.part_ids, clock.now_ms()
+            )
+
+    def _report_sound(self) -> None:
+        """Report that the endpoint answers or has answered the request."""
+        if self.part_ids:
+            self.shared.quarantine.report_sound(self.part_ids, clock.now_ms())
+
     def _emit_endpoint_failure(
         self, choice: balancer_module.Choice, error_text: str
     ) -> None:
@@ -639,7 +685,7 @@
             address=choice.endpoint.record.address,
             error=error_text,
             failures=choice.endpoint.consecutive_failures,
-            parts=" ".join(p.identifier for p in self.ask.shared_parts),
+            parts=" ".join(self.part_ids),
             sent_ms=self._since(self.sent_at_ms),
             answering_ms=self._since(self.answer_began_at_ms),
             inflight=choice.endpoint.inflight,
@@ -715,11 +761,13 @@
                 )
             item = await connection.receive()
         if item is httpclient.ResponseEnd.BROKEN:
+            self._report_crash(choice)
             return self._record_broken(choice, "response incomplete")
         body = b"".join(parts)
         if head.status >= 500:
             self.balancer.record_error_answer(choice.endpoint)
             return Failed(head, body)
+        self._report_sound()
         self._send_buffered(head, body)
         return Passed(head.status)
 
@@ -784,6 +832,7 @@
         )
         item = await self._receive(connection, choice, read_timeout_ms)
         last_event_ms = clock.now_ms()
+        sound_at_ms = last_event_ms + quarantine_module.SOUND_ANSWER_MS
         while isinstance(item, bytes):
             try:
                 complete_events = self.event_frames.feed(item)
@@ -794,6 +843,9 @@
                 self._ensure_head_sent(head)
                 await self.responder.write(complete_events)
                 last_event_ms = clock.now_ms()
+                if last_event_ms >= sound_at_ms:
+                    self._report_sound()
+                    sound_at_ms = last_event_ms + SOUND_REPORT_PERIOD_MS
             elif (
                 clock.now_ms() - last_event_ms > event_timeout_ms
                 and self._can_fail_over()
@@ -807,7 +859,10 @@
         ):
             self._ensure_head_sent(head)
             self.responder.finish()
+            self._report_sound()
             return Passed(head.status)
+        if item is httpclient.ResponseEnd.BROKEN:
+            self._report_crash(choice)
         self.event_frames.prepare_resume()
         error_text = "stream incomplete" if item else "stream stalled"
         return self._record_broken(choice, error_text)
--- a/primrosehitch/gathering.py
+++ b/primrosehitch/gathering.py
@@ -78,6 +78,10 @@
         while len(self.items) > self.max_items:
             self.items.popitem(last=False)
 
+    def discard(self, key: Key) -> None:
+        """Remove a value, if there is one."""
+        self.items.pop(key, None)
+
     def values(self, now: int) -> tuple[Value, ...]:
         """Return the values updated within the time to live."""
         while self.items:
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1741,6 +1741,49 @@
     )
 
 
+class PartFinding(NamedTuple):
+    """Message ``PartFinding`` of the schema."""
+
+    finding: str = ""
+    endpoint: str = ""
+    born: int = 0
+    parts: tuple[str, ...] = ()
+
+
+def _write_part_finding(b: Any, m: PartFinding) -> None:
+    b.finding = m.finding
+    b.endpoint = m.endpoint
+    b.born = m.born
+    b.parts = list(m.parts)
+
+
+def _read_part_finding(r: Any) -> PartFinding:
+    return PartFinding(
+        r.finding,
+        r.endpoint,
+        r.born,
+        tuple(r.parts),
+    )
+
+
+class PartFindings(NamedTuple):
+    """Message ``PartFindings`` of the schema."""
+
+    findings: tuple["PartFinding", ...] = ()
+
+
+def _write_part_findings(b: Any, m: PartFindings) -> None:
+    items = b.init("findings", len(m.findings))
+    for i, item in enumerate(m.findings):
+        _write_part_finding(items[i], item)
+
+
+def _read_part_findings(r: Any) -> PartFindings:
+    return PartFindings(
+        tuple(_read_part_finding(x) for x in r.findings),
+    )
+
+
 class LoadReport(NamedTuple):
     """Message ``LoadReport`` of the schema."""
 
@@ -1918,6 +1961,12 @@
     ),
     PartRead: (_capnp.PartRead, _write_part_read, _read_part_read),
     PartsRead: (_capnp.PartsRead, _write_parts_read, _read_parts_read),
+    PartFinding: (_capnp.PartFinding, _write_part_finding, _read_part_finding),
+    PartFindings: (
+        _capnp.PartFindings,
+        _write_part_findings,
+        _read_part_findings,
+    ),
     LoadReport: (_capnp.LoadReport, _write_load_report, _read_load_report),
 }
 
@@ -1988,7 +2037,9 @@
     64: EndpointLoad,
     65: PartRead,
     66: PartsRead,
-    67: LoadReport,
+    67: PartFinding,
+    68: PartFindings,
+    69: LoadReport,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -2065,6 +2116,8 @@
     "NUMBERS",
     "Order",
     "OrderDone",
+    "PartFinding",
+    "PartFindings",
     "PartRead",
     "PartsRead",
     "Ping",
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -26,6 +26,10 @@
 ENDPOINTS = prometheus_client.Gauge(
     "primrosehitch_endpoints", "Endpoints known to this instance."
 )
+QUARANTINED_PARTS = prometheus_client.Gauge(
+    "primrosehitch_quarantined_parts",
+    "Prompt parts kept from endpoints because they crashed some.",
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -52,6 +56,7 @@
     "LINK_BYTES",
     "LINK_MESSAGES",
     "OUTPUT_TOKENS",
+    "QUARANTINED_PARTS",
     "REQUESTS",
     "exposition",
 ]
--- /dev/null
+++ b/primrosehitch/quarantine.py
@@ -0,0 +1,265 @@
+"""Quarantine of prompt parts that crash the endpoints that answer them.
+
+Does no I/O; the caller passes the current time in ms. A part is suspect if
+requests that hold it were under way at several endpoints that crashed, and
+none of them has been answered since. Parts that sound requests hold as
+well, such as a common system prompt, are cleared by those requests' answers
+within moments; the part that remains is quarantined. All edges exchange
+what they find, since requests with the part arrive at any of them.
+"""
+
+from collections import OrderedDict
+from typing import Iterable
+from typing import NamedTuple
+
+from primrosehitch import events
+from primrosehitch import gathering
+from primrosehitch import messages
+from primrosehitch import metrics
+
+# What an edge can find of a part: it was under way at an endpoint that
+# crashed, a request with it was answered, or it was quarantined.
+CRASH = "crash"
+SOUND = "sound"
+QUARANTINED = "quarantined"
+
+# A part is suspect from this many crashes on. Two crashes may hit one
+# request and its retry by chance.
+MIN_CRASHES = 3
+# Answers have this long to clear a suspect part, and as long again if it
+# shares all its crashes with another suspect.
+CONFIRMATION_MS = 1000
+# An answer under way for this long shows that its request crashes nothing:
+# a crash follows the first token within a few steps of an engine.
+SOUND_ANSWER_MS = 2000
+# How long a crash is remembered, and a part is kept from endpoints. What
+# ends the fault is a release of the endpoints' software, not time, so a
+# trial is not repeated often: it costs endpoints with all that they serve.
+CRASH_TTL_MS = 600_000
+QUARANTINE_MS = 600_000
+MAX_CRASHES = 500
+MAX_QUARANTINED = 1000
+# Findings are batched for this long; a crash follows a request within some
+# hundred ms.
+FINDINGS_DELAY_S = 0.03
+
+FindingKey = tuple[str, str, int, tuple[str, ...]]
+Findings = gathering.UpdateBatcher[FindingKey, messages.PartFinding]
+
+
+def make_findings() -> Findings:
+    """Return a batcher of findings, keyed by all their fields."""
+    return gathering.UpdateBatcher(FINDINGS_DELAY_S)
+
+
+def finding_key(finding: messages.PartFinding) -> FindingKey:
+    """Return the key under which a finding is batched."""
+    return (finding.finding, finding.endpoint, finding.born, finding.parts)
+
+
+class Incarnation(NamedTuple):
+    """One run of an endpoint's process.
+
+    Attributes:
+        endpoint: the endpoint's identifier.
+        born: when it started, as it reported.
+    """
+
+    endpoint: str
+    born: int
+
+
+class Crash:
+    """A crash, and the parts that may have caused it.
+
+    Attributes:
+        recorded_at: when it was first recorded, in ms.
+        parts: the parts under suspicion.
+    """
+
+    def __init__(self, recorded_at: int):
+        self.recorded_at = recorded_at
+        self.parts: set[str] = set()
+
+
+class Quarantine:
+    """Crashes of endpoints, suspect prompt parts and quarantined ones.
+
+    Attributes:
+        crashes: crashes by incarnation, oldest first.
+        depths: positions of a part in the prompts of its crashes, by part
+            and incarnation; the parts are those of all crashes.
+        suspect_since: when a part became suspect, in ms, by part.
+        released_at: end of each part's quarantine in ms, by part.
+        findings: findings of this edge, to be sent to the others.
+    """
+
+    def __init__(self) -> None:
+        self.crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
+        self.depths: dict[str, dict[Incarnation, int]] = {}
+        self.suspect_since: dict[str, int] = {}
+        self.released_at: OrderedDict[str, int] = OrderedDict()
+        self.findings = make_findings()
+
+    def report_crash(
+        self, crashed: Incarnation, parts: tuple[str, ...], now: int
+    ) -> None:
+        """Record a request of this edge that was under way at a crash.
+
+        Args:
+            crashed: the endpoint that crashed.
+            parts: the request's shared parts, in order.
+            now: the current time in ms.
+        """
+        self._report(messages.PartFinding(CRASH, *crashed, parts), now)
+
+    def report_sound(self, parts: tuple[str, ...], now: int) -> None:
+        """Record that an endpoint answered a request of this edge.
+
+        Args:
+            parts: the request's shared parts.
+            now: the current time in ms.
+        """
+        doubted = tuple(
+            p for p in parts if p in self.depths or p in self.released_at
+        )
+        if doubted:
+            self._report(messages.PartFinding(SOUND, parts=doubted), now)
+
+    def _report(self, finding: messages.PartFinding, now: int) -> None:
+        self.apply_finding(finding, now)
+        self.findings.put(finding_key(finding), finding)
+
+    def apply_finding(self, finding: messages.PartFinding, now: int) -> None:
+        """Apply a finding of this edge or of another one."""
+        if finding.finding == CRASH:
+            crashed = Incarnation(finding.endpoint, finding.born)
+            self._record_crash(crashed, finding.parts, now)
+        elif finding.finding == SOUND:
+            self._clear(finding.parts)
+        elif finding.finding == QUARANTINED:
+            for part in finding.parts:
+                self._quarantine(part, now)
+
+    def quarantined_part(self, parts: Iterable[str], now: int) -> str | None:
+        """Return the first of the parts that is quarantined, if any is."""
+        if self.suspect_since:
+            self.judge(now)
+        for part in parts:
+            if self.released_at.get(part, now) > now:
+                return part
+        return None
+
+    def retry_after_s(self, part: str, now: int) -> float:
+        """Return how long a part stays in quarantine, in seconds."""
+        return max(0, self.released_at.get(part, now) - now) / 1000
+
+    def judge(self, now: int) -> None:
+        """Quarantine the suspects that no answer has cleared in time."""
+        self._expire(now)
+        while due := [p for p in self.suspect_since if self._is_due(p, now)]:
+            # Of parts with as many crashes the one that comes last in the
+            # prompt is in the fewest sound requests.
+            worst = max(due, key=lambda p: (self._count(p), self._depth(p)))
+            self._quarantine(worst, now)
+            finding = messages.PartFinding(QUARANTINED, parts=(worst,))
+            self.findings.put(finding_key(finding), finding)
+
+    def _is_due(self, part: str, now: int) -> bool:
+        """Return whether a suspect's time to be cleared is over."""
+        doubted_ms = now - self.suspect_since[part]
+        if doubted_ms < CONFIRMATION_MS:
+            return False
+        has_rival = any(
+            other != part and self._count(other) >= self._count(part)
+            for other in self.suspect_since
+        )
+        return not has_rival or doubted_ms >= 2 * CONFIRMATION_MS
+
+    def _record_crash(
+        self, crashed: Incarnation, parts: tuple[str, ...], now: int
+    ) -> None:
+        """Add the parts of a request that was under way at a crash.
+
+        A quarantined part among them explains the crash.
+        """
+        if self.quarantined_part(parts, now) is not None:
+            return
+        crash = self.crashes.get(crashed)
+        if crash is None:
+            crash = self.crashes[crashed] = Crash(now)
+        for depth, part in enumerate(parts):
+            crash.parts.add(part)
+            self.depths.setdefault(part, {})[crashed] = depth
+            if self._count(part) >= MIN_CRASHES:
+                self.suspect_since.setdefault(part, now)
+        while len(self.crashes) > MAX_CRASHES:
+            self._forget(next(iter(self.crashes)))
+
+    def _forget(self, crashed: Incarnation) -> None:
+        """Forget a crash."""
+        for part in self.crashes.pop(crashed).parts:
+            self.depths[part].pop(crashed)
+            if self._count(part) < MIN_CRASHES:
+                self.suspect_since.pop(part, None)
+            if not self.depths[part]:
+                del self.depths[part]
+
+    def _clear(self, parts: tuple[str, ...]) -> None:
+        """End the suspicion and the quarantine of parts."""
+        for part in parts:
+            for crashed in self.depths.pop(part, ()):
+                self.crashes[crashed].parts.discard(part)
+            self.suspect_since.pop(part, None)
+            if self.released_at.pop(part, None) is not None:
+                events.emit(events.PART_RELEASED, part=part)
+        metrics.QUARANTINED_PARTS.set(len(self.released_at))
+
+    def _quarantine(self, part: str, now: int) -> None:
+        """Quarantine a part, which explains the crashes that it was at."""
+        explained = list(self.depths.get(part, ()))
+        for crashed in explained:
+            self._forget(crashed)
+        if part not in self.released_at:
+            events.emit(
+                events.PART_QUARANTINED,
+                part=part,
+                endpoints=" ".join(c.endpoint for c in explained),
+            )
+        self.released_at[part] = now + QUARANTINE_MS
+        while len(self.released_at) > MAX_QUARANTINED:
+            self.released_at.popitem(last=False)
+        metrics.QUARANTINED_PARTS.set(len(self.released_at))
+
+    def _expire(self, now: int) -> None:
+        """Forget old crashes and end quarantines whose time is over."""
+        while self.crashes:
+            crashed, crash = next(iter(self.crashes.items()))
+            if now - crash.recorded_at <= CRASH_TTL_MS:
+                break
+            self._forget(crashed)
+        over = tuple(p for p, at in self.released_at.items() if at <= now)
+        self._clear(over)
+
+    def _count(self, part: str) -> int:
+        """Return at how many crashes a part is under suspicion."""
+        return len(self.depths.get(part, ()))
+
+    def _depth(self, part: str) -> int:
+        """Return a suspect's last position in a prompt."""
+        return max(self.depths[part].values())
+
+
+__all__ = [
+    "CRASH",
+    "Findings",
+    "Incarnation",
+    "MAX_QUARANTINED",
+    "QUARANTINED",
+    "QUARANTINE_MS",
+    "Quarantine",
+    "SOUND",
+    "SOUND_ANSWER_MS",
+    "finding_key",
+    "make_findings",
+]
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -557,6 +557,20 @@
   parts @0 :List(PartRead);
 }
 
+# What an edge found of prompt parts: "crash" if they were under way at an
+# endpoint that crashed, "sound" if they were answered, or "quarantined".
+struct PartFinding {
+  finding @0 :Text;
+  # The endpoint that crashed, and its start time.
+  endpoint @1 :Text;
+  born @2 :UInt64;
+  parts @3 :List(Text);
+}
+
+struct PartFindings {
+  findings @0 :List(PartFinding);
+}
+
 # An edge sends its own load. A control instance sends the sum over its
 # edges to other control instances, and the sum over all edges to an edge.
 struct LoadReport {
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -19,6 +19,7 @@
 from primrosehitch import messages
 from primrosehitch import metering
 from primrosehitch import overload
+from primrosehitch import quarantine
 from primrosehitch import settings
 from primrosehitch import truetime
 from primrosehitch.platform import dialect
@@ -76,6 +77,7 @@
             self.meter,
             truetime.TrueTime(clock.wall_ms(), now),
             overload.AdmissionGate(),
+            quarantine.Quarantine(),
             random.Random(1),
         )
         self.forwarder.table = table
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,6 +12,7 @@
 from primrosehitch import edge as edge_module
 from primrosehitch import links
 from primrosehitch import messages
+from primrosehitch import quarantine
 from primrosehitch import registry
 from primrosehitch_lab import platform_engine
 
@@ -417,6 +418,41 @@
     instances.run_test(body)
 
 
+def test_quarantine_reaches_all_edges_and_those_that_join_later(tmp_path):
+    """Pattern: requests with a crashing part arrive at any edge."""
+
+    async def body():
+        engine = platform_engine.StandInEngine(["good"])
+        async with instances.running_fleet(tmp_path, edges=(7, 8)) as fleet:
+            await instances.serve_from(fleet, engine)
+
+            def is_refused(number):
+                now = routed.clock.now_ms()
+                parts = fleet.edges[number].quarantine
+                return parts.quarantined_part(("bad",), now) == "bad"
+
+            # Neither edge alone sees enough crashes.
+            for number in (7, 8, 7):
+                edge = fleet.edges[number]
+                crashed = quarantine.Incarnation(f"e{edge.rng.random()}", 1)
+                edge.quarantine.report_crash(
+                    crashed, ("system", "bad"), routed.clock.now_ms()
+                )
+            await instances.wait_until(
+                lambda: is_refused(7) and is_refused(8), 3
+            )
+            fleet.start_edge(10)
+            await instances.wait_until(lambda: is_refused(10), 4)
+            fleet.edges[8].quarantine.report_sound(
+                ("bad",), routed.clock.now_ms()
+            )
+            await instances.wait_until(
+                lambda: not any(is_refused(n) for n in (7, 8, 10)), 2
+            )
+
+    instances.run_test(body)
+
+
 # Guards against: an endpoint left during a cut, and edges of the other
 # side sent it requests until its heartbeats timed out.
 def test_changes_during_a_cut_are_known_everywhere_after_it(tmp_path):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,8 +1,11 @@
 """Tests of the quarantine of prompt parts that crash endpoints."""
 
 import anyio
+from hypothesis import given
+from hypothesis import strategies as st
 import routed
 
+from primrosehitch import quarantine
 from primrosehitch_lab import platform_engine
 
 # What the users' pages bound: requests sent on later than CONTACT_S after
@@ -128,3 +131,128 @@
             assert refused and set(refused) == {503}
 
     anyio.run(body, backend_options={"use_uvloop": True})
+
+
+def make_crash(number, *parts):
+    return quarantine.Incarnation(f"e{number}", 1), parts
+
+
+def report_crashes(quarantined, crashes, now=0):
+    for crashed, parts in crashes:
+        quarantined.report_crash(crashed, parts, now)
+
+
+def test_part_is_quarantined_after_three_crashes_without_an_answer():
+    parts = quarantine.Quarantine()
+    report_crashes(parts, [make_crash(n, f"top{n}", "bad") for n in range(2)])
+    parts.judge(60_000)
+    assert parts.quarantined_part(("bad",), 60_000) is None
+    report_crashes(parts, [make_crash(2, "top2", "bad")], 60_000)
+    assert parts.quarantined_part(("bad",), 60_999) is None
+    assert parts.quarantined_part(("top2", "bad"), 61_000) == "bad"
+    assert parts.quarantined_part(("top2",), 61_000) is None
+    assert parts.retry_after_s("bad", 61_000) == 600
+    assert parts.quarantined_part(("bad",), 61_000 + 600_000) is None
+
+
+def test_one_endpoint_that_breaks_many_requests_is_one_crash():
+    parts = quarantine.Quarantine()
+    report_crashes(parts, [make_crash(1, "doc")] * 10)
+    parts.judge(60_000)
+    assert parts.quarantined_part(("doc",), 60_000) is None
+
+
+def test_restarts_under_one_identifier_are_separate_crashes():
+    parts = quarantine.Quarantine()
+    for born in range(3):
+        crashed = quarantine.Incarnation("e", born)
+        parts.report_crash(crashed, ("bad",), 0)
+    assert parts.quarantined_part(("bad",), 1000) == "bad"
+
+
+def test_answers_clear_what_sound_requests_share():
+    """Pattern: all requests of a route share a system prompt."""
+    parts = quarantine.Quarantine()
+    for number in range(8):
+        now = 100 * number
+        report_crashes(parts, [make_crash(number, "system", "bad")], now)
+        parts.report_sound(("system", "doc"), now + 50)
+    parts.judge(10_000)
+    assert parts.quarantined_part(("system",), 10_000) is None
+    assert parts.quarantined_part(("system", "bad"), 10_000) == "bad"
+
+
+def test_of_parts_with_the_same_crashes_the_last_is_quarantined_later():
+    parts = quarantine.Quarantine()
+    crashes = [make_crash(n, "system", "caller", "bad") for n in range(4)]
+    report_crashes(parts, crashes)
+    assert parts.quarantined_part(("bad",), 1999) is None
+    assert parts.quarantined_part(("bad",), 2000) == "bad"
+    parts.judge(60_000)
+    assert parts.quarantined_part(("system", "caller"), 60_000) is None
+
+
+def test_crashes_with_a_quarantined_part_accuse_no_other():
+    """Pattern: requests beside the crashing ones are retried and break."""
+    parts = quarantine.Quarantine()
+    report_crashes(parts, [make_crash(n, "bad") for n in range(3)])
+    parts.judge(1000)
+    report_crashes(
+        parts, [make_crash(n, "doc", "bad") for n in range(3, 9)], 1000
+    )
+    parts.judge(60_000)
+    assert list(parts.released_at) == ["bad"]
+
+
+def test_an_answer_releases_a_quarantined_part():
+    parts = quarantine.Quarantine()
+    report_crashes(parts, [make_crash(n, "doc") for n in range(3)])
+    assert parts.quarantined_part(("doc",), 1000) == "doc"
+    parts.report_sound(("doc",), 1001)
+    assert parts.quarantined_part(("doc",), 1002) is None
+
+
+def test_crashes_are_forgotten():
+    parts = quarantine.Quarantine()
+    report_crashes(parts, [make_crash(n, "doc") for n in range(2)])
+    parts.judge(quarantine.CRASH_TTL_MS + 1)
+    assert not parts.crashes and not parts.depths
+
+
+def test_memory_is_bounded():
+    parts = quarantine.Quarantine()
+    for number in range(quarantine.MAX_CRASHES + 50):
+        report_crashes(parts, [make_crash(number, f"p{number}")])
+    assert len(parts.crashes) == len(parts.depths) == quarantine.MAX_CRASHES
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(("crash", "crash", "sound", "wait")),
+        st.integers(0, 5),
+        st.lists(st.sampled_from("abcd"), max_size=3, unique=True),
+    ),
+    max_size=40,
+)
+
+
+@given(ACTIONS)
+def test_edges_with_the_same_findings_agree(actions):
+    """Two edges: one finds, the other is told, also twice."""
+    finder, told = quarantine.Quarantine(), quarantine.Quarantine()
+    now = 0
+    for action, number, parts in actions:
+        now += 400 if action == "wait" else 1
+        if action == "crash":
+            report_crashes(finder, [make_crash(number, *parts)], now)
+        elif action == "sound":
+            finder.report_sound(tuple(parts), now)
+        finder.judge(now)
+        for finding in finder.findings.drain() * 2:
+            told.apply_finding(finding, now)
+        told.judge(now)
+        assert set(told.released_at) == set(finder.released_at)
+        assert told.depths == finder.depths
+        assert all(finder.depths.values())
+        for part, at in finder.depths.items():
+            assert all(part in finder.crashes[c].parts for c in at)
