Send nothing more to an endpoint whose answers say that it leaves

Callers would see: requests cut by an endpoint that ends, because its announcement reached this edge late or, in a cut, not at all. Change: the adapter decodes the header; the balancer leaves out such an incarnation from then on. The stand-in engine plays it, and streams with neither a length nor chunks, whole and torn, which pass as they are. Measured: the test of the header failed before (one request instead of none sent on) and passes; the four of unframed streams passed before and after; forwarder and balancer tests 91 passed.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -245,11 +245,12 @@
     def _connectable(
         self, endpoints: Iterable[Endpoint], excluded: set[str]
     ) -> list[Endpoint]:
-        """Return the endpoints to which this edge may open a connection."""
+        """Return the endpoints that take requests from this edge."""
         return [
             e
             for e in endpoints
             if e.record.id not in excluded
+            and not e.is_leaving
             and e.has_free_connection(self.edge_count)
         ]
 
@@ -687,6 +688,13 @@
         """Record an answer with a server error (5xx) of the endpoint."""
         endpoint.error_rate += ERROR_EWMA_WEIGHT * (1 - endpoint.error_rate)
 
+    def record_leaving(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint said with an answer that it is leaving.
+
+        Its announcement reaches this edge later, or not at all.
+        """
+        endpoint.is_leaving = True
+
     def record_rejection(self, endpoint: Endpoint, now: int) -> None:
         """Record that an endpoint rejected a request because it is full."""
         endpoint.full_until = now + REJECTION_BACKOFF_MS
--- a/primrosehitch/dialect.py
+++ b/primrosehitch/dialect.py
@@ -82,6 +82,7 @@
     Attributes:
         not_run: whether the endpoint did not run the request.
         address_reassigned: whether another endpoint now has the address.
+        is_leaving: whether the endpoint is about to stop.
         is_authentic: whether the answer carries the endpoint's signature.
         running: the number of running requests at the endpoint, -1 if
             the answer has no load report.
@@ -91,6 +92,7 @@
 
     not_run: bool
     address_reassigned: bool
+    is_leaving: bool
     is_authentic: bool
     running: int
     waiting: int
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -135,6 +135,7 @@
         open_streams: streams that have sent their first byte.
         consecutive_failures: failures since the last first byte.
         error_rate: mean of answers, 1 for a server error and 0 otherwise.
+        is_leaving: whether it said with an answer that it is leaving.
         ejected_until: end of the ejection, in ms.
         full_until: end of the backoff after a rejection, in ms.
         cached_parts: parts expected in the prefix cache, least recently
@@ -167,11 +168,18 @@
         self.open_streams = 0
         self.consecutive_failures = 0
         self.error_rate = 0.0
+        self.is_leaving = False
         self.ejected_until = 0
         self.full_until = 0
         self.cached_parts: OrderedDict[str, int] = OrderedDict()
         self.cached_tokens = 0
 
+    @property
+    def is_departing(self) -> bool:
+        """Whether the endpoint takes no new requests and will end."""
+        state = self.record.state
+        return self.is_leaving or state in (registry.DRAINING, registry.LEFT)
+
     def has_free_connection(self, edge_count: int) -> bool:
         """Return whether this edge's share allows one more connection.
 
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -26,7 +26,6 @@
 from primrosehitch import metrics
 from primrosehitch import overload
 from primrosehitch import quarantine as quarantine_module
-from primrosehitch import registry
 from primrosehitch import routes
 from primrosehitch import truetime as truetime_module
 
@@ -454,7 +453,7 @@
             self.balancer.record_unreachable(choice.endpoint, clock.now_ms())
             self._emit_endpoint_failure(choice, str(exc))
             return NotRun("unreachable")
-        if choice.endpoint.record.state != record.state:
+        if choice.endpoint.is_departing:
             pool.release(connection)
             return NotRun("unreachable")
         response_began = [False]
@@ -550,6 +549,8 @@
             return self._record_broken(choice, "closed without a response")
         info = self.shared.dialect.read_answer(head)
         self._record_load(choice.endpoint, info)
+        if info.is_leaving:
+            self.balancer.record_leaving(choice.endpoint)
         if info.not_run or info.address_reassigned:
             return await self._read_rejection(connection, choice, info)
         if head.status < 300 and not info.is_authentic:
@@ -658,12 +659,11 @@
         and an endpoint that is leaving may close its connections.
         """
         record = choice.endpoint.record
-        is_leaving = record.state in (registry.DRAINING, registry.LEFT)
         answering_ms = self._since(self.answer_began_at_ms)
         if (
             self.part_ids
-            and not is_leaving
-            and (answering_ms < quarantine_module.SOUND_ANSWER_MS)
+            and not choice.endpoint.is_departing
+            and answering_ms < quarantine_module.SOUND_ANSWER_MS
         ):
             crashed = quarantine_module.Incarnation(record.id, record.born)
             self.shared.quarantine.report_crash(
--- a/primrosehitch/platform/dialect.py
+++ b/primrosehitch/platform/dialect.py
@@ -23,6 +23,7 @@
 REQUEST_PRIORITY = b"request-priority"
 RESPONSE_STAMP = b"response-stamp"
 NOT_RUN = b"not-run"
+SERVER_LEAVING = b"server-leaving"
 SERVER_LOAD = b"server-load"
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
@@ -101,6 +102,7 @@
         return dialect_module.AnswerInfo(
             not_run=head.header(NOT_RUN) is not None,
             address_reassigned=address_reassigned,
+            is_leaving=head.header(SERVER_LEAVING) is not None,
             is_authentic=head.header(RESPONSE_STAMP) is not None,
             running=running,
             waiting=waiting,
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -167,6 +167,16 @@
         headers = self._echo(seen) + b"Not-Run: 1\r\n"
         return await self._answer(stream, b"503 Full", headers, b"")
 
+    async def _play_leaving(self, stream, seen: Seen) -> bool:
+        """Answer well, and say that the engine is leaving."""
+        headers = self._echo(seen) + STAMP + b"Server-Leaving: 1\r\n"
+        return await self._answer(stream, b"200 OK", headers, b"done")
+
+    async def _play_back_off(self, stream, seen: Seen) -> bool:
+        """Turn the request away, and ask for a pause of 1.2 s."""
+        headers = self._echo(seen) + b"Not-Run: 1\r\nRetry-After: 1.2\r\n"
+        return await self._answer(stream, b"503 Full", headers, b"")
+
     async def _play_elsewhere(self, stream, seen: Seen) -> bool:
         headers = self._echo(seen) + b"Instance-Id: other\r\n"
         return await self._answer(stream, b"421 Misdirected", headers, b"")
@@ -186,6 +196,28 @@
         await stream.send_eof()
         return False
 
+    async def _play_unframed_stream(self, stream, seen: Seen) -> bool:
+        """Send a whole stream with neither a length nor chunks."""
+        return await self._unframed(stream, seen, self.events, b"")
+
+    async def _play_unframed_torn(self, stream, seen: Seen) -> bool:
+        """Close such a stream in the middle of an event."""
+        return await self._unframed(stream, seen, 2, b"id: 3\nda")
+
+    async def _unframed(self, stream, seen: Seen, count, rest: bytes) -> bool:
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            + self._echo(seen)
+            + STAMP
+            + b"\r\n"
+        )
+        first = int(seen.headers.get("last-event-id", 0)) + 1
+        for number in range(first, count + 1):
+            await stream.send(b"id: %d\ndata: x\n\n" % number)
+        await stream.send(rest)
+        await stream.send_eof()
+        return False
+
     async def _play_flood(self, stream, seen: Seen) -> bool:
         """Send events as fast as they are taken, up to FLOOD_BYTES."""
         await self._begin_chunks(stream, seen)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -689,3 +689,54 @@
     assert line["parts"] == "a b"
     assert line["inflight"] == 1 and line["inflight_tokens"] == 29
     assert 0 <= line["answering_ms"] <= line["sent_ms"] < 1000
+
+
+# Guards against: requests sent on to an endpoint whose own answers say that
+# it leaves, before its announcement has come.
+def test_endpoint_whose_answer_says_that_it_leaves_gets_no_more_requests():
+    async def body():
+        leaving, other = Engine(["leaving"]), Engine(["good"])
+        async with routed.running_edge(leaving, other) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            assert (await routed.send_request(edge, routed.request()))[
+                0
+            ] == 200
+            assert len(leaving.seen) == 1
+            for _ in range(4):
+                await routed.send_request(edge, routed.request())
+            assert (len(leaving.seen), len(other.seen)) == (1, 4)
+            record = routed.endpoint_record(leaving)._replace(born=2)
+            edge.balancer.update_endpoint(record, 0)
+            await routed.send_request(edge, routed.request())
+            assert len(leaving.seen) == 2
+
+    run(body)
+
+
+@pytest.mark.parametrize("target", ["/stream/x", "/resume/x"])
+def test_unframed_stream_is_whole_at_its_end(target):
+    async def body():
+        async with routed.running_edge(Engine(["unframed_stream"])) as edge:
+            answer = await routed.send_request(edge, routed.request(target))
+            assert answer[0] == 200 and answer[3]
+            assert answer[2].count(b"data: x") == 4
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    "target,whole", [("/stream/x", False), ("/resume/x", True)]
+)
+def test_unframed_stream_that_ends_inside_an_event_is_broken(target, whole):
+    async def body():
+        torn, good = Engine(["unframed_torn"]), Engine(["stream"])
+        async with routed.running_edge(torn, good) as edge:
+            edge.balancer.endpoints["i-1"].ejected_until = (
+                routed.clock.now_ms() + 300
+            )
+            answer = await routed.send_request(edge, routed.request(target))
+            assert answer[3] == whole
+            assert answer[2].count(b"data: x") == (4 if whole else 2)
+            assert len(good.seen) == whole
+
+    run(body)
