Leave an endpoint alone for as long as it asks with a 503

Callers would see: requests turned away again by an endpoint that has just said for how long it has no room, and a part of the retry budget gone. Cause: a rejection counted as 150 ms of cost, whatever it said. Change: the adapter decodes Retry-After of a 503 into a pause; the balancer leaves the endpoint out until it is over. If all endpoints of a service asked for one, callers are told at once when the first is back (and Retry-After is written without an exponent above 1000 s).

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -114,6 +114,7 @@
         ready: those that take new requests.
         silent: those that the control instance does not hear.
         ejected: ready ones put aside after failures.
+        paused: ready ones that asked for a pause.
         at_connection_limit: ready ones to which this edge may open no
             further connection.
     """
@@ -122,6 +123,7 @@
     ready: int
     silent: int
     ejected: int
+    paused: int
     at_connection_limit: int
 
 
@@ -230,10 +232,10 @@
         """
         excluded = set(tried)
         ready = self._connectable(
-            self.ready_by_service.get(service, ()), excluded
+            self.ready_by_service.get(service, ()), excluded, now
         )
         silent = self._connectable(
-            self.silent_by_service.get(service, ()), excluded
+            self.silent_by_service.get(service, ()), excluded, now
         )
         ready += [e for e in silent if e.is_answering(now)]
         return (
@@ -243,7 +245,7 @@
         )
 
     def _connectable(
-        self, endpoints: Iterable[Endpoint], excluded: set[str]
+        self, endpoints: Iterable[Endpoint], excluded: set[str], now: int
     ) -> list[Endpoint]:
         """Return the endpoints that take requests from this edge."""
         return [
@@ -251,9 +253,25 @@
             for e in endpoints
             if e.record.id not in excluded
             and not e.is_leaving
+            and e.paused_until <= now
             and e.has_free_connection(self.edge_count)
         ]
 
+    def next_available_at(self, service: str, now: int) -> int:
+        """Return when the first endpoint that asked for a pause is back.
+
+        Args:
+            service: the service.
+            now: the current time in ms; returned unless all endpoints of
+                the service that take requests have asked for a pause.
+        """
+        ends = [
+            e.paused_until
+            for e in self.ready_by_service.get(service, ())
+            if not e.is_leaving
+        ]
+        return max(now, min(ends, default=now))
+
     def availability(self, service: str, now: int) -> Availability:
         """Return how many endpoints of a service are in which state.
 
@@ -270,6 +288,7 @@
             ready=len(ready),
             silent=len(self.silent_by_service.get(service, ())),
             ejected=sum(e.ejected_until > now for e in ready),
+            paused=sum(e.paused_until > now for e in ready),
             at_connection_limit=sum(
                 not e.has_free_connection(self.edge_count) for e in ready
             ),
@@ -695,9 +714,18 @@
         """
         endpoint.is_leaving = True
 
-    def record_rejection(self, endpoint: Endpoint, now: int) -> None:
-        """Record that an endpoint rejected a request because it is full."""
+    def record_rejection(
+        self, endpoint: Endpoint, now: int, pause_ms: int
+    ) -> None:
+        """Record that an endpoint rejected a request because it is full.
+
+        Args:
+            endpoint: the endpoint.
+            now: the current time in ms.
+            pause_ms: how long it wants no request, 0 if it did not say.
+        """
         endpoint.full_until = now + REJECTION_BACKOFF_MS
+        endpoint.paused_until = max(endpoint.paused_until, now + pause_ms)
 
     def record_unreachable(self, endpoint: Endpoint, now: int) -> None:
         """Record that no connection opened, and eject the endpoint."""
--- a/primrosehitch/dialect.py
+++ b/primrosehitch/dialect.py
@@ -84,6 +84,8 @@
         address_reassigned: whether another endpoint now has the address.
         is_leaving: whether the endpoint is about to stop.
         is_authentic: whether the answer carries the endpoint's signature.
+        pause_ms: how long the endpoint wants no request from this edge,
+            0 if it did not say.
         running: the number of running requests at the endpoint, -1 if
             the answer has no load report.
         waiting: the number of requests queued at the endpoint.
@@ -94,6 +96,7 @@
     address_reassigned: bool
     is_leaving: bool
     is_authentic: bool
+    pause_ms: int
     running: int
     waiting: int
     slots: int
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -138,6 +138,7 @@
         is_leaving: whether it said with an answer that it is leaving.
         ejected_until: end of the ejection, in ms.
         full_until: end of the backoff after a rejection, in ms.
+        paused_until: end of the pause that the endpoint asked for, in ms.
         cached_parts: parts expected in the prefix cache, least recently
             used first, with their sizes in tokens.
         cached_tokens: sum of the sizes of cached_parts.
@@ -171,6 +172,7 @@
         self.is_leaving = False
         self.ejected_until = 0
         self.full_until = 0
+        self.paused_until = 0
         self.cached_parts: OrderedDict[str, int] = OrderedDict()
         self.cached_tokens = 0
 
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -326,6 +326,10 @@
             ENDPOINT_WAIT_FRACTION * (self.deadline_at_ms - clock.now_ms()),
             max(self.route.objective_ms, MIN_ENDPOINT_WAIT_MS),
         )
+        now = clock.now_ms()
+        available_at = self.balancer.next_available_at(self.ask.service, now)
+        if available_at - now > wait_ms:
+            return None
         choice = None
         with anyio.move_on_after(wait_ms / 1000):
             while choice is None:
@@ -378,6 +382,11 @@
             delay_s = NO_ENDPOINT_RETRY_AFTER_S
             if outcome.reason == "rejected":
                 delay_s = REJECTED_RETRY_AFTER_S
+            now = clock.now_ms()
+            available_at = self.balancer.next_available_at(
+                self.ask.service, now
+            )
+            delay_s = max(delay_s, (available_at - now) / 1000)
             self._send_local_reply(503, outcome.reason, delay_s)
             return outcome.reason
         self._send_local_reply(502, "no-answer", None)
@@ -638,7 +647,9 @@
         if info.address_reassigned:
             self.balancer.record_unreachable(choice.endpoint, clock.now_ms())
         else:
-            self.balancer.record_rejection(choice.endpoint, clock.now_ms())
+            self.balancer.record_rejection(
+                choice.endpoint, clock.now_ms(), info.pause_ms
+            )
         item: Any = b""
         while not isinstance(item, httpclient.ResponseEnd):
             item = await connection.receive()
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -585,7 +585,7 @@
 
 def retry_after_header(seconds: float) -> Header:
     """Return a Retry-After header, with fractions of a second."""
-    return (b"retry-after", b"%.3g" % max(0.0, seconds))
+    return (b"retry-after", b"%.3f" % max(0.0, seconds))
 
 
 __all__ = [
--- a/primrosehitch/platform/dialect.py
+++ b/primrosehitch/platform/dialect.py
@@ -5,6 +5,8 @@
 must be in lower case.
 """
 
+import math
+
 from primrosehitch import balancer
 from primrosehitch import dialect as dialect_module
 from primrosehitch import httpclient
@@ -23,10 +25,14 @@
 REQUEST_PRIORITY = b"request-priority"
 RESPONSE_STAMP = b"response-stamp"
 NOT_RUN = b"not-run"
+RETRY_AFTER = b"retry-after"
 SERVER_LEAVING = b"server-leaving"
 SERVER_LOAD = b"server-load"
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
+# A longer pause is taken for a malformed value.
+MAX_PAUSE_S = 3600
 
 # Headers that are not copied from a caller's request to an engine: either
 # only the edge may set them, or it replaces their value.
@@ -104,6 +110,7 @@
             address_reassigned=address_reassigned,
             is_leaving=head.header(SERVER_LEAVING) is not None,
             is_authentic=head.header(RESPONSE_STAMP) is not None,
+            pause_ms=_parse_pause_ms(head),
             running=running,
             waiting=waiting,
             slots=slots,
@@ -163,6 +170,20 @@
     return tuple(parts)
 
 
+def _parse_pause_ms(head: httpclient.ResponseHead) -> int:
+    """Return how long an engine that is full wants no further request.
+
+    The value is in seconds, which may be a fraction; a malformed one is 0.
+    """
+    if head.status != UNAVAILABLE_STATUS:
+        return 0
+    try:
+        seconds = float(head.header(RETRY_AFTER) or b"0")
+    except ValueError:
+        return 0
+    return math.ceil(1000 * seconds) if 0 < seconds < MAX_PAUSE_S else 0
+
+
 def _parse_token_count(value: bytes) -> tuple[int, int]:
     """Return the prompt's and the maximum output's length, in tokens.
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -713,6 +713,44 @@
     run(body)
 
 
+# Guards against: requests sent to an endpoint that has just said for how
+# long it takes none.
+def test_endpoint_gets_nothing_while_it_asked_for_a_pause():
+    async def body():
+        full, other = Engine(["back_off", "good"]), Engine(["slow"])
+        async with routed.running_edge(full, other) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            began = routed.clock.now_ms()
+            while routed.clock.now_ms() - began < 1100:
+                answer = await routed.send_request(edge, routed.request())
+                assert answer[0] == 200
+            assert len(full.seen) == 1
+            await anyio.sleep(0.3)
+            await routed.send_request(edge, routed.request())
+            assert len(full.seen) == 2
+
+    run(body)
+
+
+def test_caller_is_told_when_endpoints_take_requests_again():
+    """No endpoint takes any; the answer comes at once."""
+
+    async def body():
+        async with routed.running_edge(Engine(["back_off", "good"])) as edge:
+            first = await routed.send_request(edge, routed.request("/once/x"))
+            began = routed.clock.now_ms()
+            answer = await routed.send_request(edge, routed.request("/once/x"))
+            assert routed.clock.now_ms() - began < 100
+            for status, headers, *_ in (first, answer):
+                assert status == 503
+                assert 1.0 < float(headers["retry-after"]) <= 1.2
+            await anyio.sleep(float(answer[1]["retry-after"]))
+            answer = await routed.send_request(edge, routed.request("/once/x"))
+            assert answer[0] == 200
+
+    run(body)
+
+
 @pytest.mark.parametrize("target", ["/stream/x", "/resume/x"])
 def test_unframed_stream_is_whole_at_its_end(target):
     async def body():
