Keep the message numbers of earlier releases

Callers would see: edges without loads of their neighbours, and broken links, while releases run side by side during an upgrade. Cause: two structs of the quarantine stood before LoadReport in the schema, and a message's number is its struct's position. Found by looking at the diff of the generated module. Change: they are at the end; a test pins the numbers of earlier kinds. Measured: the test failed before (LoadReport 69 instead of 67) and passes.

--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1741,6 +1741,32 @@
     )
 
 
+class LoadReport(NamedTuple):
+    """Message ``LoadReport`` of the schema."""
+
+    sequence: int = 0
+    demands: tuple["ServiceDemand", ...] = ()
+    loads: tuple["EndpointLoad", ...] = ()
+
+
+def _write_load_report(b: Any, m: LoadReport) -> None:
+    b.sequence = m.sequence
+    items = b.init("demands", len(m.demands))
+    for i, item in enumerate(m.demands):
+        _write_service_demand(items[i], item)
+    items = b.init("loads", len(m.loads))
+    for i, item in enumerate(m.loads):
+        _write_endpoint_load(items[i], item)
+
+
+def _read_load_report(r: Any) -> LoadReport:
+    return LoadReport(
+        r.sequence,
+        tuple(_read_service_demand(x) for x in r.demands),
+        tuple(_read_endpoint_load(x) for x in r.loads),
+    )
+
+
 class PartFinding(NamedTuple):
     """Message ``PartFinding`` of the schema."""
 
@@ -1784,32 +1810,6 @@
     )
 
 
-class LoadReport(NamedTuple):
-    """Message ``LoadReport`` of the schema."""
-
-    sequence: int = 0
-    demands: tuple["ServiceDemand", ...] = ()
-    loads: tuple["EndpointLoad", ...] = ()
-
-
-def _write_load_report(b: Any, m: LoadReport) -> None:
-    b.sequence = m.sequence
-    items = b.init("demands", len(m.demands))
-    for i, item in enumerate(m.demands):
-        _write_service_demand(items[i], item)
-    items = b.init("loads", len(m.loads))
-    for i, item in enumerate(m.loads):
-        _write_endpoint_load(items[i], item)
-
-
-def _read_load_report(r: Any) -> LoadReport:
-    return LoadReport(
-        r.sequence,
-        tuple(_read_service_demand(x) for x in r.demands),
-        tuple(_read_endpoint_load(x) for x in r.loads),
-    )
-
-
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -1961,13 +1961,13 @@
     ),
     PartRead: (_capnp.PartRead, _write_part_read, _read_part_read),
     PartsRead: (_capnp.PartsRead, _write_parts_read, _read_parts_read),
+    LoadReport: (_capnp.LoadReport, _write_load_report, _read_load_report),
     PartFinding: (_capnp.PartFinding, _write_part_finding, _read_part_finding),
     PartFindings: (
         _capnp.PartFindings,
         _write_part_findings,
         _read_part_findings,
     ),
-    LoadReport: (_capnp.LoadReport, _write_load_report, _read_load_report),
 }
 
 KINDS: dict[int, type] = {
@@ -2037,9 +2037,9 @@
     64: EndpointLoad,
     65: PartRead,
     66: PartsRead,
-    67: PartFinding,
-    68: PartFindings,
-    69: LoadReport,
+    67: LoadReport,
+    68: PartFinding,
+    69: PartFindings,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -557,6 +557,14 @@
   parts @0 :List(PartRead);
 }
 
+# An edge sends its own load. A control instance sends the sum over its
+# edges to other control instances, and the sum over all edges to an edge.
+struct LoadReport {
+  sequence @0 :UInt64;
+  demands @1 :List(ServiceDemand);
+  loads @2 :List(EndpointLoad);
+}
+
 # What an edge found of prompt parts: "crash" if they were under way at an
 # endpoint that crashed, "sound" if they were answered, or "quarantined".
 struct PartFinding {
@@ -570,11 +578,3 @@
 struct PartFindings {
   findings @0 :List(PartFinding);
 }
-
-# An edge sends its own load. A control instance sends the sum over its
-# edges to other control instances, and the sum over all edges to an edge.
-struct LoadReport {
-  sequence @0 :UInt64;
-  demands @1 :List(ServiceDemand);
-  loads @2 :List(EndpointLoad);
-}
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -50,3 +50,22 @@
     entry = messages.Entry(index, 7, kind, body)
     append = messages.Append(1, 2, 3, 4, 5, (entry, entry))
     assert messages.decode(messages.Append, messages.encode(append)) == append
+
+
+# Guards against: a struct added in the middle of the schema, after which
+# releases side by side take each other's messages for other kinds.
+def test_kinds_of_earlier_releases_keep_their_numbers():
+    numbers = {kind.__name__: n for kind, n in messages.NUMBERS.items()}
+    earlier = {
+        "Hello": 1,
+        "Entry": 4,
+        "ReplicaMessage": 15,
+        "StateImage": 33,
+        "Presence": 49,
+        "Table": 52,
+        "EndpointUpdate": 57,
+        "WindowDone": 62,
+        "PartsRead": 66,
+        "LoadReport": 67,
+    }
+    assert {name: numbers[name] for name in earlier} == earlier
