Record quarantined prompt parts in the replicated state

Callers would see: after a loss of all power the crashing requests end three more endpoints, with all that runs there, before they are refused. Cause: what was quarantined lived in the memory of edges and control instances only. Change: the leader records quarantines and releases as commands; joining edges get what is recorded, and those that subscribed before their control instance knew its committed entries get it then. The relay of findings has a module of its own. Measured: the test that ends all processes failed before (the edge that starts again knows nothing) and passes; tests of the relay and the state.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -26,9 +26,9 @@
 from primrosehitch import messages
 from primrosehitch import metering
 from primrosehitch import metrics
+from primrosehitch import partfindings
 from primrosehitch import peers as peers_module
 from primrosehitch import proposals
-from primrosehitch import quarantine
 from primrosehitch import registry as registry_module
 from primrosehitch import replica as replica_module
 from primrosehitch import replicator as replicator_module
@@ -63,6 +63,9 @@
 READ_TIMEOUT_S = 0.8
 PUT_TIMEOUT_S = 2.5
 READ_POLL_PERIOD_S = 0.02
+# Quarantined prompt parts are recorded this often, each within this time.
+RECORD_PERIOD_MS = 250
+RECORD_TIMEOUT_S = 1.0
 # How long the links stay open after the last call was answered, to send
 # what the call changed.
 FINAL_SEND_S = 0.05
@@ -114,13 +117,8 @@
         self.recent_parts: gathering.RecentUpdates[
             tuple[str, str], messages.PartRead
         ] = gathering.RecentUpdates(RECENT_PARTS_TTL_MS, MAX_RECENT_PARTS)
-        self.edge_findings = quarantine.make_findings()
-        self.all_findings = quarantine.make_findings()
-        self.quarantined: gathering.RecentUpdates[
-            str, messages.PartFinding
-        ] = gathering.RecentUpdates(
-            quarantine.QUARANTINE_MS, quarantine.MAX_QUARANTINED
-        )
+        self.finding_relay = partfindings.FindingRelay()
+        self.recorded_parts: set[str] = set()
         # Edges and instances that joined and have not got them yet.
         self.lacking_parts: set[str] = set()
         # The digests of a peer's and the own registry by peer, if they
@@ -199,8 +197,14 @@
                     events.emit(events.REPLICA_FAILED, error=str(exc))
 
     def _on_applied(self) -> None:
-        """Apply a newer table and send it to the subscribed edges."""
+        """Send the edges a newer table and newly recorded quarantines."""
         replica = self.replicator.replica
+        recorded = set(replica.state.quarantined_parts)
+        if recorded - self.recorded_parts:
+            # A replica that restarts learns only from a leader which of
+            # its entries are committed, after edges have subscribed.
+            self.lacking_parts.update(self.subscribers)
+        self.recorded_parts = recorded
         for instance in self._replica_instances():
             self._add_link(instance)
         table = replica.state.table
@@ -378,6 +382,7 @@
             group.start_soon(self._broadcast_presence)
             group.start_soon(self._broadcast_refreshed)
             group.start_soon(self._broadcast_loads)
+            group.start_soon(self._record_quarantines)
             for gatherer, make_message, targets in (
                 (
                     self.edge_tallies,
@@ -387,12 +392,12 @@
                 (self.edge_parts, messages.PartsRead, self.peers.link_names),
                 (self.all_parts, messages.PartsRead, self.subscribers.keys),
                 (
-                    self.edge_findings,
+                    self.finding_relay.to_peers,
                     messages.PartFindings,
                     self.peers.link_names,
                 ),
                 (
-                    self.all_findings,
+                    self.finding_relay.to_edges,
                     messages.PartFindings,
                     self.subscribers.keys,
                 ),
@@ -628,17 +633,30 @@
     ) -> None:
         """Queue findings for the edges; those from edges for peers too."""
         now = clock.now_ms()
-        from_edge = sender not in self.peers.presences
+        is_from_edge = sender not in self.peers.presences
         for finding in message.findings:
-            key = quarantine.finding_key(finding)
-            self.all_findings.put(key, finding)
-            if from_edge:
-                self.edge_findings.put(key, finding)
-            for part in finding.parts:
-                if finding.finding == quarantine.QUARANTINED:
-                    self.quarantined.put(part, finding, now)
-                elif finding.finding == quarantine.SOUND:
-                    self.quarantined.discard(part)
+            self.finding_relay.apply(finding, is_from_edge, now)
+
+    async def _record_quarantines(self) -> None:
+        """Record quarantined parts in the replicated state while leading."""
+        async for tick in self.timers.subscribe(RECORD_PERIOD_MS):
+            if not self.replicator.is_leader():
+                continue
+            for command in self.finding_relay.commands(
+                self.replicator.replica.state.quarantined_parts,
+                tick.now,
+                self.true_time.wall_ms_at(tick.now),
+            ):
+                try:
+                    await self.proposer.propose(command, RECORD_TIMEOUT_S)
+                except errors.ProposalError as exc:
+                    # It is proposed again in the next period.
+                    events.emit(
+                        events.VERDICT_UNRECORDED,
+                        part=command.part,
+                        error=str(exc),
+                    )
+                    break
 
     def _send_recent_parts(self, receiver: str, now: int) -> None:
         """Send an edge or instance that joined what it has missed.
@@ -648,7 +666,11 @@
         if receiver not in self.lacking_parts:
             return
         parts = self.recent_parts.values(now)
-        findings = self.quarantined.values(now)
+        findings = self.finding_relay.findings_to_join(
+            self.replicator.replica.state.quarantined_parts,
+            now,
+            self.true_time.wall_ms_at(now),
+        )
         if (
             not parts or self.links.send(receiver, messages.PartsRead(parts))
         ) and (
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -211,6 +211,13 @@
     " endpoint answered a request with it.",
     NO_ACTION,
 )
+VERDICT_UNRECORDED = Event(
+    1523,
+    "verdict-unrecorded",
+    "The quarantine or release of a prompt part was not confirmed by a"
+    " quorum in time; it is in force, and proposed again.",
+    "Check events 1201 and 1102 of the control instances.",
+)
 ORDER_SENT = Event(
     1601, "order-sent", "An order was sent to the platform.", NO_ACTION
 )
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -842,6 +842,7 @@
     table_body: bytes = b""
     sealed: tuple["SealWindow", ...] = ()
     done: tuple["WindowDone", ...] = ()
+    quarantined: tuple["PartVerdict", ...] = ()
 
 
 def _write_state_image(b: Any, m: StateImage) -> None:
@@ -880,6 +881,9 @@
     items = b.init("done", len(m.done))
     for i, item in enumerate(m.done):
         _write_window_done(items[i], item)
+    items = b.init("quarantined", len(m.quarantined))
+    for i, item in enumerate(m.quarantined):
+        _write_part_verdict(items[i], item)
 
 
 def _read_state_image(r: Any) -> StateImage:
@@ -899,6 +903,7 @@
         bytes(r.tableBody),
         tuple(_read_seal_window(x) for x in r.sealed),
         tuple(_read_window_done(x) for x in r.done),
+        tuple(_read_part_verdict(x) for x in r.quarantined),
     )
 
 
@@ -1810,6 +1815,28 @@
     )
 
 
+class PartVerdict(NamedTuple):
+    """Message ``PartVerdict`` of the schema."""
+
+    part: str = ""
+    until_ms: int = 0
+    decided_ms: int = 0
+
+
+def _write_part_verdict(b: Any, m: PartVerdict) -> None:
+    b.part = m.part
+    b.untilMs = m.until_ms
+    b.decidedMs = m.decided_ms
+
+
+def _read_part_verdict(r: Any) -> PartVerdict:
+    return PartVerdict(
+        r.part,
+        r.untilMs,
+        r.decidedMs,
+    )
+
+
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -1968,6 +1995,7 @@
         _write_part_findings,
         _read_part_findings,
     ),
+    PartVerdict: (_capnp.PartVerdict, _write_part_verdict, _read_part_verdict),
 }
 
 KINDS: dict[int, type] = {
@@ -2040,6 +2068,7 @@
     67: LoadReport,
     68: PartFinding,
     69: PartFindings,
+    70: PartVerdict,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -2119,6 +2148,7 @@
     "PartFinding",
     "PartFindings",
     "PartRead",
+    "PartVerdict",
     "PartsRead",
     "Ping",
     "Pong",
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -288,6 +288,7 @@
   tableBody @12 :Data;
   sealed @13 :List(SealWindow);
   done @14 :List(WindowDone);
+  quarantined @15 :List(PartVerdict);
 }
 
 # Proposals to the leader and its replies.
@@ -578,3 +579,11 @@
 struct PartFindings {
   findings @0 :List(PartFinding);
 }
+
+# Quarantines a prompt part until a true time, or releases it if that is 0.
+# decidedMs is the true time of the decision.
+struct PartVerdict {
+  part @0 :Text;
+  untilMs @1 :UInt64;
+  decidedMs @2 :UInt64;
+}
--- a/primrosehitch/state.py
+++ b/primrosehitch/state.py
@@ -23,6 +23,7 @@
 REPORTED_RETENTION_WINDOWS = 60
 MAX_INCARNATIONS_PER_GATEWAY = 4
 MAX_SEALED_WINDOWS = 720
+MAX_QUARANTINED_PARTS = 1_000
 KEY_TABLE = "key"
 
 OPEN = "open"
@@ -61,6 +62,8 @@
         table: the route table.
         sealed_windows: the fixed request counts of windows by number.
         acknowledged_windows: sealed windows that the platform accepted.
+        quarantined_parts: ends of the quarantines of prompt parts, as true
+            time in ms, by part.
     """
 
     def __init__(self) -> None:
@@ -80,6 +83,7 @@
         self.table = messages.Table()
         self.sealed_windows: dict[int, messages.SealWindow] = {}
         self.acknowledged_windows: set[int] = set()
+        self.quarantined_parts: dict[str, int] = {}
 
     def apply(self, entry: messages.Entry) -> Any:
         """Apply one committed entry.
@@ -294,6 +298,17 @@
         if done.window in self.sealed_windows:
             self.acknowledged_windows.add(done.window)
 
+    def _apply_part_verdict(self, verdict: messages.PartVerdict) -> None:
+        self.quarantined_parts.pop(verdict.part, None)
+        if verdict.until_ms:
+            self.quarantined_parts[verdict.part] = verdict.until_ms
+        current = [
+            (part, until_ms)
+            for part, until_ms in self.quarantined_parts.items()
+            if until_ms > verdict.decided_ms
+        ]
+        self.quarantined_parts = dict(current[-MAX_QUARANTINED_PARTS:])
+
     def _apply_order(self, order: messages.Order) -> messages.Order:
         existing_order = self.orders.get(order.order_id)
         if existing_order is None:
@@ -325,6 +340,7 @@
         "Table": _apply_table,
         "SealWindow": _apply_seal_window,
         "WindowDone": _apply_window_done,
+        "PartVerdict": _apply_part_verdict,
     }
 
     def encode_image(self) -> bytes:
@@ -362,6 +378,10 @@
                 messages.WindowDone(w)
                 for w in sorted(self.acknowledged_windows)
             ),
+            quarantined=tuple(
+                messages.PartVerdict(part, until_ms)
+                for part, until_ms in self.quarantined_parts.items()
+            ),
         )
         return messages.encode(image)
 
@@ -396,6 +416,7 @@
     state.table = messages.Table(image.table_version, image.table_body)
     state.sealed_windows = {s.window: s for s in image.sealed}
     state.acknowledged_windows = {d.window for d in image.done}
+    state.quarantined_parts = {v.part: v.until_ms for v in image.quarantined}
     return state
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -453,6 +453,45 @@
     instances.run_test(body)
 
 
+# Guards against: after a loss of all power a crashing prompt part was sent
+# to endpoints again.
+def test_quarantine_outlives_the_end_of_all_processes(tmp_path):
+    async def body():
+        engine = platform_engine.StandInEngine(["good"])
+        async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
+            await instances.serve_from(fleet, engine)
+            now = routed.clock.now_ms()
+            for number in range(3):
+                crashed = quarantine.Incarnation(f"e{number}", 1)
+                fleet.edges[9].quarantine.report_crash(crashed, ("bad",), now)
+
+            def recorded(control):
+                return control.replicator.replica.state.quarantined_parts
+
+            await instances.wait_until(
+                lambda: all(recorded(c) for c in fleet.controls.values()), 4
+            )
+            for number in (*instances.SEEDS, 9):
+                await fleet.kill(number)
+            for number in instances.SEEDS:
+                fleet.start_control(number, bootstrap=False)
+            fleet.start_edge(9)
+            parts = fleet.edges[9].quarantine
+            await instances.wait_until(
+                lambda: parts.quarantined_part(
+                    ("bad",), routed.clock.now_ms()
+                ),
+                5,
+            )
+            parts.report_sound(("bad",), routed.clock.now_ms())
+            await instances.wait_until(
+                lambda: not any(recorded(c) for c in fleet.controls.values()),
+                5,
+            )
+
+    instances.run_test(body)
+
+
 # Guards against: an endpoint left during a cut, and edges of the other
 # side sent it requests until its heartbeats timed out.
 def test_changes_during_a_cut_are_known_everywhere_after_it(tmp_path):
--- /dev/null
+++ b/tests/test_partfindings.py
@@ -0,0 +1,50 @@
+"""Tests of what control instances keep of crashing prompt parts."""
+
+from primrosehitch import messages
+from primrosehitch import partfindings
+
+WALL_MS = 1_700_000_000_000
+QUARANTINED = messages.PartFinding("quarantined", parts=("bad",))
+SOUND = messages.PartFinding("sound", parts=("bad",))
+
+
+def make_relay(*findings, is_from_edge=False):
+    relay = partfindings.FindingRelay()
+    for finding in findings:
+        relay.apply(finding, is_from_edge, 0)
+    return relay
+
+
+def listed_parts(relay, recorded):
+    findings = relay.findings_to_join(recorded, 1, WALL_MS)
+    return [p for finding in findings for p in finding.parts]
+
+
+def test_findings_of_edges_go_to_peers_too():
+    for is_from_edge in (True, False):
+        relay = make_relay(QUARANTINED, is_from_edge=is_from_edge)
+        assert relay.to_edges.drain() == (QUARANTINED,)
+        assert relay.to_peers.drain() == (QUARANTINED,) * is_from_edge
+
+
+def test_joining_edges_get_recorded_and_newly_quarantined_parts():
+    recorded = {"old": WALL_MS + 1, "over": WALL_MS}
+    assert listed_parts(make_relay(QUARANTINED), recorded) == ["bad", "old"]
+    assert listed_parts(make_relay(), {}) == []
+
+
+def test_a_cleared_part_is_listed_no_more_and_released():
+    recorded = {"bad": WALL_MS + 60_000}
+    relay = make_relay(QUARANTINED, SOUND)
+    assert listed_parts(relay, recorded) == []
+    (command,) = relay.commands(recorded, 1, WALL_MS)
+    assert command == messages.PartVerdict("bad", 0, WALL_MS)
+    assert not list(relay.commands({}, 1, WALL_MS))
+
+
+def test_quarantine_is_recorded_once():
+    relay = make_relay(QUARANTINED)
+    (command,) = relay.commands({}, 1, WALL_MS)
+    assert command.until_ms == WALL_MS + 600_000
+    recorded = {command.part: command.until_ms}
+    assert not list(relay.commands(recorded, 1, WALL_MS))
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -203,3 +203,27 @@
         assert apply_at(state, index, table) == messages.TableResult(False, 7)
     assert state.table == seven
     assert state_module.restore_state(state.encode_image()).table == seven
+
+
+def test_quarantined_parts_end_are_released_and_restored():
+    state = state_module.State()
+    for verdict in (
+        messages.PartVerdict("a", 100, 0),
+        messages.PartVerdict("b", 300, 0),
+        messages.PartVerdict("c", 400, 0),
+        messages.PartVerdict("d", 500, 100),
+        messages.PartVerdict("b", 0, 110),
+    ):
+        apply_command(state, verdict)
+    restored = state_module.restore_state(state.encode_image())
+    assert restored.quarantined_parts == {"c": 400, "d": 500}
+
+
+def test_quarantined_parts_are_bounded():
+    state = state_module.State()
+    limit = state_module.MAX_QUARANTINED_PARTS
+    for number in range(limit + 5):
+        apply_command(state, messages.PartVerdict(str(number), 1000, 0))
+    assert list(state.quarantined_parts) == [
+        str(n) for n in range(5, limit + 5)
+    ]
