Clear a prompt part by good answers only

Cause: an endpoint's 4xx cleared the request's parts of suspicion, though it need not have run the request. Found by reading. Change: buffered answers clear parts with a 2xx only, as streams do. Measured: quarantine and forwarder tests pass.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -778,7 +778,8 @@
         if head.status >= 500:
             self.balancer.record_error_answer(choice.endpoint)
             return Failed(head, body)
-        self._report_sound()
+        if head.status < 300:
+            self._report_sound()
         self._send_buffered(head, body)
         return Passed(head.status)
 
