--- a/primrosehitch_lab/fault_engines.py
+++ b/primrosehitch_lab/fault_engines.py
@@ -80,6 +80,7 @@
         self.name = f"engine-{number}"
         self.proxy = fault_proxy.FaultProxy()
         self.state = "ready"
+        self.is_heard = True
         self.born = 0
         self.sequence = 0
         self.scope: anyio.CancelScope | None = None
@@ -122,6 +123,8 @@
     async def _announce(self) -> None:
         while True:
             await anyio.sleep(BEAT_S)
+            if not self.is_heard:
+                continue
             self.sequence += 1
             report: dict[str, Any] = {
                 "service": "svc",
--- a/primrosehitch_lab/fault_ledger.py
+++ b/primrosehitch_lab/fault_ledger.py
@@ -86,6 +86,14 @@
         if len(runs) > 1 and run.path.startswith("/once/"):
             self._find(f"{run.identifier} ran twice, at {run.at:.3f}")
 
+    def has_run_at(self, endpoint: str, since: float) -> bool:
+        """Return whether an endpoint began to work since a time."""
+        return any(
+            run.endpoint == endpoint and run.at >= since
+            for runs in self.runs.values()
+            for run in runs
+        )
+
     def newest(self, at: float) -> int:
         """Return the highest version acknowledged by a time, or 0."""
         return max(
--- a/primrosehitch_lab/fault_schedule.py
+++ b/primrosehitch_lab/fault_schedule.py
@@ -9,12 +9,17 @@
 
 import anyio
 
+from primrosehitch import registry
 from primrosehitch_lab import fault_engines
 from primrosehitch_lab import fault_fleet
 from primrosehitch_lab import fault_ledger
 from primrosehitch_lab import fault_proxy
 
 STEPS = 10
+# An engine that is heard again is known to all within the first time, and
+# serves within the second if the others drain.
+HEARD_AGAIN_S = 3.0
+USED_AGAIN_S = 3.0
 Step = Callable[[random.Random], Awaitable[None]]
 
 
@@ -67,6 +72,35 @@
                 group.start_soon(self.rng.choice(steps), own)
                 await anyio.sleep(self.rng.uniform(0.1, 2.5))
 
+    async def silence_engine(self) -> None:
+        """Lose an engine's heartbeats for long, while it serves on.
+
+        That is no departure: the edges use it again once it is heard, if
+        only since the others drain. It disturbs no other promise, and so
+        is not told as a fault.
+        """
+        slot, *others = self.slots
+        self.busy.add(slot.name)
+        slot.is_heard = False
+        await anyio.sleep(registry.HEARTBEAT_TIMEOUT_MS / 1000 + 2)
+        slot.is_heard = True
+        await anyio.sleep(HEARD_AGAIN_S)
+        heard_at = self.now()
+        async with anyio.create_task_group() as group:
+            for other in others:
+                group.start_soon(self._drain_slot, other, USED_AGAIN_S)
+        if not self.ledger.has_run_at(slot.identifier, heard_at):
+            text = f"{slot.identifier} is heard again and unused"
+            self.ledger.findings.append(text)
+        self.busy.discard(slot.name)
+
+    def _free_slot(
+        self, rng: random.Random
+    ) -> fault_engines.EngineSlot | None:
+        """Return an engine's slot that is not kept silent, or None."""
+        slot = rng.choice(self.slots)
+        return slot if slot.is_heard else None
+
     def fault(self, kind: str, target: str, planned: bool) -> "_Open":
         return _Open(self, kind, target, planned)
 
@@ -141,7 +175,9 @@
             process.begin()
 
     async def _harm_path(self, rng: random.Random) -> None:
-        slot = rng.choice(self.slots)
+        slot = self._free_slot(rng)
+        if slot is None:
+            return
         mode = rng.choice(list(fault_proxy.Mode))
         with self.fault(f"path {mode.value}", slot.name, False):
             if mode is fault_proxy.Mode.PASS:
@@ -151,16 +187,25 @@
             slot.proxy.set_mode(fault_proxy.Mode.PASS)
 
     async def _crash_engine(self, rng: random.Random) -> None:
-        slot = rng.choice(self.slots)
+        slot = self._free_slot(rng)
+        if slot is None:
+            return
         with self.fault("crash", slot.name, False):
             slot.crash()
             await anyio.sleep(0.5)
 
     async def _drain_engine(self, rng: random.Random) -> None:
-        slot = rng.choice(self.slots)
+        slot = self._free_slot(rng)
+        if slot is None:
+            return
+        await self._drain_slot(slot, rng.uniform(1, 3))
+
+    async def _drain_slot(
+        self, slot: fault_engines.EngineSlot, seconds: float
+    ) -> None:
         with self.fault("drain", slot.name, True):
             slot.state = "draining"
-            await anyio.sleep(rng.uniform(1, 3))
+            await anyio.sleep(seconds)
             slot.state = "ready"
             slot.born += 1
             slot.sequence = 0
--- a/primrosehitch_lab/fault_soak.py
+++ b/primrosehitch_lab/fault_soak.py
@@ -32,6 +32,8 @@
 # All is served again this long after the last fault.
 RECOVERY_S = 12.0
 WORKERS = 3
+# One in so many seeds loses an engine's heartbeats for a while.
+SILENCE_EVERY = 3
 FIRST_NET = 40
 NETS = 200
 
@@ -58,6 +60,7 @@
 
     def __init__(self, seed: int, folder: pathlib.Path, net: int):
         self.began = time.monotonic()
+        self.silences_engine = seed % SILENCE_EVERY == 0
         self.fleet = fault_fleet.FaultFleet(folder, net)
         self.ledger = fault_ledger.Ledger()
         self.slots = [
@@ -111,7 +114,10 @@
             group.start_soon(self.operator.change_tables)
             group.start_soon(self.operator.read_tables)
             group.start_soon(self.operator.probe_edges)
-            await self.schedule.run()
+            async with anyio.create_task_group() as steps:
+                steps.start_soon(self.schedule.run)
+                if self.silences_engine:
+                    steps.start_soon(self.schedule.silence_engine)
             group.cancel_scope.cancel()
 
     async def _end(self) -> None:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -104,3 +104,11 @@
     assert counters.served > 50
     assert counters.tables >= 1
     assert counters.faults > 5
+
+
+def test_an_engine_that_was_not_heard_is_used_again(tmp_path):
+    counters, findings = fault_soak.run_seed(
+        fault_soak.SILENCE_EVERY, NET + 1, tmp_path
+    )
+    assert findings == []
+    assert counters.served > 50
