Log why a leader stepped down

Change: 1201 of the replica that led carries the reason: no quorum acknowledged, no tick for so long, a transfer that timed out, or a higher term.

--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -84,7 +84,8 @@
 LEADER_CHANGED = Event(
     1201,
     "leader-changed",
-    "Another replica became leader, or there is no leader.",
+    "Another replica became leader, or there is no leader; `why` is set at"
+    " a replica that led until then.",
     NO_ACTION,
 )
 MEMBERSHIP_CHANGED = Event(
--- a/primrosehitch/raft.py
+++ b/primrosehitch/raft.py
@@ -98,6 +98,8 @@
             the last contact or the last candidacy.
         lease_valid_from_ms: acknowledgements of messages sent earlier do
             not extend the lease.
+        step_down_reason: why this replica stopped to lead, for the log;
+            empty before and while it leads.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         self.rng = rng
         self.role = FOLLOWER
         self.leader = ""
+        self.step_down_reason = ""
         self.commit_index = max(
             log.snapshot.index, min(log.hard_state.commit, log.last_index)
         )
@@ -198,7 +201,7 @@
         gap = now - self.last_tick_ms
         self.last_tick_ms = now
         if gap > MAX_TICK_GAP_MS:
-            self._recover_from_freeze(now)
+            self._recover_from_freeze(gap, now)
         if self.role == LEADER:
             self._tick_leader(now)
         elif now - self.timeout_started_ms >= self.election_timeout_ms:
@@ -380,11 +383,12 @@
         self.timeout_started_ms = now
         self.election_timeout_ms = self.rng.randint(*RETRY_ELECTION_MS)
 
-    def _recover_from_freeze(self, now: int) -> None:
+    def _recover_from_freeze(self, gap_ms: int, now: int) -> None:
         """Step down and ignore acknowledgements from before the freeze."""
         self.lease_valid_from_ms = now
         if self.role == LEADER:
-            self._become_follower(self.term, "", now)
+            reason = f"no tick for {gap_ms} ms"
+            self._become_follower(self.term, "", now, reason)
         self._record_contact(now)
         self._reset_timeout()
 
@@ -392,11 +396,13 @@
         transfer_timed_out = (
             now - self.transfer_started_ms >= ELECTION_TIMEOUT_MIN_MS
         )
-        quorum_lost = now - self._quorum_ack_ms() >= ELECTION_TIMEOUT_MAX_MS
-        if quorum_lost or (
-            self.transferring_leadership and transfer_timed_out
-        ):
-            self._become_follower(self.term, "", now)
+        unheard_ms = now - self._quorum_ack_ms()
+        if unheard_ms >= ELECTION_TIMEOUT_MAX_MS:
+            reason = f"no quorum acknowledged for {unheard_ms} ms"
+            self._become_follower(self.term, "", now, reason)
+            return
+        if self.transferring_leadership and transfer_timed_out:
+            self._become_follower(self.term, "", now, "transfer timed out")
             return
         if now - self.last_heartbeat_ms >= HEARTBEAT_INTERVAL_MS:
             self._broadcast(now)
@@ -461,6 +467,7 @@
     def _become_leader(self, now: int) -> None:
         self.role = LEADER
         self.leader = self.name
+        self.step_down_reason = ""
         self.leader_since_ms = now
         self.lease_valid_from_ms = now
         self.transferring_leadership = False
@@ -472,7 +479,19 @@
             progress.acked_sent_ms = now - HEARTBEAT_INTERVAL_MS
         self._append_as_leader(NOOP, b"", now)
 
-    def _become_follower(self, term: int, leader: str, now: int) -> None:
+    def _become_follower(
+        self, term: int, leader: str, now: int, reason: str = ""
+    ) -> None:
+        """Follow a leader, or wait for one.
+
+        Args:
+            term: the current or a higher term.
+            leader: its leader, or "" if that is not known.
+            now: the current time in ms.
+            reason: why a leader steps down; by default the higher term.
+        """
+        if self.role == LEADER:
+            self.step_down_reason = reason or f"term {term}"
         if term > self.term:
             self.log.set_term_and_vote(term, "")
         if self.role in (PRE_CANDIDATE, CANDIDATE) and not leader:
--- a/primrosehitch/replicator.py
+++ b/primrosehitch/replicator.py
@@ -327,7 +327,9 @@
                 events.LEADER_CHANGED,
                 leader=self.reported_leader,
                 term=self.raft.term,
+                why=self.raft.step_down_reason,
             )
+            self.raft.step_down_reason = ""
             self.on_change()
         membership = (self.raft.voters, self.raft.learners)
         if membership != self.reported_membership:
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -147,6 +147,20 @@
     assert cluster.replicas["a"].raft.role == raft_module.FOLLOWER
 
 
+def test_leader_that_steps_down_says_why(cluster):
+    leader = cluster.replicas["a"].raft
+    assert leader.step_down_reason == ""
+    cluster.partitioned = {"b", "c"}
+    cluster.run(3000)
+    assert leader.step_down_reason.startswith("no quorum acknowledged for 20")
+    cluster.partitioned = {"a"}
+    cluster.run(5000)
+    successor = cluster.replicas[cluster.leader()].raft
+    cluster.now += 1500
+    cluster.replicas[cluster.leader()].tick(cluster.now)
+    assert successor.step_down_reason == "no tick for 1500 ms"
+
+
 def test_lease_counts_from_the_send_time_of_the_acknowledged_message(cluster):
     raft = cluster.replicas["a"].raft
     sent = cluster.now - 900
