Do not blame a prompt part for an outage of many endpoints

Callers would see: requests of a whole route refused (crashing-part) after many endpoints had ended at once. Cause: each endpoint that ended counted against every part under way there, however many ended together; and a request that found its kept connection dead, 1 ms after it was sent, counted as having crashed the endpoint. Change: findings carry when the request was under way, in true time. A part is suspect only if of three crashes two followed one another, the second request sent after the first crash; breaks within 10 ms are left out. The stand-in takes 30 ms before it crashes, since a break at once is no crash of that request's any more.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -676,9 +676,16 @@
             and not choice.endpoint.is_departing
             and answering_ms < quarantine_module.SOUND_ANSWER_MS
         ):
-            crashed = quarantine_module.Incarnation(record.id, record.born)
+            now = clock.now_ms()
+            true_time = self.shared.true_time
             self.shared.quarantine.report_crash(
-                crashed, self.part_ids, clock.now_ms()
+                quarantine_module.Incarnation(record.id, record.born),
+                self.part_ids,
+                quarantine_module.Interval(
+                    true_time.wall_ms_at(self.sent_at_ms),
+                    true_time.wall_ms_at(now),
+                ),
+                now,
             )
 
     def _report_sound(self) -> None:
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1779,6 +1779,8 @@
     endpoint: str = ""
     born: int = 0
     parts: tuple[str, ...] = ()
+    sent_ms: int = 0
+    broken_ms: int = 0
 
 
 def _write_part_finding(b: Any, m: PartFinding) -> None:
@@ -1786,6 +1788,8 @@
     b.endpoint = m.endpoint
     b.born = m.born
     b.parts = list(m.parts)
+    b.sentMs = m.sent_ms
+    b.brokenMs = m.broken_ms
 
 
 def _read_part_finding(r: Any) -> PartFinding:
@@ -1794,6 +1798,8 @@
         r.endpoint,
         r.born,
         tuple(r.parts),
+        r.sentMs,
+        r.brokenMs,
     )
 
 
--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -23,9 +23,13 @@
 SOUND = "sound"
 QUARANTINED = "quarantined"
 
-# A part is suspect from this many crashes on. Two crashes may hit one
-# request and its retry by chance.
+# A part is suspect from this many crashes on, if so many of their requests
+# followed one another: a request and its retry may meet two by chance, and
+# an outage ends many endpoints at once, with all requests that they have.
 MIN_CRASHES = 3
+MIN_SUCCESSIVE_CRASHES = 2
+# A connection that breaks sooner than this was broken before the request.
+MIN_ANSWER_MS = 10
 # Answers have this long to clear a suspect part, and as long again if it
 # shares all its crashes with another suspect.
 CONFIRMATION_MS = 1000
@@ -69,6 +73,25 @@
     born: int
 
 
+class Interval(NamedTuple):
+    """When a request was sent and its connection broke, as true time in ms."""
+
+    sent_ms: int
+    broken_ms: int
+
+
+class Suspicion(NamedTuple):
+    """A part's presence at a crash.
+
+    Attributes:
+        depth: its position in the prompt.
+        interval: the shortest one of the requests that held it.
+    """
+
+    depth: int
+    interval: Interval
+
+
 class Crash:
     """A crash, and the parts that may have caused it.
 
@@ -87,8 +110,8 @@
 
     Attributes:
         crashes: crashes by incarnation, oldest first.
-        depths: positions of a part in the prompts of its crashes, by part
-            and incarnation; the parts are those of all crashes.
+        suspicions: how a part was present at its crashes, by part and
+            incarnation; the parts are those of all crashes.
         suspect_since: when a part became suspect, in ms, by part.
         released_at: end of each part's quarantine in ms, by part.
         findings: findings of this edge, to be sent to the others.
@@ -96,22 +119,29 @@
 
     def __init__(self) -> None:
         self.crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
-        self.depths: dict[str, dict[Incarnation, int]] = {}
+        self.suspicions: dict[str, dict[Incarnation, Suspicion]] = {}
         self.suspect_since: dict[str, int] = {}
         self.released_at: OrderedDict[str, int] = OrderedDict()
         self.findings = make_findings()
 
     def report_crash(
-        self, crashed: Incarnation, parts: tuple[str, ...], now: int
+        self,
+        crashed: Incarnation,
+        parts: tuple[str, ...],
+        interval: Interval,
+        now: int,
     ) -> None:
         """Record a request of this edge that was under way at a crash.
 
         Args:
             crashed: the endpoint that crashed.
             parts: the request's shared parts, in order.
+            interval: when it was under way.
             now: the current time in ms.
         """
-        self._report(messages.PartFinding(CRASH, *crashed, parts), now)
+        if interval.broken_ms - interval.sent_ms >= MIN_ANSWER_MS:
+            finding = messages.PartFinding(CRASH, *crashed, parts, *interval)
+            self._report(finding, now)
 
     def report_sound(self, parts: tuple[str, ...], now: int) -> None:
         """Record that an endpoint answered a request of this edge.
@@ -121,7 +151,7 @@
             now: the current time in ms.
         """
         doubted = tuple(
-            p for p in parts if p in self.depths or p in self.released_at
+            p for p in parts if p in self.suspicions or p in self.released_at
         )
         if doubted:
             self._report(messages.PartFinding(SOUND, parts=doubted), now)
@@ -134,7 +164,8 @@
         """Apply a finding of this edge or of another one."""
         if finding.finding == CRASH:
             crashed = Incarnation(finding.endpoint, finding.born)
-            self._record_crash(crashed, finding.parts, now)
+            interval = Interval(finding.sent_ms, finding.broken_ms)
+            self._record_crash(crashed, finding.parts, interval, now)
         elif finding.finding == SOUND:
             self._clear(finding.parts)
         elif finding.finding == QUARANTINED:
@@ -177,7 +208,11 @@
         return not has_rival or doubted_ms >= 2 * CONFIRMATION_MS
 
     def _record_crash(
-        self, crashed: Incarnation, parts: tuple[str, ...], now: int
+        self,
+        crashed: Incarnation,
+        parts: tuple[str, ...],
+        interval: Interval,
+        now: int,
     ) -> None:
         """Add the parts of a request that was under way at a crash.
 
@@ -190,25 +225,37 @@
             crash = self.crashes[crashed] = Crash(now)
         for depth, part in enumerate(parts):
             crash.parts.add(part)
-            self.depths.setdefault(part, {})[crashed] = depth
-            if self._count(part) >= MIN_CRASHES:
-                self.suspect_since.setdefault(part, now)
+            by_crash = self.suspicions.setdefault(part, {})
+            known = by_crash.get(crashed)
+            if known is None or known.interval.sent_ms < interval.sent_ms:
+                by_crash[crashed] = Suspicion(depth, interval)
+            self._update_suspect(part, now)
         while len(self.crashes) > MAX_CRASHES:
             self._forget(next(iter(self.crashes)))
 
     def _forget(self, crashed: Incarnation) -> None:
         """Forget a crash."""
         for part in self.crashes.pop(crashed).parts:
-            self.depths[part].pop(crashed)
-            if self._count(part) < MIN_CRASHES:
-                self.suspect_since.pop(part, None)
-            if not self.depths[part]:
-                del self.depths[part]
+            self.suspicions[part].pop(crashed)
+            self._update_suspect(part, 0)
+            if not self.suspicions[part]:
+                del self.suspicions[part]
+
+    def _update_suspect(self, part: str, now: int) -> None:
+        """Make a part suspect from now on, or end that."""
+        intervals = [s.interval for s in self.suspicions[part].values()]
+        if (
+            len(intervals) >= MIN_CRASHES
+            and _count_successive(intervals) >= MIN_SUCCESSIVE_CRASHES
+        ):
+            self.suspect_since.setdefault(part, now)
+        else:
+            self.suspect_since.pop(part, None)
 
     def _clear(self, parts: tuple[str, ...]) -> None:
         """End the suspicion and the quarantine of parts."""
         for part in parts:
-            for crashed in self.depths.pop(part, ()):
+            for crashed in self.suspicions.pop(part, ()):
                 self.crashes[crashed].parts.discard(part)
             self.suspect_since.pop(part, None)
             if self.released_at.pop(part, None) is not None:
@@ -217,7 +264,7 @@
 
     def _quarantine(self, part: str, now: int) -> None:
         """Quarantine a part, which explains the crashes that it was at."""
-        explained = list(self.depths.get(part, ()))
+        explained = list(self.suspicions.get(part, ()))
         for crashed in explained:
             self._forget(crashed)
         if part not in self.released_at:
@@ -243,17 +290,28 @@
 
     def _count(self, part: str) -> int:
         """Return at how many crashes a part is under suspicion."""
-        return len(self.depths.get(part, ()))
+        return len(self.suspicions.get(part, ()))
 
     def _depth(self, part: str) -> int:
         """Return a suspect's last position in a prompt."""
-        return max(self.depths[part].values())
+        return max(s.depth for s in self.suspicions[part].values())
+
+
+def _count_successive(intervals: list[Interval]) -> int:
+    """Return how many intervals at most follow one another."""
+    count, free_at = 0, 0
+    for interval in sorted(intervals, key=lambda i: i.broken_ms):
+        if interval.sent_ms >= free_at:
+            count += 1
+            free_at = interval.broken_ms
+    return count
 
 
 __all__ = [
     "CRASH",
     "Findings",
     "Incarnation",
+    "Interval",
     "MAX_QUARANTINED",
     "QUARANTINED",
     "QUARANTINE_MS",
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -574,6 +574,9 @@
   endpoint @1 :Text;
   born @2 :UInt64;
   parts @3 :List(Text);
+  # When the request was sent to it and broke, as true time.
+  sentMs @4 :UInt64;
+  brokenMs @5 :UInt64;
 }
 
 struct PartFindings {
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -15,6 +15,8 @@
 FLOOD_BYTES = 64 << 20
 # How long a crashed engine takes to start again.
 RESTART_S = 0.5
+# How long the engine works before the answer that crashes it.
+FIRST_TOKEN_S = 0.03
 
 
 class Seen(NamedTuple):
@@ -98,6 +100,7 @@
                     seen = await self._read(stream)
                     self.seen.append(seen)
                     if self._is_crashed_by(seen):
+                        await anyio.sleep(FIRST_TOKEN_S)
                         await self._stream(stream, seen, 1, False)
                         self.crash.set()
                         return
