Blame no prompt part for crashes with another explanation

Callers would see: a sound part refused for ten minutes after outages of several endpoints in a row, or beside a crashing part. Cause: a crash that a quarantined part explains still counted against the parts in other edges' reports of it; and endpoints that ended together in an outage counted one by one. Found by a simulation of six edges. Change: a crash is explained as a whole, by a quarantined part at any request or by three endpoints that break within 10 ms. The simulation is a test: crashing parts that come steadily, rarely, in bursts and as a flood, and outages without one.

--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -28,6 +28,10 @@
 # an outage ends many endpoints at once, with all requests that they have.
 MIN_CRASHES = 3
 MIN_SUCCESSIVE_CRASHES = 2
+# So many endpoints that end within so short a time have a common cause
+# other than what they were sent.
+MIN_OUTAGE_ENDPOINTS = 3
+OUTAGE_MS = 10
 # A connection that breaks sooner than this was broken before the request.
 MIN_ANSWER_MS = 10
 # Answers have this long to clear a suspect part, and as long again if it
@@ -98,11 +102,16 @@
     Attributes:
         recorded_at: when it was first recorded, in ms.
         parts: the parts under suspicion.
+        broken_ms: when it was first noticed, as true time.
+        is_explained: whether it was part of an outage or a quarantined
+            part was under way there, so that no other part is suspected.
     """
 
-    def __init__(self, recorded_at: int):
+    def __init__(self, recorded_at: int, broken_ms: int):
         self.recorded_at = recorded_at
+        self.broken_ms = broken_ms
         self.parts: set[str] = set()
+        self.is_explained = False
 
 
 class Quarantine:
@@ -218,11 +227,16 @@
 
         A quarantined part among them explains the crash.
         """
-        if self.quarantined_part(parts, now) is not None:
-            return
         crash = self.crashes.get(crashed)
         if crash is None:
-            crash = self.crashes[crashed] = Crash(now)
+            crash = self.crashes[crashed] = Crash(now, interval.broken_ms)
+            self._explain_outage(interval.broken_ms)
+            while len(self.crashes) > MAX_CRASHES:
+                self._forget(next(iter(self.crashes)))
+        if self.quarantined_part(parts, now) is not None:
+            self._explain(crashed)
+        if crash.is_explained:
+            return
         for depth, part in enumerate(parts):
             crash.parts.add(part)
             by_crash = self.suspicions.setdefault(part, {})
@@ -230,16 +244,33 @@
             if known is None or known.interval.sent_ms < interval.sent_ms:
                 by_crash[crashed] = Suspicion(depth, interval)
             self._update_suspect(part, now)
-        while len(self.crashes) > MAX_CRASHES:
-            self._forget(next(iter(self.crashes)))
+
+    def _explain_outage(self, broken_ms: int) -> None:
+        """End suspicions at crashes that happened together with others."""
+        together = [
+            crashed
+            for crashed, crash in self.crashes.items()
+            if abs(crash.broken_ms - broken_ms) <= OUTAGE_MS
+        ]
+        if len(together) >= MIN_OUTAGE_ENDPOINTS:
+            for crashed in together:
+                self._explain(crashed)
 
     def _forget(self, crashed: Incarnation) -> None:
         """Forget a crash."""
-        for part in self.crashes.pop(crashed).parts:
+        self._explain(crashed)
+        del self.crashes[crashed]
+
+    def _explain(self, crashed: Incarnation) -> None:
+        """End the suspicion of all parts that were at a crash."""
+        crash = self.crashes[crashed]
+        crash.is_explained = True
+        for part in crash.parts:
             self.suspicions[part].pop(crashed)
             self._update_suspect(part, 0)
             if not self.suspicions[part]:
                 del self.suspicions[part]
+        crash.parts = set()
 
     def _update_suspect(self, part: str, now: int) -> None:
         """Make a part suspect from now on, or end that."""
@@ -266,7 +297,7 @@
         """Quarantine a part, which explains the crashes that it was at."""
         explained = list(self.suspicions.get(part, ()))
         for crashed in explained:
-            self._forget(crashed)
+            self._explain(crashed)
         if part not in self.released_at:
             events.emit(
                 events.PART_QUARANTINED,
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,6 +3,8 @@
 import anyio
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
+import quarantine_fleet
 import routed
 
 from primrosehitch import quarantine
@@ -319,3 +321,45 @@
         assert all(finder.suspicions.values())
         for part, at in finder.suspicions.items():
             assert all(part in finder.crashes[c].parts for c in at)
+
+
+# How requests with the crashing part arrive, as pauses in ms between them.
+ARRIVALS = {
+    "steady": lambda rng: rng.uniform(200, 500),
+    "rare": lambda rng: rng.uniform(1000, 4000),
+    "bursts": lambda rng: rng.choice((20, 40, 60, 3000)),
+    "flood": lambda rng: rng.uniform(10, 60),
+}
+
+
+@pytest.mark.parametrize("arrivals", ARRIVALS)
+@pytest.mark.parametrize("seed", range(12))
+def test_edges_keep_the_bound_and_sound_requests(arrivals, seed):
+    """Random schedules of crashing and sound requests at six edges."""
+    fleet = quarantine_fleet.Fleet(f"{arrivals} {seed}")
+
+    def arrive():
+        fleet.send_bad()
+        fleet.at(ARRIVALS[arrivals](fleet.rng), arrive)
+
+    fleet.at(5000, arrive)
+    fleet.run(60_000)
+    crashes = fleet.crashes[:FREE_CRASHES]
+    allowed_until = crashes[-1] + 1000 * CONTACT_S
+    if len(crashes) == FREE_CRASHES:
+        late = [at for at in fleet.bad_sends if at > allowed_until]
+        assert len(late) <= MAX_LATE_REQUESTS
+    # Half of the sound requests have to be served from then on.
+    later = [part for at, part in fleet.sound if at > allowed_until + 3000]
+    assert len(later) > 500 and not any(later)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_outages_of_many_endpoints_quarantine_nothing(seed):
+    """Random outages of some to all engines, no crashing part."""
+    fleet = quarantine_fleet.Fleet(f"outages {seed}")
+    for at_ms in (5000, 12_000, 14_000, 25_000, 26_000, 27_000):
+        count = fleet.rng.randint(2, quarantine_fleet.ENGINES)
+        fleet.at(at_ms, fleet.end_engines, count)
+    fleet.run(45_000)
+    assert not any(edge.released_at for edge in fleet.edges)
