--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -503,6 +503,85 @@
         "    target = path",
         "tests/test_upstream.py",
     ),
+    Mutant(
+        "silence is no departure",
+        "registry.py",
+        "        entry.record = previous._replace(state=SILENT)",
+        "        entry.record = previous._replace(state=LEFT)",
+        "tests/test_registry.py",
+    ),
+    Mutant(
+        "told silence does not outdate a newer report",
+        "registry.py",
+        "        return record.sequence >= known.sequence",
+        "        return True",
+        "tests/test_registry.py",
+    ),
+    Mutant(
+        "an answering endpoint is used though it is silent",
+        "balancer.py",
+        "        ready += [e for e in silent if e.is_answering(now)]\n",
+        "",
+        "tests/test_balancer.py",
+    ),
+    Mutant(
+        "registries are reconciled after a cut",
+        "control.py",
+        "        if lasting:",
+        "        if False:",
+        "tests/test_control.py",
+    ),
+    Mutant(
+        "an endpoint that says that it leaves gets nothing",
+        "balancer.py",
+        "            and not e.is_leaving\n            and e.paused_until",
+        "            and e.paused_until",
+        "tests/test_forwarder.py",
+    ),
+    Mutant(
+        "an endpoint gets nothing during the pause it asked for",
+        "balancer.py",
+        "            and e.paused_until <= now\n",
+        "",
+        "tests/test_forwarder.py",
+    ),
+    Mutant(
+        "answers clear prompt parts",
+        "quarantine.py",
+        "            for crashed in self.suspicions.pop(part, ()):",
+        "            for crashed in ():",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "endpoints that end together accuse no part",
+        "quarantine.py",
+        "        if len(together) >= MIN_OUTAGE_ENDPOINTS:",
+        "        if False:",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "a quarantined part explains a crash for all reports",
+        "quarantine.py",
+        "        if crash.is_explained:",
+        "        if False:",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "crashes follow one another before a part is suspect",
+        "quarantine.py",
+        "            and _count_successive(intervals)"
+        " >= MIN_SUCCESSIVE_CRASHES",
+        "",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "quarantines outlive a restart",
+        "state.py",
+        "    state.quarantined_parts = {v.part: v.until_ms"
+        " for v in image.quarantined}\n",
+        "",
+        "tests/test_state.py",
+    ),
 ]
 
 
