Tell an edge of departures when it comes to a control instance

Callers would see: after a cut, requests to an endpoint that had left on the side where the edge was not, as a last resort or while it answered. Cause: the digest covers ready and draining endpoints only, so that an edge that holds one as silent was not told that it had left. Change: a control instance sends all its records to a new subscriber. Measured: the new test failed before (still silent after 2 s) and passes.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -537,7 +537,8 @@
     ) -> None:
         """Answer an edge with the status and with what it lacks."""
         now = clock.now_ms()
-        if sender not in self.subscribers:
+        is_new = sender not in self.subscribers
+        if is_new:
             self.lacking_parts.add(sender)
         self._send_recent_parts(sender, now)
         self.subscribers[sender] = Subscriber(now)
@@ -558,7 +559,8 @@
         self.links.send(sender, status)
         if subscription.version < self.table.version:
             self.links.send(sender, self.table)
-        if subscription.registry != status.registry:
+        # A new subscriber may lack departures, which no digest covers.
+        if is_new or subscription.registry != status.registry:
             is_complete = now - self.started_ms > REGISTRY_WARM_UP_MS
             records = tuple(self.registry.records())
             self.links.send(
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -289,5 +289,6 @@
     "READY",
     "Registry",
     "SILENT",
+    "TIMED_OUT",
     "UNLISTED",
 ]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -458,6 +458,27 @@
     instances.run_test(body)
 
 
+# Guards against: an edge goes on using a silent endpoint, of whose departure
+# only the control instance that it comes to has heard.
+def test_edge_learns_of_departures_from_its_new_control_instance(tmp_path):
+    async def body():
+        engine = platform_engine.StandInEngine(["good"])
+        async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
+            await instances.serve_from(fleet, engine)
+            edge = fleet.edges[9]
+            edge.registry.mark_silent("i-0", registry.TIMED_OUT)
+            for control in fleet.controls.values():
+                control.registry.mark_left("i-0", 5, routed.clock.now_ms())
+            other = str(instances.address(4, instances.LINK_PORT))
+            edge._switch_control(other, "test")
+            await instances.wait_until(
+                lambda: edge.registry.records()[0].state == registry.LEFT, 2
+            )
+            assert not edge.balancer.endpoints
+
+    instances.run_test(body)
+
+
 # Guards against: after a loss of all power a crashing prompt part was sent
 # to endpoints again.
 def test_quarantine_outlives_the_end_of_all_processes(tmp_path):
