Keep a waiting request from endpoints once its part is quarantined

Callers would see: an endpoint crash under a request that waited for it while the prompt part was found out. Cause: the quarantine was asked on arrival and before a retry, not after a wait for an endpoint. Change: it is asked before each attempt; the caller is told when to come back as on arrival.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -65,6 +65,8 @@
 MIN_EVENT_TIMEOUT_MS = 1000
 # A stream that goes on clears its prompt parts of suspicion this often.
 SOUND_REPORT_PERIOD_MS = 500
+# Reason of the reply to a request with a quarantined prompt part.
+QUARANTINED_REASON = "crashing-part"
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 # Statuses that tell a caller that the request has not run and will not.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -258,9 +260,9 @@
         now = clock.now_ms()
         shared.retry_budget.record_request(self.ask.service, now)
         service = self.ask.service
-        part = shared.quarantine.quarantined_part(self.part_ids, now)
+        part = self._quarantined_part()
         if part is not None:
-            self._refuse_quarantined(part, now)
+            self._refuse_quarantined(part)
             return
         rejection = shared.gate.admit(service, self.deadline_at_ms, now)
         if rejection is not None:
@@ -280,10 +282,10 @@
             shared.gate.record_end(service)
             self._record_outcome(outcome)
 
-    def _refuse_quarantined(self, part: str, now: int) -> None:
+    def _refuse_quarantined(self, part: str) -> None:
         """Refuse a request that would crash the endpoint it is sent to."""
-        retry_after_s = self.shared.quarantine.retry_after_s(part, now)
-        refused = Refused(503, "crashing-part", retry_after_s, part)
+        retry_after_s = self._retry_after_s(QUARANTINED_REASON)
+        refused = Refused(503, QUARANTINED_REASON, retry_after_s, part)
         self.shared.refuse(self.call, self.responder, refused)
 
     async def _try_endpoints(self) -> str:
@@ -296,6 +298,8 @@
             if choice is None:
                 self._emit_no_endpoint()
                 return self._respond_with_failure(NotRun("no-endpoint"))
+            if self._quarantined_part() is not None:
+                return self._respond_with_failure(NotRun(QUARANTINED_REASON))
             outcome = await self._attempt(choice)
             self.earlier_may_have_run |= isinstance(outcome, Broken | Failed)
             self.in_flight = False
@@ -352,7 +356,7 @@
         may_have_run = not isinstance(outcome, NotRun)
         if may_have_run and not self.route.repeatable:
             return False
-        if self.shared.quarantine.quarantined_part(self.part_ids, now):
+        if self._quarantined_part() is not None:
             return False
         if self.attempts >= self.route.max_attempts:
             return False
@@ -379,19 +383,30 @@
             self._send_buffered(outcome.head, outcome.body)
             return "endpoint-error"
         if isinstance(outcome, NotRun) and not self._may_have_run():
-            delay_s = NO_ENDPOINT_RETRY_AFTER_S
-            if outcome.reason == "rejected":
-                delay_s = REJECTED_RETRY_AFTER_S
-            now = clock.now_ms()
-            available_at = self.balancer.next_available_at(
-                self.ask.service, now
-            )
-            delay_s = max(delay_s, (available_at - now) / 1000)
+            delay_s = self._retry_after_s(outcome.reason)
             self._send_local_reply(503, outcome.reason, delay_s)
             return outcome.reason
         self._send_local_reply(502, "no-answer", None)
         return "no-answer"
 
+    def _retry_after_s(self, reason: str) -> float:
+        """Return when the caller may retry a request that has not run."""
+        now = clock.now_ms()
+        part = self._quarantined_part()
+        if reason == QUARANTINED_REASON and part is not None:
+            return self.shared.quarantine.retry_after_s(part, now)
+        delay_s = NO_ENDPOINT_RETRY_AFTER_S
+        if reason == "rejected":
+            delay_s = REJECTED_RETRY_AFTER_S
+        available_at = self.balancer.next_available_at(self.ask.service, now)
+        return max(delay_s, (available_at - now) / 1000)
+
+    def _quarantined_part(self) -> str | None:
+        """Return a prompt part that keeps the request from endpoints."""
+        return self.shared.quarantine.quarantined_part(
+            self.part_ids, clock.now_ms()
+        )
+
     def _may_have_run(self) -> bool:
         """Return whether an endpoint may have run the request."""
         return self.in_flight or self.earlier_may_have_run
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,6 +7,7 @@
 import quarantine_fleet
 import routed
 
+from primrosehitch import messages
 from primrosehitch import quarantine
 from primrosehitch_lab import platform_engine
 
@@ -80,6 +81,34 @@
         )
 
 
+# Guards against: a request that waited for an endpoint is sent with a part
+# that was quarantined meanwhile.
+def test_request_that_waits_is_not_sent_with_a_quarantined_part():
+    async def body():
+        engine = platform_engine.StandInEngine(["stream"])
+        async with routed.running_edge(engine) as edge:
+            paused = edge.balancer.endpoints["i-0"]
+            paused.paused_until = routed.clock.now_ms() + 300
+            answers = []
+
+            async def call():
+                request = stream_request(1, ("system", "bad"))
+                answers.append(await routed.send_request(edge, request))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(call)
+                await anyio.sleep(0.1)
+                finding = messages.PartFinding("quarantined", parts=("bad",))
+                edge.forwarder.quarantine.apply_finding(
+                    finding, routed.clock.now_ms()
+                )
+            ((status, headers, *_),) = answers
+            assert (status, engine.seen) == (503, [])
+            assert float(headers["retry-after"]) > 500
+
+    anyio.run(body, backend_options={"use_uvloop": True})
+
+
 # Guards against: a route is refused after all its endpoints ended at once.
 def test_end_of_all_engines_quarantines_nothing(monkeypatch):
     """Pattern: all engines lose power under a load of one shared prompt."""
