Judge the worst suspect first, after four crashes

Callers would see: in a flood of crashing requests whole routes refused, as parts that all their requests share were quarantined in the place of the crashing one; after outages in a row a rarely used part refused. Cause: a suspect was judged once its own time was over, though another one at more crashes, which explains them, was still being waited for; and three crashes meet a rare part by chance. Change: the suspect at the most crashes is judged first, the others wait for it; a part is suspect from the fourth crash on, one before the fifth that the users' pages count from.

--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -26,7 +26,7 @@
 # A part is suspect from this many crashes on, if so many of their requests
 # followed one another: a request and its retry may meet two by chance, and
 # an outage ends many endpoints at once, with all requests that they have.
-MIN_CRASHES = 3
+MIN_CRASHES = 4
 MIN_SUCCESSIVE_CRASHES = 2
 # So many endpoints that end within so short a time have a common cause
 # other than what they were sent.
@@ -197,10 +197,16 @@
     def judge(self, now: int) -> None:
         """Quarantine the suspects that no answer has cleared in time."""
         self._expire(now)
-        while due := [p for p in self.suspect_since if self._is_due(p, now)]:
+        while self.suspect_since:
             # Of parts with as many crashes the one that comes last in the
-            # prompt is in the fewest sound requests.
-            worst = max(due, key=lambda p: (self._count(p), self._depth(p)))
+            # prompt is in the fewest sound requests. The others wait for
+            # it, since it may explain their crashes.
+            worst = max(
+                self.suspect_since,
+                key=lambda p: (self._count(p), self._depth(p)),
+            )
+            if not self._is_due(worst, now):
+                return
             self._quarantine(worst, now)
             finding = messages.PartFinding(QUARANTINED, parts=(worst,))
             self.findings.put(finding_key(finding), finding)
