--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -284,7 +284,9 @@
 
     def _refuse_quarantined(self, part: str) -> None:
         """Refuse a request that would crash the endpoint it is sent to."""
-        retry_after_s = self._retry_after_s(QUARANTINED_REASON)
+        retry_after_s = self.shared.quarantine.retry_after_s(
+            part, clock.now_ms()
+        )
         refused = Refused(503, QUARANTINED_REASON, retry_after_s, part)
         self.shared.refuse(self.call, self.responder, refused)
 
--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -56,7 +56,7 @@
 
 
 def make_findings() -> Findings:
-    """Return a batcher of findings, keyed by all their fields."""
+    """Return a batcher of findings, keyed by ``finding_key``."""
     return gathering.UpdateBatcher(FINDINGS_DELAY_S)
 
 
@@ -172,9 +172,7 @@
     def apply_finding(self, finding: messages.PartFinding, now: int) -> None:
         """Apply a finding of this edge or of another one."""
         if finding.finding == CRASH:
-            crashed = Incarnation(finding.endpoint, finding.born)
-            interval = Interval(finding.sent_ms, finding.broken_ms)
-            self._record_crash(crashed, finding.parts, interval, now)
+            self._record_crash(finding, now)
         elif finding.finding == SOUND:
             self._clear(finding.parts)
         elif finding.finding == QUARANTINED:
@@ -222,28 +220,24 @@
         )
         return not has_rival or doubted_ms >= 2 * CONFIRMATION_MS
 
-    def _record_crash(
-        self,
-        crashed: Incarnation,
-        parts: tuple[str, ...],
-        interval: Interval,
-        now: int,
-    ) -> None:
+    def _record_crash(self, finding: messages.PartFinding, now: int) -> None:
         """Add the parts of a request that was under way at a crash.
 
         A quarantined part among them explains the crash.
         """
+        crashed = Incarnation(finding.endpoint, finding.born)
+        interval = Interval(finding.sent_ms, finding.broken_ms)
         crash = self.crashes.get(crashed)
         if crash is None:
             crash = self.crashes[crashed] = Crash(now, interval.broken_ms)
             self._explain_outage(interval.broken_ms)
             while len(self.crashes) > MAX_CRASHES:
                 self._forget(next(iter(self.crashes)))
-        if self.quarantined_part(parts, now) is not None:
+        if self.quarantined_part(finding.parts, now) is not None:
             self._explain(crashed)
         if crash.is_explained:
             return
-        for depth, part in enumerate(parts):
+        for depth, part in enumerate(finding.parts):
             crash.parts.add(part)
             by_crash = self.suspicions.setdefault(part, {})
             known = by_crash.get(crashed)
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -148,11 +148,11 @@
         Returns:
             The change, or None if it is silent or has left already.
         """
-        self.cached_digest = None
         entry = self.entries[identifier]
         previous = entry.record
         if previous.state in (SILENT, LEFT):
             return None
+        self.cached_digest = None
         entry.record = previous._replace(state=SILENT)
         return EndpointChange(entry.record, previous, cause)
 
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -276,19 +276,17 @@
 
     async def _play_paced_stream(self, stream, seen: Seen) -> bool:
         """Send whole events, one every 40 ms."""
-        await self._begin_chunks(stream, seen)
-        for number in range(1, self.events + 1):
-            await self._event(stream, seen, number)
-            await anyio.sleep(0.04)
-        await stream.send(b"0\r\n\r\n")
-        return True
+        return await self._spaced_stream(stream, seen, 0.04)
 
     async def _play_slow_stream(self, stream, seen: Seen) -> bool:
         """Send whole events, one every 0.9 s."""
+        return await self._spaced_stream(stream, seen, 0.9)
+
+    async def _spaced_stream(self, stream, seen: Seen, pause_s) -> bool:
         await self._begin_chunks(stream, seen)
         for number in range(1, self.events + 1):
             await self._event(stream, seen, number)
-            await anyio.sleep(0.9)
+            await anyio.sleep(pause_s)
         await stream.send(b"0\r\n\r\n")
         return True
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -151,7 +151,14 @@
     digest = endpoints.digest()
     endpoints.apply_record(make_record(sequence=2), 1)
     assert endpoints.cached_digest == digest
-    endpoints.apply_record(make_record(sequence=3, state="draining"), 2)
+    endpoints.apply_record(make_record("b", address="y:1"), 1)
+    endpoints.expire(registry.HEARTBEAT_TIMEOUT_MS + 2)
+    digest = endpoints.digest()
+    endpoints.expire(registry.HEARTBEAT_TIMEOUT_MS + 1002)
+    assert endpoints.cached_digest == digest
+    endpoints.apply_record(make_record(sequence=3), 20_000)
+    digest = endpoints.digest()
+    endpoints.apply_record(make_record(sequence=4, state="draining"), 20_001)
     assert endpoints.digest() != digest
 
 
