Send again what a link may have lost

Callers would see: after a short break of a link, requests to an endpoint that had left, and crashing prompt parts sent to endpoints by an edge that had not been told of the quarantine. Cause: a control instance told a joining edge once of departures, parts and quarantines, and took that for delivered. The link back to the edge comes up only after the edge's first message, so the one telling could be dropped; and what a broken link had taken was lost with no one noting it. Digests cover neither departures nor findings. Among control instances the same held for departures. Change: links report a possible loss (connection ended, queue full); who joined or may have missed messages stays noted until all that it may lack is queued on a link that is up. The test waits until the edge is new; two more play the lost messages.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -119,8 +119,10 @@
         ] = gathering.RecentUpdates(RECENT_PARTS_TTL_MS, MAX_RECENT_PARTS)
         self.finding_relay = partfindings.FindingRelay()
         self.recorded_parts: set[str] = set()
-        # Edges and instances that joined and have not got them yet.
-        self.lacking_parts: set[str] = set()
+        # Edges and instances that joined or may have missed messages, and
+        # were not sent again what they may lack.
+        self.lacking_updates: set[str] = set()
+        self.links.on_loss = self._note_loss
         # The digests of a peer's and the own registry by peer, if they
         # differed at the peer's last presence.
         self.differing_digests: dict[str, tuple[int, int]] = {}
@@ -203,7 +205,7 @@
         if recorded - self.recorded_parts:
             # A replica that restarts learns only from a leader which of
             # its entries are committed, after edges have subscribed.
-            self.lacking_parts.update(self.subscribers)
+            self.lacking_updates.update(self.subscribers)
         self.recorded_parts = recorded
         for instance in self._replica_instances():
             self._add_link(instance)
@@ -485,8 +487,9 @@
                     > SUBSCRIPTION_TIMEOUT_MS
                 ):
                     del self.subscribers[name]
-                    self.lacking_parts.discard(name)
+                    self.lacking_updates.discard(name)
             for name in self.peers.expire(tick.now):
+                self.lacking_updates.discard(name)
                 if name not in self._control_instances():
                     self.links.remove(name)
 
@@ -504,8 +507,9 @@
         known = self.peers.presences.get(sender)
         self.peers.apply_presence(presence, now)
         if known is None or known.presence.incarnation != presence.incarnation:
-            self.lacking_parts.add(sender)
-        self._send_recent_parts(sender, now)
+            self.lacking_updates.add(sender)
+        if sender in self.lacking_updates:
+            self._send_missed(sender, self.registry.reported_records(), True)
         self.true_time.add_report(sender, presence.wall_ms, now)
         for name in presence.peers:
             self._add_link(name)
@@ -537,10 +541,8 @@
     ) -> None:
         """Answer an edge with the status and with what it lacks."""
         now = clock.now_ms()
-        is_new = sender not in self.subscribers
-        if is_new:
-            self.lacking_parts.add(sender)
-        self._send_recent_parts(sender, now)
+        if sender not in self.subscribers:
+            self.lacking_updates.add(sender)
         self.subscribers[sender] = Subscriber(now)
         self.true_time.add_report(sender, subscription.wall_ms, now)
         is_fresh = self._has_quorum_contact(now)
@@ -559,9 +561,10 @@
         self.links.send(sender, status)
         if subscription.version < self.table.version:
             self.links.send(sender, self.table)
-        # A new subscriber may lack departures, which no digest covers.
-        if is_new or subscription.registry != status.registry:
-            is_complete = now - self.started_ms > REGISTRY_WARM_UP_MS
+        is_complete = now - self.started_ms > REGISTRY_WARM_UP_MS
+        if sender in self.lacking_updates:
+            self._send_missed(sender, self.registry.records(), is_complete)
+        elif subscription.registry != status.registry:
             records = tuple(self.registry.records())
             self.links.send(
                 sender, messages.EndpointUpdate(records, is_complete)
@@ -660,26 +663,47 @@
                     )
                     break
 
-    def _send_recent_parts(self, receiver: str, now: int) -> None:
-        """Send an edge or instance that joined what it has missed.
+    def _note_loss(self, receiver: str) -> None:
+        """Note that messages to an edge or instance may have been lost."""
+        if receiver in self.subscribers or receiver in self.peers.presences:
+            self.lacking_updates.add(receiver)
 
-        The link to a new peer comes up only after its first message.
+    def _send_missed(
+        self,
+        receiver: str,
+        records: list[messages.EndpointRecord],
+        is_complete: bool,
+    ) -> None:
+        """Send an edge or instance what it may have missed.
+
+        Digests show neither departures nor findings that it lacks. The
+        link to a new peer comes up only after its first message, so this
+        is called again until all messages are queued.
+
+        Args:
+            receiver: the edge or instance.
+            records: the endpoint records for it.
+            is_complete: whether these are all endpoints.
         """
-        if receiver not in self.lacking_parts:
+        # Packing the records of a large deployment takes a while.
+        if not self.links.is_connected(receiver):
             return
+        now = clock.now_ms()
+        missed: list[tuple] = [
+            messages.EndpointUpdate(tuple(records), is_complete)
+        ]
         parts = self.recent_parts.values(now)
+        if parts:
+            missed.append(messages.PartsRead(parts))
         findings = self.finding_relay.findings_to_join(
             self.replicator.replica.state.quarantined_parts,
             now,
             self.true_time.wall_ms_at(now),
         )
-        if (
-            not parts or self.links.send(receiver, messages.PartsRead(parts))
-        ) and (
-            not findings
-            or self.links.send(receiver, messages.PartFindings(findings))
-        ):
-            self.lacking_parts.discard(receiver)
+        if findings:
+            missed.append(messages.PartFindings(findings))
+        if all(self.links.send(receiver, message) for message in missed):
+            self.lacking_updates.discard(receiver)
 
     async def _forward_batches(
         self,
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -19,6 +19,7 @@
 import hmac
 import os
 import struct
+from typing import Callable
 from typing import Iterable
 from typing import NamedTuple
 
@@ -187,6 +188,10 @@
         inbox: the stream that receives the messages of all peers.
         accepts_new_peers: whether any instance that proves knowledge of the
             secret becomes a peer.
+
+    Attributes:
+        on_loss: called with a peer's name when messages that were queued
+            for it may not have arrived.
     """
 
     def __init__(
@@ -210,6 +215,7 @@
         self.connected: dict[str, bool] = {}
         self.queues: dict[str, FrameQueue] = {}
         self.dial_scopes: dict[str, anyio.CancelScope] = {}
+        self.on_loss: Callable[[str], None] = _ignore_loss
         self.task_group: anyio.abc.TaskGroup | None = None
 
     def add(self, peer: LinkPeer) -> None:
@@ -233,6 +239,10 @@
         if scope is not None:
             scope.cancel()
 
+    def is_connected(self, name: str) -> bool:
+        """Return whether messages for a peer are sent at present."""
+        return self.connected.get(name, False)
+
     def send(self, target: str, message: tuple) -> bool:
         """Queue a message for a peer.
 
@@ -254,6 +264,7 @@
         try:
             queue[0].send_nowait(frame)
         except anyio.WouldBlock:
+            self.on_loss(target)
             return False
         self.sent_messages += 1
         self.sent_bytes += len(frame)
@@ -349,6 +360,7 @@
                 raise errors.LinkError(text, "link.pump", peer.name) from None
             finally:
                 self._discard_queued_frames(peer.name)
+                self.on_loss(peer.name)
 
     async def _send_pings(self, peer: str) -> None:
         while True:
@@ -488,6 +500,10 @@
         return hello.sender
 
 
+def _ignore_loss(peer: str) -> None:
+    """Do nothing; the default of ``Links.on_loss``."""
+
+
 def make_links(
     settings: settings_module.Settings,
     incarnation: int,
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -133,6 +133,13 @@
         for control in self.controls.values():
             del control._HANDLERS
 
+    def reset_link(self, sender, receiver):
+        """Close the link from a control instance; it is dialed again."""
+        links = self.controls[sender].links
+        peer = links.peers[str(address(receiver, LINK_PORT))]
+        links.remove(peer.name)
+        links.add(peer)
+
     def wipe_disk(self, number):
         shutil.rmtree(self.folder / str(number))
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -9,6 +9,7 @@
 import pytest
 import routed
 
+from primrosehitch import control as control_module
 from primrosehitch import edge as edge_module
 from primrosehitch import links
 from primrosehitch import messages
@@ -458,6 +459,39 @@
     instances.run_test(body)
 
 
+async def use_control(fleet, edge, number):
+    """Move an edge to a control instance and wait for its subscription."""
+    control = fleet.controls[number]
+    switched_at = routed.clock.now_ms()
+    # A return to the own failure domain is not due for a while.
+    edge.last_domain_switch_ms = switched_at
+    if edge.current_control != control.name:
+        edge._switch_control(control.name, "test")
+    await instances.wait_until(
+        lambda: (
+            edge.links.name in control.subscribers
+            and control.subscribers[edge.links.name].last_seen_ms > switched_at
+        ),
+        2,
+    )
+
+
+async def mark_departed(fleet, edge):
+    """Let i-0 be silent at an edge and gone everywhere else, unsent."""
+    # The last heartbeat is no longer being passed on.
+    await anyio.sleep(2 * control_module.REFRESH_PERIOD_MS / 1000)
+    edge.registry.mark_silent("i-0", registry.TIMED_OUT)
+    for control in fleet.controls.values():
+        control.registry.mark_left("i-0", 5, routed.clock.now_ms())
+
+
+async def wait_until_departed(edge):
+    await instances.wait_until(
+        lambda: edge.registry.records()[0].state == registry.LEFT, 2
+    )
+    assert not edge.balancer.endpoints
+
+
 # Guards against: an edge goes on using a silent endpoint, of whose departure
 # only the control instance that it comes to has heard.
 def test_edge_learns_of_departures_from_its_new_control_instance(tmp_path):
@@ -466,15 +500,56 @@
         async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
             await instances.serve_from(fleet, engine)
             edge = fleet.edges[9]
-            edge.registry.mark_silent("i-0", registry.TIMED_OUT)
-            for control in fleet.controls.values():
-                control.registry.mark_left("i-0", 5, routed.clock.now_ms())
-            other = str(instances.address(4, instances.LINK_PORT))
-            edge._switch_control(other, "test")
+            await use_control(fleet, edge, 3)
+            # The edge may have come by control instance 4 while it started.
+            await instances.wait_until(
+                lambda: edge.links.name not in fleet.controls[4].subscribers
+            )
+            await mark_departed(fleet, edge)
+            await use_control(fleet, edge, 4)
+            await wait_until_departed(edge)
+
+    instances.run_test(body)
+
+
+# Guards against: an edge that missed a departure while a link was down for
+# less than the time-out of its subscription was never told of it.
+def test_edge_learns_of_departures_during_a_short_loss_of_its_link(tmp_path):
+    async def body():
+        engine = platform_engine.StandInEngine(["good"])
+        async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
+            await instances.serve_from(fleet, engine)
+            edge = fleet.edges[9]
+            await use_control(fleet, edge, 4)
+            await mark_departed(fleet, edge)
+            fleet.reset_link(4, 9)
+            await wait_until_departed(edge)
+
+    instances.run_test(body)
+
+
+# Guards against: a control instance that had not heard an endpoint was not
+# told that it had left, as no digest covers either state.
+def test_control_instances_tell_each_other_of_departures_after_a_cut(
+    tmp_path,
+):
+    async def body():
+        async with instances.running_fleet(tmp_path) as fleet:
+            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
+            engine = platform_engine.StandInEngine(["good"])
+            await fleet.group.start(engine.run)
+            await instances.send_heartbeat(2, engine)
+            entries = fleet.controls[3].registry
+            await instances.wait_until(entries.records)
+            await anyio.sleep(2 * control_module.REFRESH_PERIOD_MS / 1000)
+            entries.mark_silent("i-0", registry.TIMED_OUT)
+            for number in (2, 4):
+                departed = fleet.controls[number].registry
+                departed.mark_left("i-0", 5, routed.clock.now_ms())
+                fleet.reset_link(number, 3)
             await instances.wait_until(
-                lambda: edge.registry.records()[0].state == registry.LEFT, 2
+                lambda: entries.records()[0].state == registry.LEFT, 2
             )
-            assert not edge.balancer.endpoints
 
     instances.run_test(body)
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -193,3 +193,35 @@
 
     # The link must be up before an edge abandons a silent control instance.
     assert anyio.run(body) < edge.CONTROL_TIMEOUT_MS / 1000
+
+
+def test_possible_loss_of_messages_is_reported():
+    """A full queue drops messages, a broken connection what it had taken."""
+    lost = []
+
+    async def run_until_cancelled(links, scope):
+        with scope:
+            await links.run()
+
+    async def body():
+        links_a, _ = create_links("a", 25911, "b", 25912)
+        links_b, _ = create_links("b", 25912, "a", 25911)
+        links_a.on_loss = lost.append
+        async with anyio.create_task_group() as group:
+            group.start_soon(links_a.run)
+            scope_b = anyio.CancelScope()
+            group.start_soon(run_until_cancelled, links_b, scope_b)
+            with anyio.fail_after(2):
+                while not links_a.is_connected("b"):
+                    await anyio.sleep(0.02)
+            while links_a.send("b", messages.Refresh(1)):
+                assert lost == []
+            assert lost == ["b"]
+            scope_b.cancel()
+            with anyio.fail_after(2):
+                while lost != ["b", "b"]:
+                    await anyio.sleep(0.02)
+            assert not links_a.is_connected("b")
+            group.cancel_scope.cancel()
+
+    anyio.run(body)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -531,6 +531,22 @@
         "        if False:",
         "tests/test_control.py",
     ),
+    Mutant(
+        "what a broken link took is sent again",
+        "links.py",
+        "                self.on_loss(peer.name)\n",
+        "",
+        "tests/test_links.py",
+    ),
+    Mutant(
+        "a receiver lacks updates until they are queued",
+        "control.py",
+        "        if not self.links.is_connected(receiver):\n"
+        "            return\n",
+        "        if not self.links.is_connected(receiver):\n"
+        "            self.lacking_updates.discard(receiver)\n",
+        "tests/test_control.py",
+    ),
     Mutant(
         "an endpoint that says that it leaves gets nothing",
         "balancer.py",
