Wait for an edge's first status in the test of departures

Cause: the test asked for a subscription at one control instance while the edge, 0.7 s after its start without a quorum, rightly moved on to another. Change: the test waits until the edge has heard a quorum. What is checked and its bound stay as they were.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -461,6 +461,8 @@
 
 async def use_control(fleet, edge, number):
     """Move an edge to a control instance and wait for its subscription."""
+    # Before its first status with a quorum an edge may move on by itself.
+    await instances.wait_until(lambda: edge.true_time.has_control_time)
     control = fleet.controls[number]
     switched_at = routed.clock.now_ms()
     # A return to the own failure domain is not due for a while.
