Let a peer be removed as soon as it is added

Callers would see: an edge that ends by itself, with all its requests. Cause: the task that dials a peer made its own cancel scope, so that a peer removed before the task had run was dialed all the same; the connection then found no queue, and the KeyError ended the instance. An edge does this when it leaves a silent control instance and, in the same turn of the event loop, handles a status of the next one that sends it back to its domain. Found on reading the failing departure test. Change: the scope is made where the task is started. Measured: the new test failed before (KeyError 'b') and passes; link tests 15 passed, three times.

--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -228,7 +228,7 @@
             MAX_QUEUED_MESSAGES
         )
         if self.task_group is not None:
-            self.task_group.start_soon(self._keep_connected, peer)
+            self._start_dialing(peer, self.task_group)
 
     def remove(self, name: str) -> None:
         """Remove a peer and close the link to it."""
@@ -307,12 +307,21 @@
         async with listener, anyio.create_task_group() as task_group:
             self.task_group = task_group
             for peer in self.peers.values():
-                task_group.start_soon(self._keep_connected, peer)
+                self._start_dialing(peer, task_group)
             await listener.serve(self._serve_connection, task_group)
 
-    async def _keep_connected(self, peer: LinkPeer) -> None:
-        with anyio.CancelScope() as scope:
-            self.dial_scopes[peer.name] = scope
+    def _start_dialing(
+        self, peer: LinkPeer, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        """Start the task that keeps a link to a peer."""
+        # A peer may be removed before the task has run for the first time.
+        scope = self.dial_scopes[peer.name] = anyio.CancelScope()
+        task_group.start_soon(self._keep_connected, peer, scope)
+
+    async def _keep_connected(
+        self, peer: LinkPeer, scope: anyio.CancelScope
+    ) -> None:
+        with scope:
             while True:
                 try:
                     await self._connect_and_send(peer)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -225,3 +225,29 @@
             group.cancel_scope.cancel()
 
     anyio.run(body)
+
+
+# Guards against: a peer that was removed at once was dialed all the same,
+# and the connection ended the instance.
+def test_peer_can_be_removed_as_soon_as_it_is_added():
+    async def body():
+        links_a, _ = create_links("a", 25921, "b", 25922)
+        links_b, source = create_links("b", 25922, "a", 25921)
+        peer = links_a.peers["b"]
+        async with anyio.create_task_group() as group:
+            group.start_soon(links_b.run)
+            group.start_soon(links_a.run)
+            await anyio.sleep(0.2)
+            links_a.remove("b")
+            links_a.add(peer)
+            links_a.remove("b")
+            await anyio.sleep(0.3)
+            assert not links_a.is_connected("b")
+            links_a.add(peer)
+            with anyio.fail_after(2):
+                while not links_a.send("b", messages.Refresh(7)):
+                    await anyio.sleep(0.02)
+                assert (await source.receive()).message.nonce == 7
+            group.cancel_scope.cancel()
+
+    anyio.run(body)
