--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,9 @@
 """Fixtures that start deployments of real processes for tests."""
 
+import gc
 import os
 import pathlib
+import time
 
 import eliot
 from forwarder import LinkProxy
@@ -180,6 +182,47 @@
     eliot.remove_destination(lines.append)
 
 
+class CollectionLog:
+    """Long garbage collections, which delay all that a test process runs.
+
+    Attributes:
+        lines: one line for each of the current test.
+        began_at: when the current collection began, in seconds.
+    """
+
+    LONG_S = 0.05
+
+    def __init__(self):
+        self.lines = []
+        self.began_at = 0.0
+
+    def record(self, phase, info):
+        now = time.monotonic()
+        if phase == "start":
+            self.began_at = now
+        elif now - self.began_at > self.LONG_S:
+            took_ms = 1000 * (now - self.began_at)
+            self.lines.append(
+                f"generation {info['generation']}: {took_ms:.0f} ms"
+            )
+
+
+COLLECTIONS = CollectionLog()
+gc.callbacks.append(COLLECTIONS.record)
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Show the long garbage collections of a test that failed."""
+    report = yield
+    if call.when == "setup":
+        COLLECTIONS.lines.clear()
+    if call.when == "call" and call.excinfo is not None:
+        text = "\n".join(COLLECTIONS.lines) or "none"
+        report.sections.append(("garbage collections over 50 ms", text))
+    return report
+
+
 def pytest_collection_modifyitems(items):
     """Allow the tests that KNOWN-RED.txt lists to fail (non-strict xfail)."""
     text = (pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt").read_text()
