Count a mutant as killed only if a test failed

Cause: tests/conftest.py reads KNOWN-RED.txt since, which the mutant tool did not copy; pytest ended with an internal error and each mutant counted as killed. Found as a mutant of test_control was killed in two seconds. Change: the file is copied; an exit code of pytest other than passed or failed is an error that shows its output. Measured: tests of the tool: a change that does nothing lives (before: it was killed), a removed mechanism is killed, a missing test file is an error.

--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -14,6 +14,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 COPIED = ("primrosehitch", "primrosehitch_lab", "tests", "tools", "examples")
+COPIED_FILES = ("pyproject.toml", "KNOWN-RED.txt")
+# Exit codes of pytest; any other one says that it ran no test to its end.
+TESTS_PASSED, TESTS_FAILED = 0, 1
 LIMIT_S = 300
 
 
@@ -602,12 +605,17 @@
 
 
 def survives(mutant: Mutant) -> bool:
-    """Return whether the tests pass in spite of the mutant."""
+    """Return whether the tests pass in spite of the mutant.
+
+    Raises:
+        SystemExit: its text was not found, or its tests could not run.
+    """
     with tempfile.TemporaryDirectory() as folder:
         copy = pathlib.Path(folder)
         for name in COPIED:
             shutil.copytree(ROOT / name, copy / name)
-        shutil.copy(ROOT / "pyproject.toml", copy)
+        for name in COPIED_FILES:
+            shutil.copy(ROOT / name, copy)
         path = copy / "primrosehitch" / mutant.file
         text = path.read_text()
         if text.count(mutant.old) != 1:
@@ -620,7 +628,12 @@
             capture_output=True,
             timeout=LIMIT_S,
         )
-    return result.returncode == 0
+    if result.returncode not in (TESTS_PASSED, TESTS_FAILED):
+        output = result.stdout.decode() + result.stderr.decode()
+        raise SystemExit(
+            f"{mutant.name}: {mutant.tests} could not run:\n{output}"
+        )
+    return result.returncode == TESTS_PASSED
 
 
 def main() -> int:
