Tests: two mutants that lived

A leaving endpoint is kept out twice, by the balancer and before sending, and the test saw the second only. For a joining edge whose link is not up no test failed each time. Change: the test of Server-Leaving asks the balancer too; a test lets an edge subscribe while the link to it is not up.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -514,6 +514,31 @@
     instances.run_test(body)
 
 
+# Guards against: what a joining edge lacked was taken for sent, though the
+# link to it was not up yet.
+def test_edge_that_joins_is_told_once_the_link_to_it_is_up(tmp_path):
+    async def body():
+        engine = platform_engine.StandInEngine(["good"])
+        async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
+            await instances.serve_from(fleet, engine)
+            edge, control = fleet.edges[9], fleet.controls[4]
+            await use_control(fleet, edge, 3)
+            await instances.wait_until(
+                lambda: edge.links.name not in control.subscribers
+            )
+            await mark_departed(fleet, edge)
+            control.links.remove(edge.links.name)
+            await anyio.sleep(0.1)
+            subscription = messages.Subscribe(
+                0, edge.registry.digest(), routed.clock.wall_ms()
+            )
+            control._on_subscribe(edge.links.name, subscription)
+            await use_control(fleet, edge, 4)
+            await wait_until_departed(edge)
+
+    instances.run_test(body)
+
+
 # Guards against: an edge that missed a departure while a link was down for
 # less than the time-out of its subscription was never told of it.
 def test_edge_learns_of_departures_during_a_short_loss_of_its_link(tmp_path):
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -705,6 +705,9 @@
             for _ in range(4):
                 await routed.send_request(edge, routed.request())
             assert (len(leaving.seen), len(other.seen)) == (1, 4)
+            now = routed.clock.now_ms()
+            usable = edge.balancer.usable_endpoints("svc", (), now)
+            assert [e.record.id for e in usable] == ["i-1"]
             record = routed.endpoint_record(leaving)._replace(born=2)
             edge.balancer.update_endpoint(record, 0)
             await routed.send_request(edge, routed.request())
