--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -487,6 +487,16 @@
         control.registry.mark_left("i-0", 5, routed.clock.now_ms())
 
 
+async def miss_departure(fleet, edge):
+    """Let an edge miss a departure that its next control, 4, knows of."""
+    await use_control(fleet, edge, 3)
+    # The edge may have come by control instance 4 while it started.
+    await instances.wait_until(
+        lambda: edge.links.name not in fleet.controls[4].subscribers
+    )
+    await mark_departed(fleet, edge)
+
+
 async def wait_until_departed(edge):
     await instances.wait_until(
         lambda: edge.registry.records()[0].state == registry.LEFT, 2
@@ -502,12 +512,7 @@
         async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
             await instances.serve_from(fleet, engine)
             edge = fleet.edges[9]
-            await use_control(fleet, edge, 3)
-            # The edge may have come by control instance 4 while it started.
-            await instances.wait_until(
-                lambda: edge.links.name not in fleet.controls[4].subscribers
-            )
-            await mark_departed(fleet, edge)
+            await miss_departure(fleet, edge)
             await use_control(fleet, edge, 4)
             await wait_until_departed(edge)
 
@@ -522,11 +527,7 @@
         async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
             await instances.serve_from(fleet, engine)
             edge, control = fleet.edges[9], fleet.controls[4]
-            await use_control(fleet, edge, 3)
-            await instances.wait_until(
-                lambda: edge.links.name not in control.subscribers
-            )
-            await mark_departed(fleet, edge)
+            await miss_departure(fleet, edge)
             control.links.remove(edge.links.name)
             await anyio.sleep(0.1)
             subscription = messages.Subscribe(
