Log the rate limits that endpoints name

The adapter decodes Server-Limit (one positive decimal number; anything else is malformed and changes nothing), and each edge logs when a limit begins, changes and ends (1514, 1515 with the requests sent meanwhile, 1516 malformed). primrosehitch_limited_endpoints and _limited_requests are new. The header is no longer returned to callers, as Server-Load is not.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -16,6 +16,7 @@
 
 import xxhash
 
+from primrosehitch import endpointlimits
 from primrosehitch import gathering
 from primrosehitch import messages
 from primrosehitch import registry
@@ -152,6 +153,7 @@
             gap-sensitive streams take, by service.
         recent_failures: time of the last failure by failure domain and
             endpoint.
+        limits: rate limits that endpoints have named.
         part_updates: prompt parts that this edge's requests put into the
             endpoints' prefix caches, to be sent to the other edges.
         has_kept_connection: returns whether an idle connection to an
@@ -168,6 +170,7 @@
         self.prefill_tokens_per_ms: dict[str, float] = {}
         self.gap_sensitive_share: dict[str, float] = {}
         self.recent_failures: dict[str, dict[str, int]] = {}
+        self.limits = endpointlimits.EndpointLimits()
         self.part_updates = make_part_updates()
         self.has_kept_connection: Callable[[str], bool] = lambda address: False
 
@@ -194,18 +197,25 @@
             known.record = record
             known.connections = connections
         elif record.state != registry.LEFT:
+            self._drop(record.id)
             self.endpoints[record.id] = Endpoint(
                 record, kv_tokens, connections
             )
         if record.state == registry.LEFT:
-            self.endpoints.pop(record.id, None)
+            self._drop(record.id)
         self._index_by_state()
 
     def remove_endpoint(self, identifier: str) -> None:
         """Remove an endpoint, if it is known."""
-        self.endpoints.pop(identifier, None)
+        self._drop(identifier)
         self._index_by_state()
 
+    def _drop(self, identifier: str) -> None:
+        """Forget an endpoint, and the limit that it had named."""
+        endpoint = self.endpoints.pop(identifier, None)
+        if endpoint is not None:
+            self.limits.forget(endpoint.incarnation)
+
     def _index_by_state(self) -> None:
         self.ready_by_service = {}
         self.silent_by_service = {}
@@ -575,6 +585,7 @@
     ) -> None:
         """Record that a request is sent."""
         endpoint = choice.endpoint
+        self.limits.record_sent(endpoint.incarnation)
         if not endpoint.inflight:
             endpoint.busy_since = now
         endpoint.inflight += 1
--- a/primrosehitch/dialect.py
+++ b/primrosehitch/dialect.py
@@ -86,6 +86,10 @@
         is_authentic: whether the answer carries the endpoint's signature.
         pause_ms: how long the endpoint wants no request from this edge,
             0 if it did not say.
+        limit_per_s: the requests a second that the endpoint takes from
+            all edges together, 0 if the answer names no limit.
+        malformed_limit: the limit that it names, if that is no positive
+            decimal number; such an answer says nothing of the limit.
         running: the number of running requests at the endpoint, -1 if
             the answer has no load report.
         waiting: the number of requests queued at the endpoint.
@@ -97,6 +101,8 @@
     is_leaving: bool
     is_authentic: bool
     pause_ms: int
+    limit_per_s: float
+    malformed_limit: str
     running: int
     waiting: int
     slots: int
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -44,6 +44,18 @@
 MIN_CONNECTIONS = 2
 
 
+class Incarnation(NamedTuple):
+    """One run of an endpoint's process.
+
+    Attributes:
+        endpoint: the endpoint's identifier.
+        born: when it started, as it reported.
+    """
+
+    endpoint: str
+    born: int
+
+
 class PromptPart(NamedTuple):
     """A part of a prompt and its size in tokens."""
 
@@ -176,6 +188,11 @@
         self.cached_parts: OrderedDict[str, int] = OrderedDict()
         self.cached_tokens = 0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The run of its process that this state belongs to."""
+        return Incarnation(self.record.id, self.record.born)
+
     @property
     def is_departing(self) -> bool:
         """Whether the endpoint takes no new requests and will end."""
@@ -300,6 +317,7 @@
 __all__ = [
     "Choice",
     "Endpoint",
+    "Incarnation",
     "KV_CACHE_FRACTION",
     "PromptPart",
     "ReportedLoad",
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -197,6 +197,28 @@
     "A call from an endpoint or an operator was rejected as invalid.",
     "Check the sender; the error text says what is wrong.",
 )
+LIMIT_IN_FORCE = Event(
+    1514,
+    "limit-in-force",
+    "An endpoint named the requests a second that it takes from all edges"
+    " together, or another number than before.",
+    "If it persists, check the endpoint, and whether the service needs more"
+    " endpoints.",
+)
+LIMIT_ENDED = Event(
+    1515,
+    "limit-ended",
+    "An endpoint no longer names a limit; `sent` counts this edge's"
+    " requests to it since the limit was in force.",
+    NO_ACTION,
+)
+LIMIT_MALFORMED = Event(
+    1516,
+    "limit-malformed",
+    "An endpoint's answer names a limit that is no positive decimal number;"
+    " it changes nothing.",
+    "Report it to the owners of the endpoint's software.",
+)
 PART_QUARANTINED = Event(
     1521,
     "part-quarantined",
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -578,6 +578,7 @@
         self._record_load(choice.endpoint, info)
         if info.is_leaving:
             self.balancer.record_leaving(choice.endpoint)
+        self._record_limit(choice.endpoint, info)
         if info.not_run or info.address_reassigned:
             return await self._read_rejection(connection, choice, info)
         if head.status < 300 and not info.is_authentic:
@@ -687,7 +688,6 @@
         An answer that has gone on for some time is not what crashed it,
         and an endpoint that is leaving may close its connections.
         """
-        record = choice.endpoint.record
         answering_ms = self._since(self.answer_began_at_ms)
         if (
             self.part_ids
@@ -697,7 +697,7 @@
             now = clock.now_ms()
             true_time = self.shared.true_time
             self.shared.quarantine.report_crash(
-                quarantine_module.Incarnation(record.id, record.born),
+                choice.endpoint.incarnation,
                 self.part_ids,
                 quarantine_module.Interval(
                     true_time.wall_ms_at(self.sent_at_ms),
@@ -743,6 +743,27 @@
             )
             self.balancer.record_reported_load(endpoint, reported_load)
 
+    def _record_limit(
+        self,
+        endpoint: balancer_module.Endpoint,
+        info: dialect_module.AnswerInfo,
+    ) -> None:
+        """Record the rate limit that an answer names, or that it has none."""
+        if info.malformed_limit:
+            events.emit(
+                events.LIMIT_MALFORMED,
+                endpoint=endpoint.record.id,
+                value=info.malformed_limit,
+            )
+            return
+        true_time = self.shared.true_time
+        self.balancer.limits.record_answer(
+            endpoint.incarnation,
+            info.limit_per_s,
+            true_time.wall_ms_at(self.sent_at_ms),
+            true_time.wall_ms_at(clock.now_ms()),
+        )
+
     def _record_first_byte(
         self,
         choice: balancer_module.Choice,
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -30,6 +30,14 @@
     "primrosehitch_quarantined_parts",
     "Prompt parts kept from endpoints because they crashed some.",
 )
+LIMITED_ENDPOINTS = prometheus_client.Gauge(
+    "primrosehitch_limited_endpoints",
+    "Endpoints that named a limit on the requests a second.",
+)
+LIMITED_REQUESTS = prometheus_client.Counter(
+    "primrosehitch_limited_requests",
+    "Requests sent to endpoints while a limit of theirs was in force.",
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -53,6 +61,8 @@
     "ENDPOINTS",
     "FIRST_TOKEN_SECONDS",
     "IS_LEADER",
+    "LIMITED_ENDPOINTS",
+    "LIMITED_REQUESTS",
     "LINK_BYTES",
     "LINK_MESSAGES",
     "OUTPUT_TOKENS",
--- a/primrosehitch/platform/dialect.py
+++ b/primrosehitch/platform/dialect.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 
 from primrosehitch import balancer
 from primrosehitch import dialect as dialect_module
@@ -27,12 +28,15 @@
 NOT_RUN = b"not-run"
 RETRY_AFTER = b"retry-after"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 SERVER_LOAD = b"server-load"
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 # A longer pause is taken for a malformed value.
 MAX_PAUSE_S = 3600
+DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+MAX_LOGGED_LIMIT_BYTES = 40
 
 # Headers that are not copied from a caller's request to an engine: either
 # only the edge may set them, or it replaces their value.
@@ -53,6 +57,10 @@
 )
 
 
+# Headers of an engine's answer that are meant for the edges only.
+INTERNAL_HEADERS = frozenset((SERVER_LIMIT, SERVER_LOAD))
+
+
 class PlatformDialect:
     """Reads and writes the platform's headers."""
 
@@ -105,12 +113,15 @@
             n.strip().isdigit() for n in load_values
         ):
             running, waiting, slots = (int(n) for n in load_values)
+        limit_per_s, malformed_limit = _parse_limit(head)
         return dialect_module.AnswerInfo(
             not_run=head.header(NOT_RUN) is not None,
             address_reassigned=address_reassigned,
             is_leaving=head.header(SERVER_LEAVING) is not None,
             is_authentic=head.header(RESPONSE_STAMP) is not None,
             pause_ms=_parse_pause_ms(head),
+            limit_per_s=limit_per_s,
+            malformed_limit=malformed_limit,
             running=running,
             waiting=waiting,
             slots=slots,
@@ -122,7 +133,7 @@
         return [
             (name, value)
             for name, value in head.headers
-            if name not in dropped and name != SERVER_LOAD
+            if name not in dropped and name not in INTERNAL_HEADERS
         ]
 
     def own_headers(self, identifier: bytes) -> list[Header]:
@@ -184,6 +195,23 @@
     return math.ceil(1000 * seconds) if 0 < seconds < MAX_PAUSE_S else 0
 
 
+def _parse_limit(head: httpclient.ResponseHead) -> tuple[float, str]:
+    """Return an engine's rate limit in requests a second, 0 for none.
+
+    Anything but one positive decimal number is malformed; such a value is
+    returned as the second item, shortened.
+    """
+    values = [value for name, value in head.headers if name == SERVER_LIMIT]
+    if not values:
+        return 0.0, ""
+    text = b", ".join(values).strip()
+    limit = float(text) if DECIMAL.fullmatch(text) else 0.0
+    if limit > 0:
+        return limit, ""
+    shown = text[:MAX_LOGGED_LIMIT_BYTES].decode("latin-1")
+    return 0.0, shown or "(empty)"
+
+
 def _parse_token_count(value: bytes) -> tuple[int, int]:
     """Return the prompt's and the maximum output's length, in tokens.
 
--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -16,6 +16,7 @@
 from primrosehitch import gathering
 from primrosehitch import messages
 from primrosehitch import metrics
+from primrosehitch.endpoint import Incarnation
 
 # What an edge can find of a part: it was under way at an endpoint that
 # crashed, a request with it was answered, or it was quarantined.
@@ -65,18 +66,6 @@
     return (finding.finding, finding.endpoint, finding.born, finding.parts)
 
 
-class Incarnation(NamedTuple):
-    """One run of an endpoint's process.
-
-    Attributes:
-        endpoint: the endpoint's identifier.
-        born: when it started, as it reported.
-    """
-
-    endpoint: str
-    born: int
-
-
 class Interval(NamedTuple):
     """When a request was sent and its connection broke, as true time in ms."""
 
