--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -53,6 +53,8 @@
         self.behaviours = deque(behaviours)
         self.events = events
         self.crashing_part = crashing_part
+        self.limit = ""
+        self.arrivals: list[float] = []
         self.incarnation = 1
         self.crash = anyio.Event()
         self.seen: list[Seen] = []
@@ -99,6 +101,7 @@
                 while True:
                     seen = await self._read(stream)
                     self.seen.append(seen)
+                    self.arrivals.append(anyio.current_time())
                     if self._is_crashed_by(seen):
                         await anyio.sleep(FIRST_TOKEN_S)
                         await self._stream(stream, seen, 1, False)
@@ -135,7 +138,11 @@
     # -- whole answers -----------------------------------------------------
 
     def _echo(self, seen: Seen) -> bytes:
-        return b"Request-Id: %s\r\n" % seen.headers["request-id"].encode()
+        identifier = seen.headers["request-id"].encode()
+        lines = b"Request-Id: %s\r\n" % identifier
+        if self.limit:
+            lines += b"Server-Limit: %s\r\n" % self.limit.encode()
+        return lines
 
     async def _answer(
         self,
