Log by which fingerprint the repeats of a failed request are known

1511 carries a fingerprint of method, path, query, customer and body: a BLAKE2b hash that is taken while the body is read, so that no second copy of it is kept.

--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -187,8 +187,8 @@
     1511,
     "endpoint-failed",
     "A request to an endpoint failed; the fields say which prompt parts it"
-    " shares, how long ago it was sent and its answer began, and what this"
-    " edge had under way there.",
+    " shares, by which fingerprint its repeats are known, how long ago it"
+    " was sent and its answer began, and what this edge had under way there.",
     "If it recurs, check the endpoint.",
 )
 CALL_REFUSED = Event(
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -20,6 +20,7 @@
 from primrosehitch import errors
 from primrosehitch import eventframes
 from primrosehitch import events
+from primrosehitch import fingerprints
 from primrosehitch import httpclient
 from primrosehitch import httpserver
 from primrosehitch import metering
@@ -198,6 +199,7 @@
     Attributes:
         ask: what the balancer chooses an endpoint by.
         part_ids: identifiers of the prompt parts that it shares.
+        fingerprint: by which its repeats are known.
         deadline_at_ms: when the request times out, by ``clock.now_ms``.
         event_frames: splits a stream into whole events.
         tried_endpoints: identifiers of the endpoints chosen so far.
@@ -241,6 +243,9 @@
             self.route.gap_ms if self.route.kind == routes.STREAM else 0,
         )
         self.part_ids = tuple(p.identifier for p in self.ask.shared_parts)
+        self.fingerprint = fingerprints.request_fingerprint(
+            request, self.customer
+        )
         time_limit_ms = self.route.timeout_ms
         if call.deadline_ms is not None:
             time_limit_ms = min(time_limit_ms, call.deadline_ms)
@@ -733,6 +738,7 @@
             error=error_text,
             failures=choice.endpoint.consecutive_failures,
             parts=" ".join(self.part_ids),
+            fingerprint=self.fingerprint,
             sent_ms=self._since(self.sent_at_ms),
             answering_ms=self._since(self.answer_began_at_ms),
             inflight=choice.endpoint.inflight,
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import deque
+import hashlib
 import http
 import socket
 from typing import Any
@@ -36,6 +37,7 @@
 # caller receives the response before the connection closes.
 LINGERING_CLOSE_MS = 1000
 TIMEOUT_CHECK_INTERVAL_MS = 500
+BODY_HASH_BYTES = 16
 # Bytes of chunk framing that a byte of a request body may cost.
 MAX_FRAMING_PER_BODY_BYTE = 16
 LISTEN_BACKLOG = 1024
@@ -59,6 +61,7 @@
             case.
         body: the whole body, without chunk framing.
         started_ms: when its first byte arrived, by ``clock.now_ms``.
+        body_hash: the BLAKE2b hash of the body.
     """
 
     method: str
@@ -66,6 +69,7 @@
     headers: list[Header]
     body: bytes
     started_ms: int
+    body_hash: bytes = b""
 
     @property
     def path(self) -> str:
@@ -209,6 +213,7 @@
         self.target = b""
         self.headers: list[Header] = []
         self.body_parts: list[bytes] = []
+        self.body_hasher = hashlib.blake2b(digest_size=BODY_HASH_BYTES)
         self.head_bytes = 0
         self.body_bytes = 0
         self.unparsed_bytes = 0
@@ -293,6 +298,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body (parser callback)."""
         self.body_parts.append(body)
+        self.body_hasher.update(body)
         self.body_bytes += len(body)
         self.last_activity_ms = clock.now_ms()
         if self.body_bytes > self.server.limits.body_bytes:
@@ -308,6 +314,7 @@
             self.headers,
             b"".join(self.body_parts),
             self.started_ms,
+            self.body_hasher.digest(),
         )
         self.reset_request()
         is_persistent = self.parser.should_keep_alive()
