--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -53,6 +53,7 @@
         self.behaviours = deque(behaviours)
         self.events = events
         self.crashing_part = crashing_part
+        self.crashing_body = b""
         self.limit = ""
         self.arrivals: list[float] = []
         self.incarnation = 1
@@ -102,6 +103,10 @@
                     seen = await self._read(stream)
                     self.seen.append(seen)
                     self.arrivals.append(anyio.current_time())
+                    if self.crashing_body and seen.body == self.crashing_body:
+                        await anyio.sleep(FIRST_TOKEN_S)
+                        self.crash.set()
+                        return
                     if self._is_crashed_by(seen):
                         await anyio.sleep(FIRST_TOKEN_S)
                         await self._stream(stream, seen, 1, False)
