Quarantine a request that crashes endpoints when it comes again

Cause: only prompt parts were suspects of a crash, and the request had none; each repeat has a new identifier, so that it passed for another request. Ruled out: overload (one request was under way at the first crash), and endpoints that end by themselves (each crash followed a request that had been at the crash before).

Change: the fingerprint of a request is a suspect beside its parts, and the narrowest one (docs/design/quarantine.md): three crashes without an answer quarantine it; its parts stay on probation.

--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -222,16 +222,17 @@
 PART_QUARANTINED = Event(
     1521,
     "part-quarantined",
-    "Endpoints crashed under requests that share a prompt part; requests"
-    " with it are refused.",
-    "Look for 1511 of the endpoints named; report the part's content to the"
-    " owners of the endpoints' software.",
+    "Endpoints crashed under requests that share a prompt part, or under"
+    " repeats of one request (`part` is then its fingerprint, request/...);"
+    " such requests are refused.",
+    "Look for 1511 of the endpoints named; report the content to the owners"
+    " of the endpoints' software.",
 )
 PART_RELEASED = Event(
     1522,
     "part-released",
-    "A prompt part is no longer quarantined: its time is over, or an"
-    " endpoint answered a request with it.",
+    "A prompt part or a request is no longer quarantined: its time is over,"
+    " or an endpoint answered it.",
     NO_ACTION,
 )
 VERDICT_UNRECORDED = Event(
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -66,8 +66,10 @@
 MIN_EVENT_TIMEOUT_MS = 1000
 # A stream that goes on clears its prompt parts of suspicion this often.
 SOUND_REPORT_PERIOD_MS = 500
-# Reason of the reply to a request with a quarantined prompt part.
-QUARANTINED_REASON = "crashing-part"
+# Reasons of the reply to a request with a quarantined prompt part, and to
+# one that is quarantined itself.
+QUARANTINED_PART_REASON = "crashing-part"
+QUARANTINED_REQUEST_REASON = "crashing-request"
 # Outcome of an attempt for which the endpoint's limit left no permit.
 RATE_LIMITED_REASON = "rate-limited"
 # Outcomes of attempts in which nothing was sent.
@@ -85,7 +87,8 @@
         reason: one word for the reply's body, logs and metrics.
         retry_after_s: when the caller may retry, in seconds, or None to
             send no Retry-After header.
-        part: the quarantined prompt part for which it is refused, if any.
+        part: the quarantined prompt part or fingerprint for which it is
+            refused, if any.
     """
 
     status: int
@@ -161,6 +164,13 @@
     responder.respond(refused.status, headers, body)
 
 
+def _quarantine_reason(part: str) -> str:
+    """Return the reason of the reply for something quarantined."""
+    if fingerprints.is_fingerprint(part):
+        return QUARANTINED_REQUEST_REASON
+    return QUARANTINED_PART_REASON
+
+
 class SharedResources(Protocol):
     """What all requests of one edge share; ``Forwarder`` provides it."""
 
@@ -200,6 +210,8 @@
         ask: what the balancer chooses an endpoint by.
         part_ids: identifiers of the prompt parts that it shares.
         fingerprint: by which its repeats are known.
+        suspects: what may be at fault if an endpoint crashes under it: the
+            parts and the request as such.
         deadline_at_ms: when the request times out, by ``clock.now_ms``.
         event_frames: splits a stream into whole events.
         tried_endpoints: identifiers of the endpoints chosen so far.
@@ -246,6 +258,7 @@
         self.fingerprint = fingerprints.request_fingerprint(
             request, self.customer
         )
+        self.suspects = (*self.part_ids, self.fingerprint)
         time_limit_ms = self.route.timeout_ms
         if call.deadline_ms is not None:
             time_limit_ms = min(time_limit_ms, call.deadline_ms)
@@ -296,7 +309,8 @@
         retry_after_s = self.shared.quarantine.retry_after_s(
             part, clock.now_ms()
         )
-        refused = Refused(503, QUARANTINED_REASON, retry_after_s, part)
+        reason = _quarantine_reason(part)
+        refused = Refused(503, reason, retry_after_s, part)
         self.shared.refuse(self.call, self.responder, refused)
 
     async def _try_endpoints(self) -> str:
@@ -309,8 +323,10 @@
             if choice is None:
                 self._emit_no_endpoint()
                 return self._respond_with_failure(NotRun("no-endpoint"))
-            if self._quarantined_part() is not None:
-                return self._respond_with_failure(NotRun(QUARANTINED_REASON))
+            part = self._quarantined_part()
+            if part is not None:
+                reason = _quarantine_reason(part)
+                return self._respond_with_failure(NotRun(reason))
             outcome = await self._attempt(choice)
             self.earlier_may_have_run |= isinstance(outcome, Broken | Failed)
             self.in_flight = False
@@ -404,7 +420,7 @@
     def _retry_after_s(self, reason: str) -> float:
         """Return when the caller may retry a request that has not run."""
         now = clock.now_ms()
-        if reason == QUARANTINED_REASON:
+        if reason in (QUARANTINED_PART_REASON, QUARANTINED_REQUEST_REASON):
             part = self._quarantined_part()
             if part is not None:
                 return self.shared.quarantine.retry_after_s(part, now)
@@ -415,9 +431,12 @@
         return max(delay_s, (available_at - now) / 1000)
 
     def _quarantined_part(self) -> str | None:
-        """Return a prompt part that keeps the request from endpoints."""
+        """Return what keeps the request from endpoints, if it is anything.
+
+        This is a prompt part that it holds, or its own fingerprint.
+        """
         return self.shared.quarantine.quarantined_part(
-            self.part_ids, clock.now_ms()
+            self.suspects, clock.now_ms()
         )
 
     def _may_have_run(self) -> bool:
@@ -489,6 +508,8 @@
         except httpclient.EndpointError as exc:
             self.balancer.record_unreachable(choice.endpoint, clock.now_ms())
             self._emit_endpoint_failure(choice, str(exc))
+            if exc.is_refused and not choice.endpoint.is_departing:
+                self._report_ended(choice)
             return NotRun("unreachable")
         if choice.endpoint.is_departing:
             pool.release(connection)
@@ -508,9 +529,30 @@
             )
         finally:
             self._record_unanswered(choice, response_began[0])
+            if not response_began[0]:
+                self._report_abandoned(choice)
             self.balancer.record_finish(choice, self.ask, response_began[0])
             pool.release(connection)
 
+    def _report_ended(self, choice: balancer_module.Choice) -> None:
+        """Report that the endpoint's process has ended."""
+        now = clock.now_ms()
+        self.shared.quarantine.report_ended(
+            choice.endpoint.incarnation,
+            self.shared.true_time.wall_ms_at(now),
+            now,
+        )
+
+    def _report_abandoned(self, choice: balancer_module.Choice) -> None:
+        """Report that the request leaves an endpoint that sent nothing."""
+        if self.in_flight and not choice.endpoint.is_departing:
+            self.shared.quarantine.report_abandoned(
+                choice.endpoint.incarnation,
+                self.suspects,
+                self._sent_interval(),
+                clock.now_ms(),
+            )
+
     def _record_unanswered(
         self, choice: balancer_module.Choice, response_began: bool
     ) -> None:
@@ -590,6 +632,11 @@
         if not isinstance(head, httpclient.ResponseHead):
             self._report_crash(choice)
             return self._record_broken(choice, "closed without a response")
+        self.shared.quarantine.report_answering(
+            choice.endpoint.incarnation,
+            self.shared.true_time.wall_ms_at(self.sent_at_ms),
+            clock.now_ms(),
+        )
         info = self.shared.dialect.read_answer(head)
         self._record_load(choice.endpoint, info)
         if info.is_leaving:
@@ -706,26 +753,27 @@
         """
         answering_ms = self._since(self.answer_began_at_ms)
         if (
-            self.part_ids
-            and not choice.endpoint.is_departing
+            not choice.endpoint.is_departing
             and answering_ms < quarantine_module.SOUND_ANSWER_MS
         ):
-            now = clock.now_ms()
-            true_time = self.shared.true_time
             self.shared.quarantine.report_crash(
                 choice.endpoint.incarnation,
-                self.part_ids,
-                quarantine_module.Interval(
-                    true_time.wall_ms_at(self.sent_at_ms),
-                    true_time.wall_ms_at(now),
-                ),
-                now,
+                self.suspects,
+                self._sent_interval(),
+                clock.now_ms(),
             )
 
+    def _sent_interval(self) -> quarantine_module.Interval:
+        """Return when the current attempt was sent and until when it is."""
+        true_time = self.shared.true_time
+        return quarantine_module.Interval(
+            true_time.wall_ms_at(self.sent_at_ms),
+            true_time.wall_ms_at(clock.now_ms()),
+        )
+
     def _report_sound(self) -> None:
         """Report that the endpoint answers or has answered the request."""
-        if self.part_ids:
-            self.shared.quarantine.report_sound(self.part_ids, clock.now_ms())
+        self.shared.quarantine.report_sound(self.suspects, clock.now_ms())
 
     def _emit_endpoint_failure(
         self, choice: balancer_module.Choice, error_text: str
@@ -838,11 +886,10 @@
             self._report_crash(choice)
             return self._record_broken(choice, "response incomplete")
         body = b"".join(parts)
+        self._report_sound()
         if head.status >= 500:
             self.balancer.record_error_answer(choice.endpoint)
             return Failed(head, body)
-        if head.status < 300:
-            self._report_sound()
         self._send_buffered(head, body)
         return Passed(head.status)
 
@@ -881,10 +928,12 @@
             await self.responder.write(item)
             item = await connection.receive()
         if item is httpclient.ResponseEnd.BROKEN:
+            self._report_crash(choice)
             self._record_broken(choice, "large response incomplete")
             self.responder.abort()
             return Passed(head.status)
         self.responder.finish()
+        self._report_sound()
         return Passed(head.status)
 
     async def _relay_stream(
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -55,10 +55,20 @@
         step: the operation that failed, such as ``endpoint.connect``.
         peer: the endpoint's address.
         maybe_sent: whether any byte of the request may have been sent.
+        is_refused: whether the address refused the connection, so that no
+            process listens there.
     """
 
-    def __init__(self, text: str, step: str, peer: str, maybe_sent: bool):
+    def __init__(
+        self,
+        text: str,
+        step: str,
+        peer: str,
+        maybe_sent: bool,
+        is_refused: bool = False,
+    ):
         self.maybe_sent = maybe_sent
+        self.is_refused = is_refused
         super().__init__(text, step, peer)
 
 
@@ -378,7 +388,11 @@
     except (OSError, TimeoutError) as exc:
         text = str(exc) or type(exc).__name__
         raise EndpointError(
-            text, "endpoint.connect", str(address), False
+            text,
+            "endpoint.connect",
+            str(address),
+            maybe_sent=False,
+            is_refused=isinstance(exc, ConnectionRefusedError),
         ) from exc
     return connection
 
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -30,6 +30,10 @@
     "primrosehitch_quarantined_parts",
     "Prompt parts kept from endpoints because they crashed some.",
 )
+QUARANTINED_REQUESTS = prometheus_client.Gauge(
+    "primrosehitch_quarantined_requests",
+    "Requests whose repeats are kept from endpoints that they crash.",
+)
 LIMITED_ENDPOINTS = prometheus_client.Gauge(
     "primrosehitch_limited_endpoints",
     "Endpoints that named a limit on the requests a second.",
@@ -67,6 +71,7 @@
     "LINK_MESSAGES",
     "OUTPUT_TOKENS",
     "QUARANTINED_PARTS",
+    "QUARANTINED_REQUESTS",
     "REQUESTS",
     "exposition",
 ]
--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -1,11 +1,13 @@
-"""Quarantine of prompt parts that crash the endpoints that answer them.
-
-Does no I/O; the caller passes the current time in ms. A part is suspect if
-requests that hold it were under way at several endpoints that crashed, and
-none of them has been answered since. Parts that sound requests hold as
-well, such as a common system prompt, are cleared by those requests' answers
-within moments; the part that remains is quarantined. All edges exchange
-what they find, since requests with the part arrive at any of them.
+"""Quarantine of what crashes the endpoints that run or answer it.
+
+Does no I/O; the caller passes the current time in ms. A crash may be the
+fault of one prompt part, whichever request holds it, or of one request,
+known by its fingerprint when it comes again. Both are suspects of the
+crashes under which they were under way, until an endpoint has answered
+them. What sound requests hold as well, such as a common system prompt, is
+cleared by those requests' answers within moments; the suspect that remains
+is quarantined. All edges exchange what they find, since such requests
+arrive at any of them.
 """
 
 from collections import OrderedDict
@@ -13,15 +15,18 @@
 from typing import NamedTuple
 
 from primrosehitch import events
+from primrosehitch import fingerprints
 from primrosehitch import gathering
 from primrosehitch import messages
 from primrosehitch import metrics
 from primrosehitch.endpoint import Incarnation
 
-# What an edge can find of a part: it was under way at an endpoint that
-# crashed, a request with it was answered, or it was quarantined.
+# What an edge can find of a suspect: it was under way at an endpoint that
+# crashed, it was answered, or it was quarantined; and of an endpoint, that it
+# answers and so has not crashed.
 CRASH = "crash"
 SOUND = "sound"
+ALIVE = "alive"
 QUARANTINED = "quarantined"
 
 # A part is suspect from this many crashes on, if so many of their requests
@@ -29,6 +34,9 @@
 # an outage ends many endpoints at once, with all requests that they have.
 MIN_CRASHES = 4
 MIN_SUCCESSIVE_CRASHES = 2
+# A request is suspect from this many crashes on. It is the narrower
+# explanation: sound requests are answered before they come so often.
+MIN_REQUEST_CRASHES = 3
 # So many endpoints that end within so short a time have a common cause
 # other than what they were sent.
 MIN_OUTAGE_ENDPOINTS = 3
@@ -38,9 +46,19 @@
 # Answers have this long to clear a suspect part, and as long again if it
 # shares all its crashes with another suspect.
 CONFIRMATION_MS = 1000
+# Within this time all edges have told of what they had at a crash.
+SETTLING_MS = 300
 # An answer under way for this long shows that its request crashes nothing:
 # a crash follows the first token within a few steps of an engine.
 SOUND_ANSWER_MS = 2000
+# A request that was answered within this time is sound, whatever endpoints
+# end under its repeats.
+ANSWERED_TTL_MS = 60_000
+MAX_ANSWERED = 2000
+# An endpoint that ends this soon after an edge has given it up for its
+# silence crashed under the request that it was silent about.
+ABANDONED_TTL_MS = 1000
+MAX_ABANDONED = 500
 # How long a crash is remembered, and a part is kept from endpoints. What
 # ends the fault is a release of the endpoints' software, not time, so a
 # trial is not repeated often: it costs endpoints with all that they serve.
@@ -74,26 +92,44 @@
 
 
 class Suspicion(NamedTuple):
-    """A part's presence at a crash.
+    """A suspect's presence at a crash.
 
     Attributes:
-        depth: its position in the prompt.
+        depth: a part's position in the prompt; a request comes after all
+            of its parts.
         interval: the shortest one of the requests that held it.
+        parts: the parts of a request, empty for a part.
     """
 
     depth: int
     interval: Interval
+    parts: tuple[str, ...] = ()
+
+
+class Abandoned(NamedTuple):
+    """A request that an edge took from an endpoint that was silent.
+
+    Attributes:
+        suspects: its shared parts and its fingerprint.
+        sent_ms: when it was sent, as true time.
+        left_ms: when the edge gave the endpoint up, as true time.
+    """
+
+    suspects: tuple[str, ...]
+    sent_ms: int
+    left_ms: int
 
 
 class Crash:
-    """A crash, and the parts that may have caused it.
+    """A crash, and what may have caused it.
 
     Attributes:
         recorded_at: when it was first recorded, in ms.
-        parts: the parts under suspicion.
+        parts: the parts and requests under suspicion.
         broken_ms: when it was first noticed, as true time.
-        is_explained: whether it was part of an outage or a quarantined
-            part was under way there, so that no other part is suspected.
+        is_explained: whether it was part of an outage or something
+            quarantined was under way there, so that nothing else is
+            suspected.
     """
 
     def __init__(self, recorded_at: int, broken_ms: int):
@@ -104,14 +140,20 @@
 
 
 class Quarantine:
-    """Crashes of endpoints, suspect prompt parts and quarantined ones.
+    """Crashes of endpoints, suspects and what is quarantined.
+
+    A part below is a prompt part or the fingerprint of a request.
 
     Attributes:
         crashes: crashes by incarnation, oldest first.
         suspicions: how a part was present at its crashes, by part and
             incarnation; the parts are those of all crashes.
         suspect_since: when a part became suspect, in ms, by part.
+        on_probation: parts of quarantined requests that have not been
+            answered since.
         released_at: end of each part's quarantine in ms, by part.
+        answered: requests that were answered lately, by fingerprint.
+        abandoned: requests taken from silent endpoints lately.
         findings: findings of this edge, to be sent to the others.
     """
 
@@ -119,7 +161,14 @@
         self.crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
         self.suspicions: dict[str, dict[Incarnation, Suspicion]] = {}
         self.suspect_since: dict[str, int] = {}
+        self.on_probation: set[str] = set()
         self.released_at: OrderedDict[str, int] = OrderedDict()
+        self.answered: gathering.RecentUpdates[str, str] = (
+            gathering.RecentUpdates(ANSWERED_TTL_MS, MAX_ANSWERED)
+        )
+        self.abandoned: gathering.RecentUpdates[
+            tuple[Incarnation, tuple[str, ...]], Abandoned
+        ] = gathering.RecentUpdates(ABANDONED_TTL_MS, MAX_ABANDONED)
         self.findings = make_findings()
 
     def report_crash(
@@ -133,21 +182,93 @@
 
         Args:
             crashed: the endpoint that crashed.
-            parts: the request's shared parts, in order.
+            parts: the request's shared parts, in order, then its
+                fingerprint.
             interval: when it was under way.
             now: the current time in ms.
         """
-        if interval.broken_ms - interval.sent_ms >= MIN_ANSWER_MS:
-            finding = messages.PartFinding(CRASH, *crashed, parts, *interval)
+        accused = tuple(p for p in parts if not self._is_sound(p, now))
+        if accused and interval.broken_ms - interval.sent_ms >= MIN_ANSWER_MS:
+            finding = messages.PartFinding(CRASH, *crashed, accused, *interval)
             self._report(finding, now)
 
+    def report_answering(
+        self, endpoint: Incarnation, sent_ms: int, now: int
+    ) -> None:
+        """Record that an endpoint answers a request of this edge.
+
+        Args:
+            endpoint: the endpoint.
+            sent_ms: when the request was sent, as true time.
+            now: the current time in ms.
+        """
+        crash = self.crashes.get(endpoint)
+        if crash is not None and crash.broken_ms < sent_ms:
+            finding = messages.PartFinding(ALIVE, *endpoint, sent_ms=sent_ms)
+            self._report(finding, now)
+
+    def report_abandoned(
+        self,
+        endpoint: Incarnation,
+        parts: tuple[str, ...],
+        interval: Interval,
+        now: int,
+    ) -> None:
+        """Record a request of this edge that it took from an endpoint.
+
+        If the endpoint is found to have ended by then or soon after, it
+        crashed under that request.
+
+        Args:
+            endpoint: the endpoint, which had sent nothing.
+            parts: as for ``report_crash``.
+            interval: when the request was sent there and taken away.
+            now: the current time in ms.
+        """
+        crash = self.crashes.get(endpoint)
+        if crash is not None:
+            self.report_crash(endpoint, parts, interval, now)
+            return
+        self.abandoned.put((endpoint, parts), Abandoned(parts, *interval), now)
+
+    def report_ended(
+        self, endpoint: Incarnation, broken_ms: int, now: int
+    ) -> None:
+        """Record that an endpoint that should serve refuses connections.
+
+        Args:
+            endpoint: the endpoint.
+            broken_ms: when that was noticed, as true time.
+            now: the current time in ms.
+        """
+        self._accuse_abandoned(endpoint, broken_ms, now)
+
+    def _accuse_abandoned(
+        self, crashed: Incarnation, broken_ms: int, now: int
+    ) -> None:
+        """Report a crash for the requests taken from an endpoint before."""
+        for left in self.abandoned.values(now):
+            key = (crashed, left.suspects)
+            if key in self.abandoned.items:
+                self.abandoned.discard(key)
+                interval = Interval(left.sent_ms, max(left.left_ms, broken_ms))
+                self.report_crash(crashed, left.suspects, interval, now)
+
+    def _is_sound(self, part: str, now: int) -> bool:
+        """Return whether this is a request that was answered lately."""
+        known = self.answered.items.get(part)
+        return known is not None and now - known[1] <= ANSWERED_TTL_MS
+
     def report_sound(self, parts: tuple[str, ...], now: int) -> None:
         """Record that an endpoint answered a request of this edge.
 
         Args:
-            parts: the request's shared parts.
+            parts: the request's shared parts and its fingerprint.
             now: the current time in ms.
         """
+        for part in parts:
+            if fingerprints.is_fingerprint(part):
+                self.answered.put(part, part, now)
         doubted = tuple(
             p for p in parts if p in self.suspicions or p in self.released_at
         )
@@ -162,8 +283,17 @@
         """Apply a finding of this edge or of another one."""
         if finding.finding == CRASH:
             self._record_crash(finding, now)
+            sound = tuple(p for p in finding.parts if self._is_sound(p, now))
+            if sound:
+                # Another edge had no answer to this request as yet.
+                self._report(messages.PartFinding(SOUND, parts=sound), now)
         elif finding.finding == SOUND:
             self._clear(finding.parts)
+        elif finding.finding == ALIVE:
+            crashed = Incarnation(finding.endpoint, finding.born)
+            crash = self.crashes.get(crashed)
+            if crash is not None and crash.broken_ms < finding.sent_ms:
+                self._forget(crashed)
         elif finding.finding == QUARANTINED:
             for part in finding.parts:
                 self._quarantine(part, now)
@@ -184,28 +314,62 @@
     def judge(self, now: int) -> None:
         """Quarantine the suspects that no answer has cleared in time."""
         self._expire(now)
-        while self.suspect_since:
+        while True:
+            suspects = [
+                part
+                for part in self.suspect_since
+                if not self._is_covered(part, now)
+            ]
+            if not suspects:
+                return
             # Of parts with as many crashes the one that comes last in the
             # prompt is in the fewest sound requests. The others wait for
             # it, since it may explain their crashes.
             worst = max(
-                self.suspect_since,
-                key=lambda p: (self._count(p), self._depth(p)),
+                suspects, key=lambda p: (self._count(p), self._depth(p))
             )
-            if not self._is_due(worst, now):
+            if not self._is_due(worst, suspects, now):
                 return
             self._quarantine(worst, now)
             finding = messages.PartFinding(QUARANTINED, parts=(worst,))
             self.findings.put(finding_key(finding), finding)
 
-    def _is_due(self, part: str, now: int) -> bool:
-        """Return whether a suspect's time to be cleared is over."""
+    def _is_covered(self, part: str, now: int) -> bool:
+        """Return whether one suspect request explains a part's crashes.
+
+        The request holds the part, and was at all of its crashes but the
+        latest, of which another edge may not have told yet.
+        """
+        settled = {
+            crashed
+            for crashed in self.suspicions[part]
+            if now - self.crashes[crashed].recorded_at >= SETTLING_MS
+        }
+        return any(
+            settled <= self.suspicions[request].keys()
+            and self._holds(request, part)
+            for request in self.suspect_since
+        )
+
+    def _holds(self, request: str, part: str) -> bool:
+        """Return whether this is a request that holds a part."""
+        by_crash = self.suspicions[request]
+        return any(part in s.parts for s in by_crash.values())
+
+    def _is_due(self, part: str, suspects: list[str], now: int) -> bool:
+        """Return whether a suspect's time to be cleared is over.
+
+        Args:
+            part: the suspect.
+            suspects: all that no other suspect covers.
+            now: the current time in ms.
+        """
         doubted_ms = now - self.suspect_since[part]
         if doubted_ms < CONFIRMATION_MS:
             return False
         has_rival = any(
             other != part and self._count(other) >= self._count(part)
-            for other in self.suspect_since
+            for other in suspects
         )
         return not has_rival or doubted_ms >= 2 * CONFIRMATION_MS
 
@@ -222,6 +386,7 @@
             self._explain_outage(interval.broken_ms)
             while len(self.crashes) > MAX_CRASHES:
                 self._forget(next(iter(self.crashes)))
+            self._accuse_abandoned(crashed, interval.broken_ms, now)
         if self.quarantined_part(finding.parts, now) is not None:
             self._explain(crashed)
         if crash.is_explained:
@@ -231,7 +396,9 @@
             by_crash = self.suspicions.setdefault(part, {})
             known = by_crash.get(crashed)
             if known is None or known.interval.sent_ms < interval.sent_ms:
-                by_crash[crashed] = Suspicion(depth, interval)
+                is_request = fingerprints.is_fingerprint(part)
+                parts = finding.parts[:depth] if is_request else ()
+                by_crash[crashed] = Suspicion(depth, interval, parts)
             self._update_suspect(part, now)
 
     def _explain_outage(self, broken_ms: int) -> None:
@@ -250,25 +417,40 @@
         self._explain(crashed)
         del self.crashes[crashed]
 
-    def _explain(self, crashed: Incarnation) -> None:
-        """End the suspicion of all parts that were at a crash."""
+    def _explain(
+        self, crashed: Incarnation, kept: tuple[str, ...] = ()
+    ) -> None:
+        """End the suspicion of all parts that were at a crash.
+
+        Args:
+            crashed: the crash.
+            kept: parts that stay under suspicion.
+        """
         crash = self.crashes[crashed]
         crash.is_explained = True
-        for part in crash.parts:
+        for part in crash.parts.difference(kept):
             self.suspicions[part].pop(crashed)
             self._update_suspect(part, 0)
             if not self.suspicions[part]:
                 del self.suspicions[part]
-        crash.parts = set()
+                self.on_probation.discard(part)
+        crash.parts.intersection_update(kept)
 
     def _update_suspect(self, part: str, now: int) -> None:
         """Make a part suspect from now on, or end that."""
         intervals = [s.interval for s in self.suspicions[part].values()]
-        if (
-            len(intervals) >= MIN_CRASHES
-            and _count_successive(intervals) >= MIN_SUCCESSIVE_CRASHES
-        ):
-            self.suspect_since.setdefault(part, now)
+        if fingerprints.is_fingerprint(part):
+            is_suspect = len(intervals) >= MIN_REQUEST_CRASHES
+        else:
+            is_suspect = (
+                len(intervals) >= MIN_CRASHES
+                and _count_successive(intervals) >= MIN_SUCCESSIVE_CRASHES
+            )
+        if is_suspect:
+            since = now
+            if part in self.on_probation:
+                since -= CONFIRMATION_MS - SETTLING_MS
+            self.suspect_since.setdefault(part, since)
         else:
             self.suspect_since.pop(part, None)
 
@@ -278,15 +460,30 @@
             for crashed in self.suspicions.pop(part, ()):
                 self.crashes[crashed].parts.discard(part)
             self.suspect_since.pop(part, None)
+            self.on_probation.discard(part)
             if self.released_at.pop(part, None) is not None:
                 events.emit(events.PART_RELEASED, part=part)
-        metrics.QUARANTINED_PARTS.set(len(self.released_at))
+        self._count_quarantined()
+
+    def _count_quarantined(self) -> None:
+        requests = sum(map(fingerprints.is_fingerprint, self.released_at))
+        metrics.QUARANTINED_REQUESTS.set(requests)
+        metrics.QUARANTINED_PARTS.set(len(self.released_at) - requests)
 
     def _quarantine(self, part: str, now: int) -> None:
-        """Quarantine a part, which explains the crashes that it was at."""
-        explained = list(self.suspicions.get(part, ()))
-        for crashed in explained:
-            self._explain(crashed)
+        """Quarantine a part, which explains the crashes that it was at.
+
+        Of a request, one part may still be what crashes endpoints. Its
+        parts are on probation until they are answered: one more crash, of
+        another request, is enough to quarantine them.
+        """
+        by_crash = self.suspicions.get(part, {})
+        explained = sorted(by_crash, key=lambda c: (by_crash[c].interval, c))
+        parts = by_crash[explained[0]].parts if explained else ()
+        self.on_probation.update(p for p in parts if p in self.suspicions)
+        for number, crashed in enumerate(explained):
+            kept = parts if number < MIN_CRASHES - 1 else ()
+            self._explain(crashed, kept)
         if part not in self.released_at:
             events.emit(
                 events.PART_QUARANTINED,
@@ -296,7 +493,7 @@
         self.released_at[part] = now + QUARANTINE_MS
         while len(self.released_at) > MAX_QUARANTINED:
             self.released_at.popitem(last=False)
-        metrics.QUARANTINED_PARTS.set(len(self.released_at))
+        self._count_quarantined()
 
     def _expire(self, now: int) -> None:
         """Forget old crashes and end quarantines whose time is over."""
@@ -328,6 +525,7 @@
 
 
 __all__ = [
+    "ALIVE",
     "CRASH",
     "Findings",
     "Incarnation",
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -566,11 +566,13 @@
   loads @2 :List(EndpointLoad);
 }
 
-# What an edge found of prompt parts: "crash" if they were under way at an
-# endpoint that crashed, "sound" if they were answered, or "quarantined".
+# What an edge found of prompt parts and of requests, known by a fingerprint
+# that stands after their parts: "crash" if they were under way at an endpoint
+# that crashed, "sound" if they were answered, or "quarantined"; or "alive" of
+# an endpoint that answers a request sent after its presumed crash.
 struct PartFinding {
   finding @0 :Text;
-  # The endpoint that crashed, and its start time.
+  # The endpoint, and its start time.
   endpoint @1 :Text;
   born @2 :UInt64;
   parts @3 :List(Text);
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -1,5 +1,5 @@
-"""A simulated fleet of edges and engines, one part of a prompt of which
-crashes the engines.
+"""A simulated fleet of edges and engines, which one part of a prompt or one
+request crashes.
 
 Simulated time only; the edges' quarantines are the product's own.
 """
@@ -21,7 +21,13 @@
 RETRY_MS = 5
 MAX_ATTEMPTS = 2
 TICK_MS = 250
+# A caller repeats a request that failed.
+MAX_TRIES = 3
+TRY_AGAIN_MS = (50, 400)
+# Requests that are the same each time, such as polls.
+POLLS = 4
 BAD = "bad"
+BAD_REQUEST = "request/bad"
 
 
 class Engine:
@@ -35,14 +41,18 @@
 
 
 class Attempt:
-    """One request at one engine."""
+    """One request at one engine.
 
-    def __init__(self, edge, engine, parts, number, now):
+    ``parts`` ends with its fingerprint.
+    """
+
+    def __init__(self, edge, engine, parts, number, tries, now):
         self.edge = edge
         self.engine = engine
         self.born = engine.born
         self.parts = parts
         self.number = number
+        self.tries = tries
         self.sent_ms = now
         self.answer_ms = None
 
@@ -55,7 +65,7 @@
 
     Attributes:
         crashes: when an engine crashed, in ms.
-        bad_sends: when a request with the crashing part was sent.
+        bad_sends: when a request that crashes engines was sent.
         sound: (time, part that it was refused for or None) of each sound
             request.
     """
@@ -86,7 +96,24 @@
 
     def send_bad(self):
         """Send a request with the crashing part from any edge."""
-        self._send(self.rng.choice(self.edges), self._draw_parts(BAD), 1)
+        self._call(self._draw_parts(BAD))
+
+    def send_bad_request(self):
+        """Send the crashing request, which shares its parts with others."""
+        self._call(("route0", "caller0", "doc0", BAD_REQUEST))
+
+    def _call(self, parts, tries=1):
+        """Send a request from any edge; return what it was refused for."""
+        edge = self.rng.choice(self.edges)
+        refused_for = edge.quarantined_part(parts, self.now)
+        if refused_for is None:
+            self._send(edge, parts, 1, tries)
+        return refused_for
+
+    def _draw_fingerprint(self):
+        if self.rng.random() < 0.1:
+            return f"request/poll{self.rng.randrange(POLLS)}"
+        return f"request/{next(self.order)}"
 
     def end_engines(self, count):
         """End several engines at once."""
@@ -97,34 +124,33 @@
         route = f"route{self.rng.randrange(ROUTES)}"
         # Few callers and documents have most of the requests.
         caller = f"caller{min(self.rng.randrange(CALLERS) for _ in 'ab')}"
-        return route, caller, last
+        return route, caller, last, self._draw_fingerprint()
 
     def _arrive(self):
         document = min(self.rng.randrange(DOCUMENTS) for _ in "ab")
         parts = self._draw_parts(f"doc{document}")
-        edge = self.rng.choice(self.edges)
-        refused_for = edge.quarantined_part(parts, self.now)
-        self.sound.append((self.now, refused_for))
-        if refused_for is None:
-            self._send(edge, parts, 1)
+        self.sound.append((self.now, self._call(parts)))
         self.at(self.rng.expovariate(SOUND_PER_S / 1000), self._arrive)
 
-    def _send(self, edge, parts, number):
+    def _send(self, edge, parts, number, tries):
         up = [e for e in self.engines if e.is_up]
         if not up or edge.quarantined_part(parts, self.now) is not None:
             return
-        if BAD in parts:
+        if self._is_bad(parts):
             self.bad_sends.append(self.now)
         engine = self.rng.choice(up)
-        attempt = Attempt(edge, engine, parts, number, self.now)
+        attempt = Attempt(edge, engine, parts, number, tries, self.now)
         engine.running[attempt] = None
         self.at(self.rng.uniform(*FIRST_TOKEN_MS), self._answer, attempt)
 
+    def _is_bad(self, parts):
+        return BAD in parts or BAD_REQUEST in parts
+
     def _answer(self, attempt):
         if attempt not in attempt.engine.running:
             return
         attempt.answer_ms = self.now
-        if BAD in attempt.parts:
+        if self._is_bad(attempt.parts):
             self.at(
                 self.rng.uniform(*CRASH_MS),
                 self._crash_from,
@@ -177,7 +203,11 @@
                 attempt.edge,
                 attempt.parts,
                 attempt.number + 1,
+                attempt.tries,
             )
+        elif attempt.tries < MAX_TRIES:
+            delay_ms = self.rng.uniform(*TRY_AGAIN_MS)
+            self.at(delay_ms, self._call, attempt.parts, attempt.tries + 1)
 
     def _restart(self, engine):
         engine.born += 1
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -304,6 +304,116 @@
     assert not parts.crashes
 
 
+REQUEST = "request/1f3828444626a1ab"
+
+
+def test_request_is_quarantined_after_three_crashes_and_its_parts_are_not():
+    parts = quarantine.Quarantine()
+    crashes = [make_crash(n, "system", "caller", REQUEST) for n in range(4)]
+    report_crashes(parts, crashes[:2])
+    parts.judge(60_000)
+    assert not parts.released_at
+    report_crashes(parts, crashes[2:], 60_000)
+    parts.judge(60_999)
+    assert not parts.released_at
+    parts.judge(61_000)
+    assert list(parts.released_at) == [REQUEST]
+    parts.judge(120_000)
+    assert parts.quarantined_part(("system", "caller"), 120_000) is None
+
+
+def test_part_of_a_quarantined_request_is_quarantined_at_the_next_crash():
+    """Pattern: callers repeat a few requests with a crashing part."""
+    parts = quarantine.Quarantine()
+    report_crashes(parts, [make_crash(n, "bad", REQUEST) for n in range(4)])
+    parts.judge(1000)
+    assert list(parts.released_at) == [REQUEST]
+    report_crashes(parts, [make_crash(7, "bad", "request/other")], 9000)
+    parts.judge(9000 + quarantine.SETTLING_MS)
+    assert "bad" in parts.released_at
+
+
+def test_answer_takes_the_parts_of_a_quarantined_request_off_probation():
+    parts = quarantine.Quarantine()
+    report_crashes(parts, [make_crash(n, "doc", REQUEST) for n in range(4)])
+    parts.judge(1000)
+    parts.report_sound(("doc", "request/other"), 2000)
+    report_crashes(parts, [make_crash(7, "doc", "request/third")], 9000)
+    parts.judge(60_000)
+    assert list(parts.released_at) == [REQUEST]
+
+
+# Guards against: a sound request that is repeated beside endpoints that end
+# for other reasons is refused.
+def test_request_that_was_answered_lately_is_not_suspect():
+    """Two edges: one has the answer, at the other endpoints end."""
+    answered, accusing = quarantine.Quarantine(), quarantine.Quarantine()
+    answered.report_sound((REQUEST,), 0)
+    report_crashes(accusing, [make_crash(n, REQUEST) for n in range(5)], 500)
+    for finding in accusing.findings.drain():
+        answered.apply_finding(finding, 600)
+    for finding in answered.findings.drain():
+        accusing.apply_finding(finding, 700)
+    report_crashes(answered, [make_crash(n, REQUEST) for n in range(5)], 800)
+    for edge in (answered, accusing):
+        edge.judge(60_000)
+        assert not edge.released_at and not edge.suspicions
+
+
+def test_endpoint_that_answers_later_requests_has_not_crashed():
+    """Pattern: endpoints close connections and go on serving."""
+    parts = quarantine.Quarantine()
+    crashes = [make_crash(n, REQUEST) for n in range(3)]
+    report_crashes(parts, crashes)
+    for crashed, _, interval in crashes:
+        parts.report_answering(crashed, interval.broken_ms - 1, 500)
+    assert len(parts.crashes) == 3
+    for crashed, _, interval in crashes:
+        parts.report_answering(crashed, interval.broken_ms + 1, 500)
+    parts.judge(60_000)
+    assert not parts.crashes and not parts.released_at
+
+
+# Guards against: a crash is not counted against the request whose edge had
+# just given the endpoint up for its silence (incident second1).
+@pytest.mark.parametrize("noticed_by", ("other edge", "refusal", "earlier"))
+def test_request_taken_from_a_silent_endpoint_is_at_its_crash(noticed_by):
+    parts = quarantine.Quarantine()
+    for number in range(3):
+        crashed, _, interval = make_crash(number, REQUEST)
+        other = messages.PartFinding(
+            "crash", *crashed, ("request/beside",), *interval
+        )
+        left = quarantine.Interval(interval.sent_ms, interval.broken_ms - 5)
+        if noticed_by == "earlier":
+            parts.apply_finding(other, 0)
+        parts.report_abandoned(crashed, (REQUEST,), left, 0)
+        if noticed_by == "other edge":
+            parts.apply_finding(other, 0)
+        if noticed_by == "refusal":
+            parts.report_ended(crashed, interval.broken_ms, 0)
+    assert len(parts.suspicions[REQUEST]) == 3
+
+
+def test_endpoint_that_ends_long_after_it_was_given_up_accuses_nothing():
+    parts = quarantine.Quarantine()
+    crashed, _, interval = make_crash(1)
+    parts.report_abandoned(crashed, (REQUEST,), interval, 0)
+    late = quarantine.ABANDONED_TTL_MS + 1
+    parts.report_ended(crashed, interval.broken_ms + late, late)
+    assert not parts.crashes
+
+
+def test_memory_of_requests_is_bounded():
+    parts = quarantine.Quarantine()
+    for number in range(3 * quarantine.MAX_ANSWERED):
+        parts.report_sound((f"request/{number}",), number)
+        crashed, _, interval = make_crash(number)
+        parts.report_abandoned(crashed, (f"request/{number}",), interval, 0)
+    assert len(parts.answered.items) == quarantine.MAX_ANSWERED
+    assert len(parts.abandoned.items) == quarantine.MAX_ABANDONED
+
+
 def test_crashes_are_forgotten():
     parts = quarantine.Quarantine()
     report_crashes(parts, [make_crash(n, "doc") for n in range(3)])
@@ -324,7 +434,11 @@
     st.tuples(
         st.sampled_from(("crash", "crash", "sound", "wait")),
         st.integers(0, 5),
-        st.lists(st.sampled_from("abcd"), max_size=3, unique=True),
+        st.lists(
+            st.sampled_from(("a", "b", "c", "request/d", "request/e")),
+            max_size=3,
+            unique=True,
+        ).map(sorted),
     ),
     max_size=40,
 )
@@ -342,6 +456,8 @@
         elif action == "sound":
             finder.report_sound(tuple(parts), now)
         finder.judge(now)
+        # What the told edge finds in turn is news to nobody.
+        told.findings.drain()
         for finding in finder.findings.drain() * 2:
             told.apply_finding(finding, now)
         told.judge(now)
@@ -385,6 +501,29 @@
     assert len(later) > 500 and not any(later)
 
 
+# Guards against: the parts that a crashing request shares with sound ones
+# are quarantined in its place, or it comes through again and again.
+@pytest.mark.parametrize("arrivals", ARRIVALS)
+@pytest.mark.parametrize("seed", range(12))
+def test_repeated_request_is_quarantined_and_its_parts_are_not(arrivals, seed):
+    """Random schedules of one request, repeated beside sound ones."""
+    fleet = quarantine_fleet.Fleet(f"repeated {arrivals} {seed}")
+
+    def arrive():
+        fleet.send_bad_request()
+        fleet.at(ARRIVALS[arrivals](fleet.rng), arrive)
+
+    fleet.at(5000, arrive)
+    fleet.run(60_000)
+    free_crashes = 3
+    assert len(fleet.crashes) >= free_crashes
+    allowed_until = fleet.crashes[free_crashes - 1] + 1000 * CONTACT_S
+    late = [at for at in fleet.bad_sends if at > allowed_until]
+    assert len(late) <= MAX_LATE_REQUESTS
+    later = [part for at, part in fleet.sound if at > allowed_until]
+    assert len(later) > 500 and not any(later)
+
+
 # 92, 175 and 207 had one rarely used part quarantined after three crashes.
 @pytest.mark.parametrize("seed", (*range(12), 92, 175, 207))
 def test_outages_of_many_endpoints_quarantine_nothing(seed):
--- a/tests/test_repeated_requests.py
+++ b/tests/test_repeated_requests.py
@@ -91,3 +91,41 @@
             assert refused and set(refused) == {503}
 
     anyio.run(body, backend_options={"use_uvloop": True})
+
+
+# Guards against: endpoints that close connections without an answer, and
+# go on serving, make a sound request that is repeated refused.
+def test_repeated_request_is_served_by_endpoints_that_had_closed_on_it():
+    async def body():
+        engines = [
+            platform_engine.StandInEngine(["close"] * 3 + ["brief"])
+            for _ in range(ENGINES)
+        ]
+        async with routed.running_edge(*engines) as edge:
+            statuses = []
+            for number in range(1, 60):
+                request = make_request("/a/x", number, b"same")
+                statuses.append((await routed.send_request(edge, request))[0])
+                await anyio.sleep(0.05)
+            assert not edge.forwarder.quarantine.released_at
+            assert statuses[-20:] == [200] * 20
+
+    anyio.run(body, backend_options={"use_uvloop": True})
+
+
+def test_fingerprint_is_the_same_with_a_length_and_in_chunks(log_lines):
+    async def body():
+        engines = [platform_engine.StandInEngine(["close"]) for _ in "ab"]
+        whole = routed.request("/once/x", "POST", b"same body")
+        chunked = whole.replace(
+            b"Content-Length: 9", b"Transfer-Encoding: chunked"
+        ).replace(b"same body", b"4\r\nsame\r\n5\r\n body\r\n0\r\n\r\n")
+        async with routed.running_edge(*engines) as edge:
+            for request in (whole, chunked):
+                await routed.send_request(edge, request)
+
+    anyio.run(body, backend_options={"use_uvloop": True})
+    known = [
+        line["fingerprint"] for line in log_lines if "fingerprint" in line
+    ]
+    assert len(known) == 2 and len(set(known)) == 1
