Replace endpoints that named a limit while it lasts

Change: the leader counts the ready endpoints of each service with a limit in force, and plans as many more, on demand only as far as spot endpoints are missing.

--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -18,9 +18,11 @@
 
 from primrosehitch import clock
 from primrosehitch import control as control_module
+from primrosehitch import endpoint
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import messages
+from primrosehitch import registry
 from primrosehitch import routes
 from primrosehitch import scaling
 
@@ -255,7 +257,22 @@
         is_warm = self._has_run(SCALING_WARM_UP_MS, now)
         for service in table.services.values():
             if service.scaling is not None:
-                self._scaler(service.name).observe(records, is_warm)
+                scaler = self._scaler(service.name)
+                scaler.observe(records, is_warm)
+                scaler.limited_count = self._count_limited(service.name)
+
+    def _count_limited(self, service: str) -> int:
+        """Return how many ready endpoints of a service named a limit."""
+        limits = self.control.limits
+        return sum(
+            record.service == service
+            and record.state == registry.READY
+            and limits.milli_per_s(
+                endpoint.Incarnation(record.id, record.born)
+            )
+            > 0
+            for record in self.control.registry.live_records()
+        )
 
     def _scaler(self, service: str) -> scaling.Scaler:
         """Return the scaler of a service."""
--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -117,6 +117,8 @@
         first_plan_ms: when orders were first planned, or -1.
         unavailable_until: time of the next retry of an order for spot
             endpoints, in ms, by failure domain.
+        limited_count: ready endpoints that named a limit on requests; each
+            is replaced, as what it turns away is demand.
         last_orders: count and time in ms of the last accepted order, by
             failure domain and whether it was for spot endpoints.
         undelivered_since: since when a failure domain has fewer spot
@@ -131,6 +133,7 @@
         self.saw_start = False
         self.first_plan_ms = -1
         self.unavailable_until: dict[str, int] = {}
+        self.limited_count = 0
         self.last_orders: dict[tuple[str, bool], tuple[int, int]] = {}
         self.undelivered_since: dict[str, int] = {}
 
@@ -265,7 +268,10 @@
         if domain_count > 1:
             required *= domain_count / (domain_count - 1)
         standby = STANDBY_FACTOR * self.initial_count
-        return max(1, math.ceil(required), math.ceil(standby))
+        return (
+            max(1, math.ceil(required), math.ceil(standby))
+            + self.limited_count
+        )
 
     def _on_demand_targets(
         self,
@@ -299,7 +305,7 @@
         overload = math.ceil(
             self.short_peak.peak(now) / TARGET_REQUESTS_PER_ENGINE
         )
-        needed = max(self.initial_count, overload)
+        needed = max(self.initial_count, overload) + self.limited_count
         targets = dict.fromkeys(by_price, 0)
         room = {d: scaling.max_endpoints - ready[d].spot for d in by_price}
         present = {d: ready[d].on_demand for d in by_price}
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -256,3 +256,21 @@
             assert anyio.current_time() - began < 1.5
 
     instances.run_test(body)
+
+
+def test_limited_endpoints_of_a_service_are_counted(tmp_path):
+    async def body():
+        async with instances.serving_fleet(tmp_path) as fleet:
+            (leader,) = fleet.leaders()
+            control = fleet.controls[leader]
+            duties = duties_module.Duties(control, None, tables.decode)
+            await instances.wait_until(lambda: control.registry.live_records())
+            limit = messages.EndpointLimit("i-0", 5, 2000, 1)
+            control.limits.merge(limit)
+            control.limits.merge(limit._replace(endpoint="gone"))
+            assert duties._count_limited("svc") == 1
+            assert duties._count_limited("other") == 0
+            control.limits.merge(limit._replace(milli_per_s=0, said_ms=2))
+            assert duties._count_limited("svc") == 0
+
+    instances.run_test(body)
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -104,6 +104,18 @@
         assert platform.ready_count() >= 6
 
 
+def test_limited_endpoints_are_replaced_while_their_limit_lasts():
+    """What limited endpoints turn away is demand for others."""
+    platform = SimulatedPlatform(on_demand=2)
+    platform.run(10_000)
+    platform.scaler.limited_count = 3
+    platform.run(10_000)
+    assert counts_by_kind(platform) == (0, 15)
+    platform.scaler.limited_count = 0
+    platform.run(60_000)
+    assert counts_by_kind(platform) == (0, 12)
+
+
 def test_limit_covers_both_kinds_together():
     platform = SimulatedPlatform(on_demand=4)
     for _ in range(30):
