Divide shared limits among the edges beyond a cut as well

Change: an edge divides by the most edges counted within ten minutes. Edges that are taken away for good leave their share unused for so long.

--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -32,6 +32,7 @@
 from primrosehitch import quarantine as quarantine_module
 from primrosehitch import registry as registry_module
 from primrosehitch import routes
+from primrosehitch import scaling
 from primrosehitch import settings as settings_module
 from primrosehitch import timers
 from primrosehitch import truetime as truetime_module
@@ -66,6 +67,11 @@
 STOP_TIMEOUT_S = 0.15
 FINAL_SEND_S = 0.05
 
+# How long edges that a control instance no longer counts may still run: the
+# ones on the other side of a network partition do. Shared limits are divided
+# among the most edges in this time.
+EDGE_COUNT_WINDOW_MS = 600_000
+
 TableDecoder = Callable[[bytes], routes.RouteTable]
 
 
@@ -135,6 +141,7 @@
         self.ready = httpserver.Server(
             self._serve_ready, routes.ClientLimits()
         )
+        self.edge_counts = scaling.SlidingPeak(EDGE_COUNT_WINDOW_MS)
         self.known_controls = [
             KnownControl(str(seed), "") for seed in settings.seeds
         ]
@@ -375,8 +382,10 @@
         if status.fresh:
             self.last_fresh_ms = now
             self.true_time.set_from_control(status.true_ms, now)
-        self.budget.set_edge_count(status.edges)
-        self.balancer.edge_count = max(1, status.edges)
+        self.edge_counts.add(status.edges, now)
+        edge_count = max(1, int(self.edge_counts.peak(now)))
+        self.budget.set_edge_count(edge_count)
+        self.balancer.edge_count = edge_count
         self._update_known_controls(status)
         if status.incarnation != self.control_incarnation:
             self.control_incarnation = status.incarnation
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -727,3 +727,20 @@
             )
 
     instances.run_test(body)
+
+
+# Guards against: on each side of a cut the edges divide the whole slack among
+# themselves, and together they send twice as many retries as allowed.
+def test_edges_on_both_sides_of_a_cut_share_one_slack(tmp_path):
+    retries = 0
+    fleet = instances.Fleet(tmp_path, None)
+    for number in range(6):
+        edge = edge_module.Edge(
+            fleet.make_settings(10 + number, False, True), None, None
+        )
+        for count in (6, 6, 3, 3):
+            status = messages.ControlStatus(edges=count)
+            edge._on_status(edge.current_control, status)
+        now = routed.clock.now_ms()
+        retries += sum(edge.budget.try_spend("svc", now) for _ in range(100))
+    assert 0 < retries <= instances.BOUNDS.retry_slack
