Report crashes again that an edge's own link may have lost

Control instances resend to edges since; edges did not.

Change: when a link of the edge ends, the crashes reported within the last two seconds are queued again. Measured: the new test failed with a timeout before and passes.

--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -22,6 +22,7 @@
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import forwarder as forwarder_module
+from primrosehitch import gathering
 from primrosehitch import httpserver
 from primrosehitch import instance as instance_module
 from primrosehitch import links as links_module
@@ -67,6 +68,8 @@
 STOP_TIMEOUT_S = 0.15
 FINAL_SEND_S = 0.05
 
+# Crashes reported within this time before a link broke are reported again.
+RESEND_CRASHES_MS = 2000
 # How long edges that a control instance no longer counts may still run: the
 # ones on the other side of a network partition do. Shared limits are divided
 # among the most edges in this time.
@@ -141,6 +144,12 @@
         self.ready = httpserver.Server(
             self._serve_ready, routes.ClientLimits()
         )
+        self.sent_crashes: gathering.RecentUpdates[
+            quarantine_module.FindingKey, messages.PartFinding
+        ] = gathering.RecentUpdates(
+            RESEND_CRASHES_MS, quarantine_module.MAX_CRASHES
+        )
+        self.links.on_loss = self._on_link_loss
         self.edge_counts = scaling.SlidingPeak(EDGE_COUNT_WINDOW_MS)
         self.known_controls = [
             KnownControl(str(seed), "") for seed in settings.seeds
@@ -547,9 +556,24 @@
         """Send what is found of prompt parts that crash endpoints."""
         while True:
             findings = await self.quarantine.findings.take()
+            for finding in findings:
+                if finding.finding == quarantine_module.CRASH:
+                    key = quarantine_module.finding_key(finding)
+                    self.sent_crashes.put(key, finding, clock.now_ms())
             while not self._send(messages.PartFindings(findings)):
                 await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
 
+    def _on_link_loss(self, peer: str) -> None:
+        """Report the latest crashes again, as messages may be lost.
+
+        They go to the current control instance, also if the link to an
+        earlier one has ended. What else is found needs no repetition:
+        answers and limits are found again with the next answer.
+        """
+        for finding in self.sent_crashes.values(clock.now_ms()):
+            key = quarantine_module.finding_key(finding)
+            self.quarantine.findings.put(key, finding)
+
     async def _send_limits(self) -> None:
         """Send which limits endpoints have named, changed or ended."""
         while True:
--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -527,9 +527,11 @@
 __all__ = [
     "ALIVE",
     "CRASH",
+    "FindingKey",
     "Findings",
     "Incarnation",
     "Interval",
+    "MAX_CRASHES",
     "MAX_QUARANTINED",
     "QUARANTINED",
     "QUARANTINE_MS",
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -744,3 +744,37 @@
         now = routed.clock.now_ms()
         retries += sum(edge.budget.try_spend("svc", now) for _ in range(100))
     assert 0 < retries <= instances.BOUNDS.retry_slack
+
+
+# Guards against: a crash that one edge reports just before its link breaks
+# counts for nothing at the others.
+def test_crashes_lost_with_an_edges_link_are_reported_again(tmp_path):
+    async def body():
+        async with instances.serving_fleet(tmp_path, edges=(7, 8)) as fleet:
+            reporter, other = fleet.edges[7], fleet.edges[8]
+            await instances.wait_until(
+                lambda: reporter.true_time.has_control_time
+            )
+            send = reporter.links.send
+
+            def lose_findings(target, message):
+                is_finding = isinstance(message, messages.PartFindings)
+                return is_finding or send(target, message)
+
+            reporter.links.send = lose_findings
+            now = routed.clock.now_ms()
+            crashed = quarantine.Incarnation("e1", 1)
+            interval = quarantine.Interval(now, now + 50)
+            reporter.quarantine.report_crash(crashed, ("bad",), interval, now)
+            await anyio.sleep(0.3)
+            assert not other.quarantine.crashes
+            reporter.links.send = send
+            name = reporter.current_control
+            peer = reporter.links.peers[name]
+            reporter.links.remove(name)
+            reporter.links.add(peer)
+            await instances.wait_until(
+                lambda: crashed in other.quarantine.crashes, 2
+            )
+
+    instances.run_test(body)
