Fault soak: an engine with a limit, and a request that crashes engines

Every second seed has an engine that names a limit of one request a second, every fifth one a request that comes again and crashes what runs it; the ledger checks both bounds, and seven cases show that these checks can fail.

--- a/primrosehitch_lab/fault_engines.py
+++ b/primrosehitch_lab/fault_engines.py
@@ -1,6 +1,7 @@
 """Engines of a fault soak: they tell what they run, crash and drain."""
 
 from typing import Any
+from typing import Awaitable
 from typing import Callable
 
 import anyio
@@ -23,25 +24,35 @@
     Args:
         ledger: what it tells.
         now: the time since the soak began, in seconds.
-        name: its name.
+        slot: where it serves, which knows its limit and what crashes it.
+        group: runs what happens to the slot.
     """
 
     def __init__(
         self,
         ledger: fault_ledger.Ledger,
         now: Callable[[], float],
-        name: str,
+        slot: "EngineSlot",
+        group: anyio.abc.TaskGroup,
     ):
         super().__init__(["by_path"], fault_ledger.STREAM_EVENTS)
         self.ledger = ledger
         self.now = now
-        self.name = name
+        self.name = slot.identifier
+        self.slot = slot
+        self.group = group
 
     async def _play_by_path(self, stream, seen) -> bool:
         path = seen.line.split()[1]
         identifier = seen.headers["request-id"]
         run = fault_ledger.Run(identifier, path, self.name, self.now())
         self.ledger.note_run(run)
+        self.limit = self.slot.limit
+        crash = self.slot.on_crashing_request
+        if path == fault_ledger.CRASH_PATH and crash is not None:
+            await anyio.sleep(CALL_S)
+            self.group.start_soon(crash, self.slot)
+            await anyio.sleep_forever()
         if path.startswith("/resume/"):
             return await self._stream(stream, seen, self.events, True)
         await anyio.sleep(CALL_S)
@@ -57,6 +68,9 @@
         await self._chunk(stream, event)
 
 
+CrashHandler = Callable[["EngineSlot"], Awaitable[None]]
+
+
 class EngineSlot:
     """An address at which one engine after the other serves.
 
@@ -65,6 +79,10 @@
         ledger: what its engines tell.
         now: the time since the soak began, in seconds.
         number: which one.
+
+    Attributes:
+        limit: the limit that its engines name, if not empty.
+        on_crashing_request: handles a request that crashes its engine.
     """
 
     def __init__(
@@ -84,6 +102,8 @@
         self.born = 0
         self.sequence = 0
         self.scope: anyio.CancelScope | None = None
+        self.limit = ""
+        self.on_crashing_request: CrashHandler | None = None
 
     async def live(
         self,
@@ -100,9 +120,7 @@
                 with anyio.CancelScope() as scope:
                     self.scope = scope
                     async with anyio.create_task_group() as inner:
-                        engine = SoakEngine(
-                            self.ledger, self.now, self.identifier
-                        )
+                        engine = SoakEngine(self.ledger, self.now, self, group)
                         await inner.start(engine.run)
                         self.proxy.target = engine.address
                         task_status.started()
--- a/primrosehitch_lab/fault_ledger.py
+++ b/primrosehitch_lab/fault_ledger.py
@@ -16,6 +16,15 @@
 # A final answer comes within the route's time-out and this.
 ANSWER_SLACK_S = 0.5
 STREAM_EVENTS = 8
+# A limited endpoint gets at most this in a window, and so many more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXCESS = 5
+# The request that crashes endpoints; after FREE_CRASHES of them and the time
+# for contact it reaches at most MAX_LATE_SENDS more.
+CRASH_PATH = "/a/crash"
+FREE_CRASHES = 3
+MAX_LATE_SENDS = 3
 
 
 class Fault(NamedTuple):
@@ -67,6 +76,10 @@
     Attributes:
         acknowledged: (version, time of the acknowledgement).
         findings: promises broken so far.
+        limited_since: since when endpoints of a slot name a limit, by the
+            slot's name.
+        limit_per_s: the limit that they name.
+        crash_edges: where each crashing request was sent, by identifier.
     """
 
     def __init__(self) -> None:
@@ -76,6 +89,9 @@
         self.acknowledged: list[tuple[int, float]] = []
         self.in_force: dict[tuple[str, int], int] = {}
         self.findings: list[str] = []
+        self.limited_since: dict[str, float] = {}
+        self.limit_per_s = 1
+        self.crash_edges: dict[str, str] = {}
 
     # -- while it runs -----------------------------------------------------
 
@@ -162,8 +178,70 @@
             self._check_answer(item)
             self._check_stream(item)
             self._check_cut(item)
+        for slot, since in self.limited_since.items():
+            self._check_limit(slot, since)
+        self._check_crashes()
         return self.findings
 
+    def _check_limit(self, slot: str, since: float) -> None:
+        """An endpoint's limit holds for the sum over the edges.
+
+        Edges that were stopped, paused or killed meanwhile do not count.
+        """
+        edges = {item.identifier: item.edge for item in self.tries}
+        by_endpoint: dict[str, list[float]] = {}
+        for run in (r for runs in self.runs.values() for r in runs):
+            edge = edges.get(run.identifier)
+            is_limited = run.endpoint.rpartition("-")[0] == slot
+            if edge and is_limited and not self._touched(edge, since, run.at):
+                by_endpoint.setdefault(run.endpoint, []).append(run.at)
+        for endpoint, arrivals in by_endpoint.items():
+            # Each start of an endpoint names its limit anew.
+            counted_from = max(since, min(arrivals)) + CONTACT_S
+            late = sorted(at for at in arrivals if at >= counted_from)
+            most = LIMIT_FACTOR * LIMIT_WINDOW_S * self.limit_per_s
+            for at in late:
+                count = sum(at <= x < at + LIMIT_WINDOW_S for x in late)
+                if count > most + LIMIT_EXCESS:
+                    self._find(f"{endpoint} got {count} at {at:.3f}")
+                    break
+
+    def _touched(self, edge: str, begin: float, end: float) -> bool:
+        """Return whether a fault touched an edge itself in a time."""
+        return any(
+            fault.target == edge and fault.begin <= end and fault.end >= begin
+            for fault in self.faults
+        )
+
+    def _check_crashes(self) -> None:
+        """A crashing request that comes again is kept from endpoints."""
+        sends = sorted(
+            (run.at, self.crash_edges[run.identifier])
+            for runs in self.runs.values()
+            for run in runs
+            if run.identifier in self.crash_edges
+        )
+        if len(sends) < FREE_CRASHES:
+            return
+        third = sends[FREE_CRASHES - 1][0]
+        late = [
+            at
+            for at, edge in sends
+            if at > third + CONTACT_S
+            and not self._out_of_touch(edge, at - CONTACT_S, at)
+        ]
+        if len(late) > MAX_LATE_SENDS:
+            self._find(f"a crashing request was sent {len(late)} times more")
+
+    def _out_of_touch(self, edge: str, begin: float, end: float) -> bool:
+        """Return whether a fault touched an edge or a control instance."""
+        return self._touched(edge, begin, end) or any(
+            fault.target.startswith("control")
+            and fault.begin <= end
+            and fault.end >= begin
+            for fault in self.faults
+        )
+
     def _check_promise(self, item: Try) -> None:
         once = item.path.startswith("/once/")
         if once and item.status in NOT_RUN and item.identifier in self.runs:
--- a/primrosehitch_lab/fault_soak.py
+++ b/primrosehitch_lab/fault_soak.py
@@ -18,6 +18,7 @@
 import anyio
 
 from primrosehitch_lab import fault_callers
+from primrosehitch_lab import fault_engine_needs
 from primrosehitch_lab import fault_engines
 from primrosehitch_lab import fault_fleet
 from primrosehitch_lab import fault_ledger
@@ -34,6 +35,10 @@
 WORKERS = 3
 # One in so many seeds loses an engine's heartbeats for a while.
 SILENCE_EVERY = 3
+# One in so many seeds has an engine that names a limit, and one in so many a
+# request that crashes engines.
+LIMIT_EVERY = 2
+CRASH_EVERY = 5
 FIRST_NET = 40
 NETS = 200
 
@@ -61,6 +66,8 @@
     def __init__(self, seed: int, folder: pathlib.Path, net: int):
         self.began = time.monotonic()
         self.silences_engine = seed % SILENCE_EVERY == 0
+        self.names_limit = seed % LIMIT_EVERY == 0
+        self.repeats_crash = seed % CRASH_EVERY == 0
         self.fleet = fault_fleet.FaultFleet(folder, net)
         self.ledger = fault_ledger.Ledger()
         self.slots = [
@@ -82,6 +89,14 @@
             self.now,
             random.Random(seed),
         )
+        self.needs = fault_engine_needs.EngineNeeds(
+            self.fleet,
+            self.slots,
+            self.ledger,
+            self.schedule,
+            self.now,
+            random.Random(f"needs {seed}"),
+        )
 
     def now(self) -> float:
         """Return the time since the soak began, in seconds."""
@@ -114,6 +129,10 @@
             group.start_soon(self.operator.change_tables)
             group.start_soon(self.operator.read_tables)
             group.start_soon(self.operator.probe_edges)
+            if self.names_limit:
+                group.start_soon(self.needs.name_limit)
+            if self.repeats_crash:
+                group.start_soon(self.needs.repeat_crash)
             async with anyio.create_task_group() as steps:
                 steps.start_soon(self.schedule.run)
                 if self.silences_engine:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -98,6 +98,48 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("count", "fault", "found"),
+    [
+        (11, None, False),
+        (12, None, True),
+        (12, _fault("edge-1", begin=6.0, end=7.0), False),
+        (12, _fault("control-1", begin=6.0, end=7.0), True),
+    ],
+)
+def test_limit_holds_for_all_edges_left_alone(count, fault, found):
+    ledger = fault_ledger.Ledger()
+    ledger.limited_since["engine-1"] = 1.0
+    ledger.faults += [fault] if fault else []
+    times = [1.5] + [10.0 + 0.3 * n for n in range(count)]
+    for number, at in enumerate(times):
+        name = str(number)
+        ledger.note_run(fault_ledger.Run(name, "/a/x", "engine-1-1", at))
+        item = _try(body=name.encode())
+        ledger.tries.append(item._replace(identifier=name))
+    assert [" got 12 at " in text for text in ledger.close()] == [True] * found
+
+
+@pytest.mark.parametrize(
+    ("late", "fault", "found"),
+    [
+        (3, None, False),
+        (4, None, True),
+        (4, _fault("control-1", begin=14.5, end=15.0), False),
+    ],
+)
+def test_crashing_request_is_kept_from_endpoints(late, fault, found):
+    ledger = fault_ledger.Ledger()
+    ledger.faults += [fault] if fault else []
+    times = [10.0, 11.0, 12.0] + [15.5 + 0.1 * n for n in range(late)]
+    for number, at in enumerate(times):
+        name = f"c{number}"
+        ledger.crash_edges[name] = "edge-1"
+        path = fault_ledger.CRASH_PATH
+        ledger.note_run(fault_ledger.Run(name, path, "engine-1-1", at))
+    assert ["times more" in text for text in ledger.close()] == [True] * found
+
+
 def test_a_short_soak_keeps_every_promise(tmp_path):
     counters, findings = fault_soak.run_seed(SEED, NET, tmp_path)
     assert findings == []
