Mutants of limits, permits and repeated requests

Two lived, those of permits saved up by a leader that goes on or leads anew; two stricter tests of the desk kill them.

--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -146,3 +146,25 @@
     assert len(edge.table.entries) == endpointlimits.MAX_LIMITS
     assert desk.totals(permits.IDLE_TTL_MS + 1) == ()
     assert not desk.queues
+
+
+def issued_after(pause_ms, leads_throughout=True):
+    """Return the permits issued at once after a pause of a limit of 20."""
+    desk = permits.PermitDesk(random.Random(1))
+    wanted = messages.EndpointLimit(*ENDPOINT, 20_000, 1, 500)
+    desk.ask("edge", (wanted,), 0)
+    desk.issue(0)
+    if not leads_throughout:
+        desk.stop_issuing()
+    desk.ask("edge", (wanted,), pause_ms)
+    grants = desk.issue(pause_ms)
+    return sum(limit.permits for g in grants.values() for limit in g.limits)
+
+
+def test_permits_of_a_quarter_of_a_second_are_saved_up():
+    assert issued_after(100) == 2
+    assert issued_after(10_000) == 20 * permits.MAX_SAVED_MS // 1000
+
+
+def test_instance_that_leads_anew_has_no_permits_saved_up():
+    assert issued_after(10_000, leads_throughout=False) == 0
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -603,8 +603,8 @@
     Mutant(
         "crashes follow one another before a part is suspect",
         "quarantine.py",
-        "            and _count_successive(intervals)"
-        " >= MIN_SUCCESSIVE_CRASHES",
+        "                and _count_successive(intervals)"
+        " >= MIN_SUCCESSIVE_CRASHES\n",
         "",
         "tests/test_quarantine.py",
     ),
@@ -616,6 +616,100 @@
         "",
         "tests/test_state.py",
     ),
+    Mutant(
+        "a repeated request is suspect after three crashes",
+        "quarantine.py",
+        "            is_suspect = len(intervals) >= MIN_REQUEST_CRASHES",
+        "            is_suspect = False",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "a request explains the crashes of its parts",
+        "quarantine.py",
+        "                if not self._is_covered(part, now)",
+        "                if True",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "parts of a quarantined request are on probation",
+        "quarantine.py",
+        "            kept = parts if number < MIN_CRASHES - 1 else ()",
+        "            kept = ()",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "a request that was answered lately is sound",
+        "quarantine.py",
+        "        return known is not None and"
+        " now - known[1] <= ANSWERED_TTL_MS",
+        "        return False",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "an endpoint that answers has not crashed",
+        "quarantine.py",
+        "        if crash is not None and crash.broken_ms < sent_ms:",
+        "        if False:",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "a request taken from a silent endpoint is at its crash",
+        "quarantine.py",
+        "                self.report_crash(crashed, left.suspects,"
+        " interval, now)",
+        "                pass",
+        "tests/test_quarantine.py",
+    ),
+    Mutant(
+        "the leader issues permits at the rate of the limit",
+        "permits.py",
+        "            queue.milli_permits -= 1000 * sum(given.values())",
+        "            pass",
+        "tests/test_permits.py",
+    ),
+    Mutant(
+        "a new leader has no permits saved up",
+        "permits.py",
+        "            queue.counted_at = -1",
+        "            pass",
+        "tests/test_permits.py",
+    ),
+    Mutant(
+        "few permits are saved up",
+        "permits.py",
+        "            self.milli_permits = min(most, self.milli_permits"
+        " + gained)",
+        "            self.milli_permits += gained",
+        "tests/test_permits.py",
+    ),
+    Mutant(
+        "unused permits expire",
+        "endpointlimits.py",
+        "        while permits and permits[0] <= now:",
+        "        while False:",
+        "tests/test_permits.py",
+    ),
+    Mutant(
+        "a request to a limited endpoint takes a permit",
+        "forwarding.py",
+        "        if not self.balancer.limits.take(",
+        "        if False and not self.balancer.limits.take(",
+        "tests/test_limited_endpoints.py",
+    ),
+    Mutant(
+        "an ended limit is not revived by late news",
+        "endpointlimits.py",
+        "        if known is not None and known.said_ms >= limit.said_ms:",
+        "        if False:",
+        "tests/test_permits.py",
+    ),
+    Mutant(
+        "limited endpoints are replaced",
+        "scaling.py",
+        "            + self.limited_count\n        )",
+        "        )",
+        "tests/test_scaling.py",
+    ),
 ]
 
 
