Let no other process at an address answer for a crashed endpoint

Cause, found by reading: the answer of whatever serves at the address of a crashed endpoint was taken for its own, so that the crash was forgotten: the 421 of the endpoint that follows it there, or an answer of its next start under the same identifier, until that start is reported. A limit in such a 421 was booked on the wrong endpoint as well.

Change: a 421 says nothing of the endpoint, and only an answer to a request sent within a second after the presumed crash shows that there was none; nothing restarts sooner. Measured: the new test failed before (no crash left) and passes; test_quarantine and test_repeated_requests passed.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -534,6 +534,14 @@
             self.balancer.record_finish(choice, self.ask, response_began[0])
             pool.release(connection)
 
+    def _report_answering(self, choice: balancer_module.Choice) -> None:
+        """Report that the endpoint, and no other at its address, answers."""
+        self.shared.quarantine.report_answering(
+            choice.endpoint.incarnation,
+            self.shared.true_time.wall_ms_at(self.sent_at_ms),
+            clock.now_ms(),
+        )
+
     def _report_ended(self, choice: balancer_module.Choice) -> None:
         """Report that the endpoint's process has ended."""
         now = clock.now_ms()
@@ -632,16 +640,13 @@
         if not isinstance(head, httpclient.ResponseHead):
             self._report_crash(choice)
             return self._record_broken(choice, "closed without a response")
-        self.shared.quarantine.report_answering(
-            choice.endpoint.incarnation,
-            self.shared.true_time.wall_ms_at(self.sent_at_ms),
-            clock.now_ms(),
-        )
         info = self.shared.dialect.read_answer(head)
         self._record_load(choice.endpoint, info)
         if info.is_leaving:
             self.balancer.record_leaving(choice.endpoint)
-        self._record_limit(choice.endpoint, info)
+        if not info.address_reassigned:
+            self._report_answering(choice)
+            self._record_limit(choice.endpoint, info)
         if info.not_run or info.address_reassigned:
             return await self._read_rejection(connection, choice, info)
         if head.status < 300 and not info.is_authentic:
--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -59,6 +59,9 @@
 # silence crashed under the request that it was silent about.
 ABANDONED_TTL_MS = 1000
 MAX_ABANDONED = 500
+# No endpoint starts again sooner than this. A later answer may be one of its
+# next start, which it has not reported yet.
+MIN_RESTART_MS = 1000
 # How long a crash is remembered, and a part is kept from endpoints. What
 # ends the fault is a release of the endpoints' software, not time, so a
 # trial is not repeated often: it costs endpoints with all that they serve.
@@ -202,11 +205,23 @@
             sent_ms: when the request was sent, as true time.
             now: the current time in ms.
         """
-        crash = self.crashes.get(endpoint)
-        if crash is not None and crash.broken_ms < sent_ms:
+        if self._has_survived(endpoint, sent_ms):
             finding = messages.PartFinding(ALIVE, *endpoint, sent_ms=sent_ms)
             self._report(finding, now)
 
+    def _has_survived(self, endpoint: Incarnation, sent_ms: int) -> bool:
+        """Return whether an answer shows that an endpoint has not crashed.
+
+        Args:
+            endpoint: the endpoint that is thought to have crashed.
+            sent_ms: when the answered request was sent, as true time.
+        """
+        crash = self.crashes.get(endpoint)
+        return (
+            crash is not None
+            and 0 < sent_ms - crash.broken_ms < MIN_RESTART_MS
+        )
+
     def report_abandoned(
         self,
         endpoint: Incarnation,
@@ -290,10 +305,9 @@
         elif finding.finding == SOUND:
             self._clear(finding.parts)
         elif finding.finding == ALIVE:
-            crashed = Incarnation(finding.endpoint, finding.born)
-            crash = self.crashes.get(crashed)
-            if crash is not None and crash.broken_ms < finding.sent_ms:
-                self._forget(crashed)
+            endpoint = Incarnation(finding.endpoint, finding.born)
+            if self._has_survived(endpoint, finding.sent_ms):
+                self._forget(endpoint)
         elif finding.finding == QUARANTINED:
             for part in finding.parts:
                 self._quarantine(part, now)
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -316,6 +316,11 @@
     async def _play_close(self, stream, seen: Seen) -> bool:
         return False
 
+    async def _play_silent_close(self, stream, seen: Seen) -> bool:
+        """Work for a while, then close without an answer."""
+        await anyio.sleep(FIRST_TOKEN_S)
+        return False
+
     async def _play_silent(self, stream, seen: Seen) -> bool:
         await stream.receive()
         return False
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -365,8 +365,11 @@
     parts = quarantine.Quarantine()
     crashes = [make_crash(n, REQUEST) for n in range(3)]
     report_crashes(parts, crashes)
+    # Sent before, or answered by the next start under the same identifier.
     for crashed, _, interval in crashes:
-        parts.report_answering(crashed, interval.broken_ms - 1, 500)
+        for later_ms in (-1, quarantine.MIN_RESTART_MS):
+            sent_ms = interval.broken_ms + later_ms
+            parts.report_answering(crashed, sent_ms, 5000)
     assert len(parts.crashes) == 3
     for crashed, _, interval in crashes:
         parts.report_answering(crashed, interval.broken_ms + 1, 500)
--- a/tests/test_repeated_requests.py
+++ b/tests/test_repeated_requests.py
@@ -129,3 +129,20 @@
         line["fingerprint"] for line in log_lines if "fingerprint" in line
     ]
     assert len(known) == 2 and len(set(known)) == 1
+
+
+# Guards against: a crashed endpoint passes for alive because the next one at
+# its address answers that it is another.
+def test_answer_of_the_next_endpoint_at_an_address_voids_no_crash():
+    async def body():
+        engine = platform_engine.StandInEngine(["silent_close", "elsewhere"])
+        engine.limit = "1"
+        async with routed.running_edge(engine) as edge:
+            for number in range(1, 3):
+                request = make_request("/once/x", number, b"same")
+                await routed.send_request(edge, request)
+            assert len(engine.seen) == 2
+            assert len(edge.forwarder.quarantine.crashes) == 1
+            assert not edge.balancer.limits.table.entries
+
+    anyio.run(body, backend_options={"use_uvloop": True})
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -648,7 +648,7 @@
     Mutant(
         "an endpoint that answers has not crashed",
         "quarantine.py",
-        "        if crash is not None and crash.broken_ms < sent_ms:",
+        "        if self._has_survived(endpoint, sent_ms):",
         "        if False:",
         "tests/test_quarantine.py",
     ),
