Forget the limits of endpoints that are gone at control instances

Cause, found by reading: control instances kept the limit of every endpoint that had named one, up to 2,000, and sent all of them to each edge that joined. Edges forget them with the endpoint.

Change: once a second limits of endpoints that left or started again are dropped. Measured: the new test failed with a timeout before and passes.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -500,6 +500,7 @@
             for change in self.registry.expire(tick.now):
                 # Not to the other instances, which may still hear it.
                 self._send_to_edges(change)
+            self._forget_limits()
             for name, subscriber in list(self.subscribers.items()):
                 if (
                     tick.now - subscriber.last_seen_ms
@@ -735,6 +736,19 @@
                     )
                     break
 
+    def _forget_limits(self) -> None:
+        """Forget the limits of endpoints that left or started again.
+
+        Endpoints that this instance has not heard of yet keep theirs.
+        """
+        for incarnation in list(self.limits.entries):
+            entry = self.registry.entries.get(incarnation.endpoint)
+            if entry is not None and (
+                entry.record.state == registry_module.LEFT
+                or entry.record.born != incarnation.born
+            ):
+                del self.limits.entries[incarnation]
+
     def _note_loss(self, receiver: str) -> None:
         """Note that messages to an edge or instance may have been lost."""
         if receiver in self.subscribers or receiver in self.peers.presences:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -778,3 +778,20 @@
             )
 
     instances.run_test(body)
+
+
+def test_limits_of_endpoints_that_are_gone_are_forgotten(tmp_path):
+    async def body():
+        async with instances.serving_fleet(tmp_path) as fleet:
+            control = fleet.controls[2]
+            await instances.wait_until(lambda: control.registry.entries)
+            limit = messages.EndpointLimit("i-0", 5, 2000, 1)
+            control.limits.merge(limit)
+            control.limits.merge(limit._replace(born=4))
+            await instances.wait_until(
+                lambda: list(control.limits.in_force()) == [limit], 3
+            )
+            control.record_departure("i-0", 5)
+            await instances.wait_until(lambda: not control.limits.entries, 3)
+
+    instances.run_test(body)
