Name what ends a limit, and report ended endpoints in one step

Cause, found on the last reading: EndpointLimits._emit_ended also dropped permits, the gauge was set twice in the same way, and Quarantine.report_ended only passed on to a second method.

Change: _end and _count_limited, and report_ended does the work itself. No behaviour changes.

--- a/primrosehitch/endpointlimits.py
+++ b/primrosehitch/endpointlimits.py
@@ -142,11 +142,15 @@
                 before=before / 1000,
             )
         else:
-            self._emit_ended(incarnation, before)
-        metrics.LIMITED_ENDPOINTS.set(sum(1 for _ in self.table.in_force()))
+            self._end(incarnation, before)
+        self._count_limited()
         return True
 
-    def _emit_ended(self, incarnation: Incarnation, before: int) -> None:
+    def _count_limited(self) -> None:
+        metrics.LIMITED_ENDPOINTS.set(sum(1 for _ in self.table.in_force()))
+
+    def _end(self, incarnation: Incarnation, before: int) -> None:
+        """Drop the permits for an endpoint without a limit, and log it."""
         self.permits.pop(incarnation, None)
         self.wanted.pop(incarnation, None)
         events.emit(
@@ -161,10 +165,8 @@
         milli_per_s = self.table.milli_per_s(incarnation)
         self.table.entries.pop(incarnation, None)
         if milli_per_s:
-            self._emit_ended(incarnation, milli_per_s)
-            metrics.LIMITED_ENDPOINTS.set(
-                sum(1 for _ in self.table.in_force())
-            )
+            self._end(incarnation, milli_per_s)
+            self._count_limited()
 
     def is_open(self, incarnation: Incarnation, now: int) -> bool:
         """Return whether a request may be sent to an endpoint now."""
--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -247,21 +247,16 @@
         self.abandoned.put((endpoint, parts), Abandoned(parts, *interval), now)
 
     def report_ended(
-        self, endpoint: Incarnation, broken_ms: int, now: int
+        self, crashed: Incarnation, broken_ms: int, now: int
     ) -> None:
-        """Record that an endpoint that should serve refuses connections.
+        """Report a crash for the requests taken from an endpoint before.
 
         Args:
-            endpoint: the endpoint.
+            crashed: an endpoint that crashed, or that should serve and
+                refuses connections.
             broken_ms: when that was noticed, as true time.
             now: the current time in ms.
         """
-        self._accuse_abandoned(endpoint, broken_ms, now)
-
-    def _accuse_abandoned(
-        self, crashed: Incarnation, broken_ms: int, now: int
-    ) -> None:
-        """Report a crash for the requests taken from an endpoint before."""
         for left in self.abandoned.values(now):
             key = (crashed, left.suspects)
             if key in self.abandoned.items:
@@ -400,7 +395,7 @@
             self._explain_outage(interval.broken_ms)
             while len(self.crashes) > MAX_CRASHES:
                 self._forget(next(iter(self.crashes)))
-            self._accuse_abandoned(crashed, interval.broken_ms, now)
+            self.report_ended(crashed, interval.broken_ms, now)
         if self.quarantined_part(finding.parts, now) is not None:
             self._explain(crashed)
         if crash.is_explained:
