Log the software versions of endpoints and what a stream resumes

Change: endpoint records carry the version of their heartbeats (1501), and 1411 names the resumed stream and the event after which it resumes.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -368,6 +368,7 @@
             cause=change.cause,
             address=record.address,
             service=record.service,
+            version=record.version,
         )
         metrics.ENDPOINTS.set(len(self.registry.live_records()))
 
--- a/primrosehitch/dialect.py
+++ b/primrosehitch/dialect.py
@@ -42,6 +42,9 @@
             deadline.
         key: the caller's key, empty if it sent none.
         last_event_id: the event after which a stream resumes, or b"".
+        resumed_stream: the identifier of the caller's attempt that began
+            the stream which this one resumes; b"" if it is malformed, None
+            if the caller names none.
         parts: the prompt parts, in order.
         prompt_tokens: the size of the prompt, 0 for plain calls.
         output_tokens: the expected output size, 0 for plain calls.
@@ -52,6 +55,7 @@
     deadline_ms: int | None
     key: str
     last_event_id: bytes
+    resumed_stream: bytes | None
     parts: tuple[balancer.PromptPart, ...]
     prompt_tokens: int
     output_tokens: int
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -492,6 +492,7 @@
             cause=change.cause,
             address=record.address,
             service=record.service,
+            version=record.version,
         )
         # The registry marks the previous owner of an address as left
         # without reporting that as a change.
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -152,7 +152,8 @@
     1411,
     "forwarded",
     "A request on a route finished; the fields give its outcome, the"
-    " endpoints tried and the times.",
+    " endpoints tried and the times, and which stream it resumes after"
+    " which event.",
     "For `no-answer` and `broken-off`, look for event 1511 with the same"
     " request id.",
 )
@@ -173,7 +174,7 @@
     1501,
     "endpoint-changed",
     "An endpoint joined, is draining or left; `cause` says how this"
-    " instance learned of it.",
+    " instance learned of it, `version` which software it runs.",
     NO_ACTION,
 )
 ENDPOINT_ASIDE = Event(
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -494,6 +494,8 @@
             first_ms=self.first_ms,
             took_ms=clock.now_ms() - self.request.started_ms,
             events=self.event_frames.event_count,
+            resumes=(self.call.resumed_stream or b"").decode("latin-1"),
+            after_event=self.call.last_event_id.decode("latin-1"),
         )
 
     async def _attempt(self, choice: balancer_module.Choice) -> Outcome:
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1513,6 +1513,7 @@
     state: str = ""
     spot: bool = False
     leaves_ms: int = 0
+    version: str = ""
 
 
 def _write_endpoint_record(b: Any, m: EndpointRecord) -> None:
@@ -1526,6 +1527,7 @@
     b.state = m.state
     b.spot = m.spot
     b.leavesMs = m.leaves_ms
+    b.version = m.version
 
 
 def _read_endpoint_record(r: Any) -> EndpointRecord:
@@ -1540,6 +1542,7 @@
         r.state,
         r.spot,
         r.leavesMs,
+        r.version,
     )
 
 
--- a/primrosehitch/platform/calls.py
+++ b/primrosehitch/platform/calls.py
@@ -68,6 +68,7 @@
         state=state,
         spot=item.boolean("spot"),
         leaves_ms=int(item.number("leaves_ms", 0)),
+        version=item.string("version", ""),
     )
 
 
--- a/primrosehitch/platform/dialect.py
+++ b/primrosehitch/platform/dialect.py
@@ -21,6 +21,7 @@
 TENANT = b"tenant"
 EXPECT_INSTANCE = b"expect-instance"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 PREFIX_HASH = b"prefix-hash"
 TOKEN_COUNT = b"token-count"
 REQUEST_PRIORITY = b"request-priority"
@@ -78,6 +79,7 @@
             deadline_ms=int(deadline) if deadline.isdigit() else None,
             key=headers.get(CREDENTIAL, b"").decode("latin-1").strip(),
             last_event_id=headers.get(LAST_EVENT_ID, b"").strip(),
+            resumed_stream=_parse_resumes(request.headers),
             parts=_parse_prefix_parts(headers.get(PREFIX_HASH, b"")),
             prompt_tokens=prompt,
             output_tokens=output,
@@ -195,6 +197,19 @@
     return math.ceil(1000 * seconds) if 0 < seconds < MAX_PAUSE_S else 0
 
 
+def _parse_resumes(headers: list[Header]) -> bytes | None:
+    """Return the attempt that began the stream which a request resumes.
+
+    Returns:
+        Its identifier, b"" if the header names not just one, or None if
+        there is no such header.
+    """
+    values = {value.strip() for name, value in headers if name == RESUMES}
+    if not values:
+        return None
+    return values.pop() if len(values) == 1 else b""
+
+
 def _parse_limit(head: httpclient.ResponseHead) -> tuple[float, str]:
     """Return an engine's rate limit in requests a second, 0 for none.
 
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -293,6 +293,7 @@
         and one.service == other.service
         and one.slots == other.slots
         and one.leaves_ms == other.leaves_ms
+        and one.version == other.version
     )
 
 
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -497,6 +497,8 @@
   state @7 :Text;
   spot @8 :Bool;
   leavesMs @9 :UInt64;
+  # Of the endpoint's software; empty if it reports none.
+  version @10 :Text;
 }
 
 # whole is set if records holds every endpoint that the sender knows.
