--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -42,17 +42,23 @@
         events: how many events a stream has.
         crashing_part: a prompt part that ends the engine's process as soon
             as it answers a request that holds it, but as the last part.
+        version: of its software; each event of a stream names it.
 
     Attributes:
         incarnation: how often the process has started.
     """
 
     def __init__(
-        self, behaviours: list[str], events: int = 4, crashing_part: str = ""
+        self,
+        behaviours: list[str],
+        events: int = 4,
+        crashing_part: str = "",
+        version: str = "x",
     ):
         self.behaviours = deque(behaviours)
         self.events = events
         self.crashing_part = crashing_part
+        self.version = version
         self.crashing_body = b""
         self.limit = ""
         self.arrivals: list[float] = []
@@ -296,7 +302,8 @@
 
     async def _spaced_stream(self, stream, seen: Seen, pause_s) -> bool:
         await self._begin_chunks(stream, seen)
-        for number in range(1, self.events + 1):
+        first = int(seen.headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
             await self._event(stream, seen, number)
             await anyio.sleep(pause_s)
         await stream.send(b"0\r\n\r\n")
@@ -385,7 +392,8 @@
         )
 
     async def _event(self, stream, seen: Seen, number: int) -> None:
-        await self._chunk(stream, b"id: %d\ndata: x\n\n" % number)
+        event = b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
+        await self._chunk(stream, event)
 
     async def _chunk(self, stream, data: bytes) -> None:
         await stream.send(b"%x\r\n%s\r\n" % (len(data), data))
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -107,6 +107,7 @@
         """Cancel an instance at once, without a drain or hand-over."""
         self.scopes.pop(number).cancel()
         self.controls.pop(number, None)
+        self.edges.pop(number, None)
         await anyio.sleep(0.1)
 
     def isolate(self, number):
