Keep a stream at the software version that began it

Callers got streams joined from two software versions: within one answer that failed over, and when they resumed at another attempt, after all edges had been killed, too. Cause: the version of heartbeats was read nowhere; each endpoint of a service passed for as good as any other to go on with a stream. On a split route a resumption could even go to the other service. Change: an edge records the origin of a stream (service and version) with its first event; control instances keep origins in memory and answer edges that lack one. Failover and resumptions ask for endpoints of that version only; an unknown origin is refused as not run. An existing test resumed a stream that nobody had begun; it now begins it first, and the refusal of unknown ones has tests of its own.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -230,7 +230,11 @@
                 self.silent_by_service.setdefault(service, []).append(endpoint)
 
     def usable_endpoints(
-        self, service: str, tried: Iterable[str], now: int
+        self,
+        service: str,
+        tried: Iterable[str],
+        now: int,
+        version: str | None = None,
     ) -> list[Endpoint]:
         """Return the endpoints to which a request may be sent.
 
@@ -242,13 +246,15 @@
             service: the service.
             tried: identifiers of endpoints to leave out.
             now: the current time in ms.
+            version: the software version that must serve the request, or
+                None for any.
         """
         excluded = set(tried)
         ready = self._connectable(
-            self.ready_by_service.get(service, ()), excluded, now
+            self.ready_by_service.get(service, ()), excluded, now, version
         )
         silent = self._connectable(
-            self.silent_by_service.get(service, ()), excluded, now
+            self.silent_by_service.get(service, ()), excluded, now, version
         )
         ready += [e for e in silent if e.is_answering(now)]
         return (
@@ -258,20 +264,27 @@
         )
 
     def _connectable(
-        self, endpoints: Iterable[Endpoint], excluded: set[str], now: int
+        self,
+        endpoints: Iterable[Endpoint],
+        excluded: set[str],
+        now: int,
+        version: str | None,
     ) -> list[Endpoint]:
         """Return the endpoints that take requests from this edge."""
         return [
             e
             for e in endpoints
             if e.record.id not in excluded
+            and version in (None, e.record.version)
             and not e.is_leaving
             and e.paused_until <= now
             and self.limits.is_open(e.incarnation, now)
             and e.has_free_connection(self.edge_count)
         ]
 
-    def next_available_at(self, service: str, now: int) -> int:
+    def next_available_at(
+        self, service: str, now: int, version: str | None = None
+    ) -> int:
         """Return when the first endpoint that asked for a pause is back.
 
         For one whose limit is used up, that is when a permit is due.
@@ -281,11 +294,13 @@
             now: the current time in ms; returned unless all endpoints of
                 the service that take requests have asked for a pause or
                 are at their limit.
+            version: the software version that must serve the request, or
+                None for any.
         """
         ends = [
             max(e.paused_until, self._permit_due_at(e, now))
             for e in self.ready_by_service.get(service, ())
-            if not e.is_leaving
+            if not e.is_leaving and version in (None, e.record.version)
         ]
         return max(now, min(ends, default=now))
 
@@ -332,7 +347,9 @@
             now: the current time in ms.
         """
         self._want_permits(profile.service, now)
-        usable = self.usable_endpoints(profile.service, tried, now)
+        usable = self.usable_endpoints(
+            profile.service, tried, now, profile.version
+        )
         reserved = self._reserved_engines(profile, usable)
         matching = [
             e
@@ -363,6 +380,11 @@
                 best = choice
         return best
 
+    def is_replaced(self, endpoint: Endpoint) -> bool:
+        """Return whether its identifier belongs to a later incarnation."""
+        known = self.endpoints.get(endpoint.record.id, endpoint)
+        return known is not endpoint
+
     def _want_permits(self, service: str, now: int) -> None:
         """Ask for permits where a service's endpoints are at their limit."""
         for endpoint in self.ready_by_service.get(service, ()):
--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -35,6 +35,7 @@
 from primrosehitch import replica as replica_module
 from primrosehitch import replicator as replicator_module
 from primrosehitch import settings as settings_module
+from primrosehitch import streamorigins
 from primrosehitch import timers
 from primrosehitch import truetime as truetime_module
 
@@ -126,6 +127,8 @@
         self.limits = endpointlimits.LimitTable()
         self.limits_to_edges = endpointlimits.make_limit_updates()
         self.limits_to_peers = endpointlimits.make_limit_updates()
+        self.origins = streamorigins.OriginTable()
+        self.origins_to_peers = streamorigins.make_origin_updates()
         self.permits = permits_module.PermitDesk(self.rng)
         # Edges and instances that joined or may have missed messages, until
         # they are sent what they may lack.
@@ -418,6 +421,11 @@
                     messages.EndpointLimits,
                     self.peers.link_names,
                 ),
+                (
+                    self.origins_to_peers,
+                    messages.StreamOrigins,
+                    self.peers.link_names,
+                ),
                 (
                     self.limits_to_edges,
                     messages.EndpointLimits,
@@ -502,6 +510,7 @@
                 # Not to the other instances, which may still hear it.
                 self._send_to_edges(change)
             self._forget_limits()
+            self.origins.remove_expired(tick.now)
             for name, subscriber in list(self.subscribers.items()):
                 if (
                     tick.now - subscriber.last_seen_ms
@@ -681,6 +690,24 @@
             if is_from_edge:
                 self.limits_to_peers.put(incarnation, limit)
 
+    def _on_origins(
+        self, sender: str, message: messages.StreamOrigins
+    ) -> None:
+        """Store origins of streams; those of edges are for peers, too."""
+        now = clock.now_ms()
+        is_from_edge = sender not in self.peers.presences
+        for origin in message.origins:
+            if self.origins.put(origin, now) and is_from_edge:
+                self.origins_to_peers.put(origin.stream, origin)
+
+    def _on_origin_request(
+        self, sender: str, request: messages.OriginRequest
+    ) -> None:
+        """Tell an edge the origins that are known of some streams."""
+        origins = self.origins.select(request.streams, clock.now_ms())
+        if origins:
+            self.links.send(sender, messages.StreamOrigins(origins))
+
     def _on_permit_request(
         self, sender: str, request: messages.PermitRequest
     ) -> None:
@@ -773,6 +800,9 @@
             self._quarantine_findings(),
             messages.EndpointLimits(tuple(self.limits.in_force())),
         )
+        if receiver in self.peers.presences:
+            origins = self.origins.items(clock.now_ms())
+            missed += (messages.StreamOrigins(origins),)
         if all(self.links.send(receiver, message) for message in missed):
             self.lacking_updates.discard(receiver)
 
@@ -877,6 +907,8 @@
         messages.EndpointLimits: _on_limits,
         messages.PermitRequest: _on_permit_request,
         messages.PermitGrant: _on_permit_grant,
+        messages.StreamOrigins: _on_origins,
+        messages.OriginRequest: _on_origin_request,
         messages.ReplicaMessage: _on_replica_message,
         messages.Proposal: _on_proposal,
         messages.ProposalReply: _on_proposal_reply,
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -35,6 +35,7 @@
 from primrosehitch import routes
 from primrosehitch import scaling
 from primrosehitch import settings as settings_module
+from primrosehitch import streamorigins
 from primrosehitch import timers
 from primrosehitch import truetime as truetime_module
 
@@ -128,6 +129,7 @@
             settings.name, self.incarnation, bounds.usage_window_ms
         )
         self.quarantine = quarantine_module.Quarantine()
+        self.origins = streamorigins.StreamOrigins()
         self.forwarder = forwarder_module.Forwarder(
             dialect,
             self.balancer,
@@ -136,6 +138,7 @@
             self.true_time,
             overload.AdmissionGate(),
             self.quarantine,
+            self.origins,
             self.rng,
         )
         self.front = httpserver.Server(
@@ -236,6 +239,8 @@
             group.start_soon(self._send_parts_read)
             group.start_soon(self._send_part_findings)
             group.start_soon(self._send_limits)
+            group.start_soon(self._send_origins)
+            group.start_soon(self._request_origins)
             group.start_soon(self._request_permits)
             group.start_soon(self._resend_tallies)
             group.start_soon(self._sweep)
@@ -373,6 +378,8 @@
             elif isinstance(message, messages.EndpointLimits):
                 for limit in message.limits:
                     self.balancer.limits.apply(limit)
+            elif isinstance(message, messages.StreamOrigins):
+                self.origins.apply(message.origins)
             elif isinstance(message, messages.PermitGrant):
                 self.balancer.limits.add_permits(
                     message.limits, clock.now_ms()
@@ -399,6 +406,7 @@
         if status.incarnation != self.control_incarnation:
             self.control_incarnation = status.incarnation
             self._send(self.meter.all_totals())
+            self.origins.send_again()
 
     def _update_known_controls(self, status: messages.ControlStatus) -> None:
         """Replace the known control instances; the seeds always stay."""
@@ -565,12 +573,13 @@
                 await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
 
     def _on_link_loss(self, peer: str) -> None:
-        """Report the latest crashes again, as messages may be lost.
+        """Report crashes and origins again, as messages may be lost.
 
         They go to the current control instance, also if the link to an
         earlier one has ended. What else is found needs no repetition:
         answers and limits are found again with the next answer.
         """
+        self.origins.send_again()
         for finding in self.sent_crashes.values(clock.now_ms()):
             key = quarantine_module.finding_key(finding)
             self.quarantine.findings.put(key, finding)
@@ -582,6 +591,22 @@
             while not self._send(messages.EndpointLimits(limits)):
                 await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
 
+    async def _send_origins(self) -> None:
+        """Send which software version began each stream.
+
+        They are sent before the caller can come back to another edge.
+        """
+        while True:
+            origins = await self.origins.updates.take()
+            while not self._send(messages.StreamOrigins(origins)):
+                await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
+
+    async def _request_origins(self) -> None:
+        """Ask for the origins of streams that callers resume here."""
+        while True:
+            streams = await self.origins.unknown.take()
+            self._send(messages.OriginRequest(streams))
+
     async def _request_permits(self) -> None:
         """Ask for permits to send requests to limited endpoints."""
         async for _ in self.timers.subscribe(PERMIT_REQUEST_PERIOD_MS):
@@ -598,6 +623,7 @@
         """Drop old connections and old endpoint records."""
         async for tick in self.timers.subscribe(SWEEP_PERIOD_MS):
             self.forwarder.close_expired_connections(tick.now)
+            self.origins.table.remove_expired(tick.now)
             for record in self.registry.remove_old(tick.now):
                 self.balancer.remove_endpoint(record.id)
 
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -74,6 +74,8 @@
         output_tokens: expected size of the output.
         gap_ms: longest allowed gap between events of the stream, 0 for
             no limit.
+        version: the software version that must serve the request, or None
+            for any.
     """
 
     service: str
@@ -81,6 +83,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     gap_ms: int = 0
+    version: str | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -20,6 +20,7 @@
 from primrosehitch import quarantine as quarantine_module
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
+from primrosehitch import streamorigins
 from primrosehitch import truetime as truetime_module
 from primrosehitch.forwarding import ForwardedRequest
 from primrosehitch.forwarding import Refused
@@ -43,6 +44,7 @@
         true_time: the clock by which requests are counted.
         gate: admission control.
         quarantine: prompt parts that are kept from endpoints.
+        origins: which software version began each stream.
         rng: picks a service of a route by weight.
 
     Attributes:
@@ -63,6 +65,7 @@
         true_time: truetime_module.TrueTime,
         gate: overload.AdmissionGate,
         quarantine: quarantine_module.Quarantine,
+        origins: streamorigins.StreamOrigins,
         rng: random.Random,
     ):
         self.dialect = dialect
@@ -72,6 +75,7 @@
         self.true_time = true_time
         self.gate = gate
         self.quarantine = quarantine
+        self.origins = origins
         self.rng = rng
         self.table: routes.RouteTable | None = None
         self.routing_changed = anyio.Event()
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -28,6 +28,7 @@
 from primrosehitch import overload
 from primrosehitch import quarantine as quarantine_module
 from primrosehitch import routes
+from primrosehitch import streamorigins
 from primrosehitch import truetime as truetime_module
 
 # Responses up to this size are buffered, so that the request can be
@@ -70,6 +71,13 @@
 # one that is quarantined itself.
 QUARANTINED_PART_REASON = "crashing-part"
 QUARANTINED_REQUEST_REASON = "crashing-request"
+# Reason of the reply to a request that resumes a stream whose origin is not
+# known, or whose service the route no longer has.
+UNKNOWN_STREAM_REASON = "unknown-stream"
+# How long a request waits to learn which version began the stream that it
+# resumes, and at most which fraction of its time.
+ORIGIN_WAIT_S = 0.6
+ORIGIN_WAIT_FRACTION = 0.3
 # Outcome of an attempt for which the endpoint's limit left no permit.
 RATE_LIMITED_REASON = "rate-limited"
 # Outcomes of attempts in which nothing was sent.
@@ -181,6 +189,7 @@
     true_time: truetime_module.TrueTime
     gate: overload.AdmissionGate
     quarantine: quarantine_module.Quarantine
+    origins: streamorigins.StreamOrigins
     rng: random.Random
     routing_changed: anyio.Event
 
@@ -212,6 +221,8 @@
         fingerprint: by which its repeats are known.
         suspects: what may be at fault if an endpoint crashes under it: the
             parts and the request as such.
+        is_resumption: whether it resumes a stream of an earlier attempt.
+        is_origin_recorded: whether the version of the stream is recorded.
         deadline_at_ms: when the request times out, by ``clock.now_ms``.
         event_frames: splits a stream into whole events.
         tried_endpoints: identifiers of the endpoints chosen so far.
@@ -259,6 +270,10 @@
             request, self.customer
         )
         self.suspects = (*self.part_ids, self.fingerprint)
+        self.is_resumption = self.route.kind == routes.STREAM and (
+            bool(call.last_event_id) or call.resumed_stream is not None
+        )
+        self.is_origin_recorded = False
         time_limit_ms = self.route.timeout_ms
         if call.deadline_ms is not None:
             time_limit_ms = min(time_limit_ms, call.deadline_ms)
@@ -279,6 +294,12 @@
     async def run(self) -> None:
         """Forward the request until the caller has its final response."""
         shared = self.shared
+        if self.is_resumption and not await self._bind_to_origin():
+            refused = Refused(
+                503, UNKNOWN_STREAM_REASON, NO_ENDPOINT_RETRY_AFTER_S
+            )
+            shared.refuse(self.call, self.responder, refused)
+            return
         now = clock.now_ms()
         shared.retry_budget.record_request(self.ask.service, now)
         service = self.ask.service
@@ -304,6 +325,46 @@
             shared.gate.record_end(service)
             self._record_outcome(outcome)
 
+    async def _bind_to_origin(self) -> bool:
+        """Bind the request to what began the stream that it resumes.
+
+        Returns:
+            Whether that is known, and the route still allows its service.
+        """
+        attempt = self.call.resumed_stream
+        if not attempt:
+            return False
+        stream = streamorigins.stream_key(attempt, self.customer)
+        remaining_s = (self.deadline_at_ms - clock.now_ms()) / 1000
+        origin = await self.shared.origins.resolve(
+            stream, min(ORIGIN_WAIT_S, ORIGIN_WAIT_FRACTION * remaining_s)
+        )
+        services = [split.service for split in self.route.splits]
+        if origin is None or origin.service not in services:
+            return False
+        self.ask = self.ask._replace(
+            service=origin.service, version=origin.version
+        )
+        return True
+
+    def _bind_stream(self, endpoint: balancer_module.Endpoint) -> None:
+        """Bind the stream to the version of its first event.
+
+        The origin is recorded before the caller has the event, so that a
+        resumption can hardly overtake it.
+        """
+        if self.is_origin_recorded:
+            return
+        self.is_origin_recorded = True
+        version = endpoint.record.version
+        self.ask = self.ask._replace(version=version)
+        if self.call.identifier:
+            self.shared.origins.record(
+                streamorigins.stream_key(self.call.identifier, self.customer),
+                streamorigins.Origin(self.ask.service, version),
+                self.call.deadline_ms,
+            )
+
     def _refuse_quarantined(self, part: str) -> None:
         """Refuse a request that would crash the endpoint it is sent to."""
         retry_after_s = self.shared.quarantine.retry_after_s(
@@ -358,7 +419,7 @@
             max(self.route.objective_ms, MIN_ENDPOINT_WAIT_MS),
         )
         now = clock.now_ms()
-        available_at = self.balancer.next_available_at(self.ask.service, now)
+        available_at = self._next_available_at(now)
         if available_at - now > wait_ms:
             return None
         choice = None
@@ -388,13 +449,16 @@
             return False
         if self.attempts >= self.route.max_attempts:
             return False
-        remaining_endpoints = self.balancer.usable_endpoints(
-            self.ask.service, self.tried_endpoints, now
-        )
-        if not remaining_endpoints:
+        if not self._remaining_endpoints(now):
             return False
         return self.shared.retry_budget.try_spend(self.ask.service, now)
 
+    def _remaining_endpoints(self, now: int) -> list[balancer_module.Endpoint]:
+        """Return the endpoints that could take the request next."""
+        return self.balancer.usable_endpoints(
+            self.ask.service, self.tried_endpoints, now, self.ask.version
+        )
+
     def _respond_with_failure(self, outcome: Outcome) -> str:
         """Send the final response after the last failed attempt.
 
@@ -427,9 +491,15 @@
         delay_s = NO_ENDPOINT_RETRY_AFTER_S
         if reason == "rejected":
             delay_s = REJECTED_RETRY_AFTER_S
-        available_at = self.balancer.next_available_at(self.ask.service, now)
+        available_at = self._next_available_at(now)
         return max(delay_s, (available_at - now) / 1000)
 
+    def _next_available_at(self, now: int) -> int:
+        """Return when an endpoint that could take the request is back."""
+        return self.balancer.next_available_at(
+            self.ask.service, now, self.ask.version
+        )
+
     def _quarantined_part(self) -> str | None:
         """Return what keeps the request from endpoints, if it is anything.
 
@@ -513,7 +583,9 @@
             if exc.is_refused and not choice.endpoint.is_departing:
                 self._report_ended(choice)
             return NotRun("unreachable")
-        if choice.endpoint.is_departing:
+        if choice.endpoint.is_departing or self.balancer.is_replaced(
+            choice.endpoint
+        ):
             pool.release(connection)
             return NotRun("unreachable")
         if not self.balancer.limits.take(
@@ -708,17 +780,12 @@
     def _can_fail_over(self) -> bool:
         """Return whether another endpoint can take the request now."""
         now = clock.now_ms()
-        service = self.ask.service
         return (
             self.route.repeatable
             and self.attempts < self.route.max_attempts
             and self.deadline_at_ms - now > MIN_RETRY_TIME_MS
-            and bool(
-                self.balancer.usable_endpoints(
-                    service, self.tried_endpoints, now
-                )
-            )
-            and self.shared.retry_budget.allows(service, now)
+            and bool(self._remaining_endpoints(now))
+            and self.shared.retry_budget.allows(self.ask.service, now)
         )
 
     async def _read_rejection(
@@ -970,6 +1037,10 @@
             except eventframes.EventTooLargeError as exc:
                 return self._record_broken(choice, f"event too large: {exc}")
             if complete_events:
+                if self.balancer.is_replaced(choice.endpoint):
+                    # Which version wrote them is not known.
+                    return self._record_broken(choice, "endpoint replaced")
+                self._bind_stream(choice.endpoint)
                 self._record_first_byte(choice, response_began, clock.now_ms())
                 self._ensure_head_sent(head)
                 await self.responder.write(complete_events)
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1928,6 +1928,65 @@
     )
 
 
+class StreamOrigin(NamedTuple):
+    """Message ``StreamOrigin`` of the schema."""
+
+    stream: str = ""
+    service: str = ""
+    version: str = ""
+    ttl_ms: int = 0
+
+
+def _write_stream_origin(b: Any, m: StreamOrigin) -> None:
+    b.stream = m.stream
+    b.service = m.service
+    b.version = m.version
+    b.ttlMs = m.ttl_ms
+
+
+def _read_stream_origin(r: Any) -> StreamOrigin:
+    return StreamOrigin(
+        r.stream,
+        r.service,
+        r.version,
+        r.ttlMs,
+    )
+
+
+class StreamOrigins(NamedTuple):
+    """Message ``StreamOrigins`` of the schema."""
+
+    origins: tuple["StreamOrigin", ...] = ()
+
+
+def _write_stream_origins(b: Any, m: StreamOrigins) -> None:
+    items = b.init("origins", len(m.origins))
+    for i, item in enumerate(m.origins):
+        _write_stream_origin(items[i], item)
+
+
+def _read_stream_origins(r: Any) -> StreamOrigins:
+    return StreamOrigins(
+        tuple(_read_stream_origin(x) for x in r.origins),
+    )
+
+
+class OriginRequest(NamedTuple):
+    """Message ``OriginRequest`` of the schema."""
+
+    streams: tuple[str, ...] = ()
+
+
+def _write_origin_request(b: Any, m: OriginRequest) -> None:
+    b.streams = list(m.streams)
+
+
+def _read_origin_request(r: Any) -> OriginRequest:
+    return OriginRequest(
+        tuple(r.streams),
+    )
+
+
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -2103,6 +2162,21 @@
         _read_permit_request,
     ),
     PermitGrant: (_capnp.PermitGrant, _write_permit_grant, _read_permit_grant),
+    StreamOrigin: (
+        _capnp.StreamOrigin,
+        _write_stream_origin,
+        _read_stream_origin,
+    ),
+    StreamOrigins: (
+        _capnp.StreamOrigins,
+        _write_stream_origins,
+        _read_stream_origins,
+    ),
+    OriginRequest: (
+        _capnp.OriginRequest,
+        _write_origin_request,
+        _read_origin_request,
+    ),
 }
 
 KINDS: dict[int, type] = {
@@ -2180,6 +2254,9 @@
     72: EndpointLimits,
     73: PermitRequest,
     74: PermitGrant,
+    75: StreamOrigin,
+    76: StreamOrigins,
+    77: OriginRequest,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -2258,6 +2335,7 @@
     "NUMBERS",
     "Order",
     "OrderDone",
+    "OriginRequest",
     "PartFinding",
     "PartFindings",
     "PartRead",
@@ -2284,6 +2362,8 @@
     "SnapshotMeta",
     "SnapshotReply",
     "StateImage",
+    "StreamOrigin",
+    "StreamOrigins",
     "Subscribe",
     "Table",
     "TableResult",
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -621,3 +621,23 @@
 struct PermitGrant {
   limits @0 :List(EndpointLimit);
 }
+
+# The service and software version that began a stream, which is known by a
+# digest of its first attempt and the customer. A caller may resume it for
+# ttlMs.
+struct StreamOrigin {
+  stream @0 :Text;
+  service @1 :Text;
+  version @2 :Text;
+  ttlMs @3 :UInt64;
+}
+
+struct StreamOrigins {
+  origins @0 :List(StreamOrigin);
+}
+
+# An edge asks its control instance for the origins of streams; the answer
+# holds those that are known.
+struct OriginRequest {
+  streams @0 :List(Text);
+}
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -21,6 +21,7 @@
 from primrosehitch import overload
 from primrosehitch import quarantine
 from primrosehitch import settings
+from primrosehitch import streamorigins
 from primrosehitch import truetime
 from primrosehitch.platform import dialect
 from primrosehitch.platform import tables
@@ -78,6 +79,7 @@
             truetime.TrueTime(clock.wall_ms(), now),
             overload.AdmissionGate(),
             quarantine.Quarantine(),
+            streamorigins.StreamOrigins(),
             random.Random(1),
         )
         self.forwarder.table = table
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -8,8 +8,11 @@
 
 import anyio
 import instances
+import pytest
 import routed
 
+from primrosehitch import messages
+from primrosehitch import streamorigins
 from primrosehitch_lab import platform_engine
 
 Engine = platform_engine.StandInEngine
@@ -68,6 +71,157 @@
     instances.run_test(body)
 
 
+# Resumptions whose origin is not known, after a stream that attempt 1 began.
+UNKNOWN_STREAMS = {
+    "never seen": {"Resumes": "0"},
+    "not named": {},
+    "two attempts": {"Resumes": "1\r\nResumes: 2"},
+    "a list": {"Resumes": "1, 2"},
+    "no event": {"Resumes": "0", "Last_Event_Id": ""},
+    "of another customer": {"Resumes": "1", "Credential": "b" * 20},
+}
+
+
+@pytest.mark.parametrize("case", UNKNOWN_STREAMS)
+def test_stream_of_unknown_version_is_refused_as_not_run(case):
+    """A single version now does not mean that no other began the stream."""
+
+    async def body():
+        engine = Engine(["stream"], version=OLD)
+        tenants = [
+            {"name": "ana", "api_keys": [routed.KEY]},
+            {"name": "bea", "api_keys": ["b" * 20]},
+        ]
+        table = routed.decode_table(tenants=tenants)
+        async with routed.running_edge(engine, table=table) as edge:
+            await routed.send_request(
+                edge, routed.request("/resume/x", identifier="1")
+            )
+            headers = {"Last_Event_Id": "2", **UNKNOWN_STREAMS[case]}
+            status, answered, *_ = await routed.send_request(
+                edge, routed.request("/resume/x", **headers)
+            )
+            assert status == 503 and float(answered["retry-after"]) > 0
+            assert len(engine.seen) == 1
+
+    instances.run_test(body)
+
+
+def test_resumption_of_a_resumption_keeps_the_version():
+    """The second one may name either of the attempts before it."""
+
+    async def body():
+        old = Engine(["torn_event", "torn_event", "stream"], 9, version=OLD)
+        new = Engine(["stream"], 9, version=NEW)
+        async with routed.running_edge(old, new) as edge:
+            set_version(edge, 0, OLD)
+            set_version(edge, 1, NEW)
+            edge.balancer.endpoints["i-1"].mean_call_ms = 400
+            received = b""
+            for identifier, resumes in (("1", ""), ("2", "1"), ("3", "2")):
+                edge.balancer.endpoints["i-0"].ejected_until = 0
+                response = await routed.send_request(
+                    edge,
+                    routed.request(
+                        "/resume/x",
+                        identifier=identifier,
+                        Resumes=resumes,
+                        Last_Event_Id=str(received.count(b"\n\n") or ""),
+                    ),
+                )
+                received += response[2]
+            assert response[3] and received.count(b"\n\n") == 9
+            assert versions_in(received) == {b"v1"}
+
+    instances.run_test(body)
+
+
+def test_identifier_that_comes_back_with_another_version_is_another_one():
+    """A version belongs to an incarnation, not to an identifier."""
+
+    async def body():
+        engine = Engine(["stream"], version=OLD)
+        async with routed.running_edge(engine) as edge:
+            set_version(edge, 0, OLD)
+            await routed.send_request(
+                edge, routed.request("/resume/x", identifier="1")
+            )
+            record = edge.balancer.endpoints["i-0"].record
+            edge.balancer.update_endpoint(
+                record._replace(born=record.born + 1, version=NEW), 0
+            )
+            status, *_ = await routed.send_request(
+                edge,
+                routed.request("/resume/x", Last_Event_Id="2", Resumes="1"),
+            )
+            assert status == 503 and len(engine.seen) == 1
+
+    instances.run_test(body)
+
+
+def test_resumption_goes_to_the_service_that_began_the_stream():
+    """Pattern: the route divides its requests among two services."""
+
+    async def body():
+        document = routed.table_document()
+        for route in document["routes"]:
+            if route["path_prefix"] == "/resume/":
+                del route["service"]
+                route["split"] = [
+                    {"service": "svc", "weight": 1},
+                    {"service": "other", "weight": 1},
+                ]
+        document["services"].append({"name": "other", "max_conns": 50})
+        table = routed.decode_table(**document)
+        engines = [Engine(["stream"], version=v) for v in ("svc", "other")]
+        async with routed.running_edge(*engines, table=table) as edge:
+            record = edge.balancer.endpoints["i-1"].record
+            edge.balancer.update_endpoint(record._replace(service="other"), 0)
+            for number in range(20):
+                first = await routed.send_request(
+                    edge, routed.request("/resume/x", identifier=f"a{number}")
+                )
+                rest = await routed.send_request(
+                    edge,
+                    routed.request(
+                        "/resume/x", Resumes=f"a{number}", Last_Event_Id="2"
+                    ),
+                )
+                assert rest[2] and len(versions_in(first[2] + rest[2])) == 1
+
+    instances.run_test(body)
+
+
+def origin_item(stream, version, ttl_ms=1000):
+    return messages.StreamOrigin(stream, "svc", version, ttl_ms)
+
+
+def test_identifier_used_for_two_versions_has_no_origin():
+    """Whichever of the two comes first, and at every instance."""
+    one, other = origin_item("a", OLD), origin_item("a", NEW)
+    for items in ((one, other), (other, one)):
+        table, copy = streamorigins.OriginTable(), streamorigins.OriginTable()
+        for item in items:
+            table.put(item, 0)
+        copy.put(one, 0)
+        for item in table.items(0):
+            copy.put(item, 0)
+        assert table.find("a", 0) is None and copy.find("a", 0) is None
+
+
+def test_origins_are_bounded_in_time_and_number():
+    table = streamorigins.OriginTable()
+    for number in range(streamorigins.MAX_ORIGINS + 5):
+        table.put(origin_item(str(number), OLD, 1000 + number), 0)
+    assert len(table.entries) == streamorigins.MAX_ORIGINS
+    assert table.find("4", 0) is None
+    assert table.find("5", 1004) == ("svc", OLD)
+    assert table.find("5", 1005) is None
+    table.remove_expired(1005)
+    assert table.find("6", 1005) == ("svc", OLD)
+    assert len(table.entries) == streamorigins.MAX_ORIGINS - 1
+
+
 class VersionedFleet:
     """A fleet of edges before engines of two software versions.
 
@@ -206,3 +360,44 @@
             assert fleet.completed == len(fleet.versions) >= 20
 
     instances.run_test(body)
+
+
+def test_origin_outlives_the_control_instance_that_first_knew_it(tmp_path):
+    """Pattern: all edges and then their control instance are killed."""
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = VersionedFleet(running)
+            await fleet.start((OLD, NEW, NEW))
+            parts = await fleet.break_off(12)
+            await running.kill(instances.SEEDS[1])
+            for edge in EDGES:
+                running.start_edge(edge)
+            await fleet.until_known()
+            await fleet.resume_all(parts)
+            assert all(len(versions) == 1 for versions in fleet.versions)
+            assert fleet.completed == len(fleet.versions) >= 10
+
+    instances.run_test(body)
+
+
+def test_origin_is_told_to_a_control_instance_that_starts_again(tmp_path):
+    """Pattern: control instances restart in turn while edges run."""
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = VersionedFleet(running)
+            await fleet.start((OLD, NEW))
+            part = await fleet.begin(EDGES[0], "s1")
+            stream = streamorigins.stream_key(b"s1", "ana")
+            for number in instances.SEEDS[1:]:
+                await running.kill(number)
+                running.start_control(number)
+                control = running.controls[number]
+                await instances.wait_until(
+                    lambda c=control: stream in c.origins.entries
+                )
+            await fleet.resume(EDGES[1], "s1", part, Resumes="s1")
+            assert len(fleet.versions[0]) == 1 and fleet.completed == 1
+
+    instances.run_test(body)
