Send requests of an edge that is cut off to another edge

Cause: an edge had no way to endpoints but its own connections. It tried one endpoint after the other, 350 ms each, until the time of the request was over. Change: after two endpoints that cannot be reached, and at once while the edge counts as cut off from the service, a request goes to another edge, which serves it like one of its own callers'. Control instances tell which edges can help; a random token shows that an edge sends the request. An answer's Server-Leaving is for the edge that reads it and is not passed on.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -19,6 +19,7 @@
 from primrosehitch import endpointlimits
 from primrosehitch import gathering
 from primrosehitch import messages
+from primrosehitch import reachability
 from primrosehitch import registry
 from primrosehitch.endpoint import Choice
 from primrosehitch.endpoint import Endpoint
@@ -157,6 +158,7 @@
         recent_failures: time of the last failure by failure domain and
             endpoint.
         limits: rate limits that endpoints have named.
+        reachability: the services that this edge may be cut off from.
         part_updates: prompt parts that this edge's requests put into the
             endpoints' prefix caches, to be sent to the other edges.
         has_kept_connection: returns whether an idle connection to an
@@ -174,6 +176,7 @@
         self.gap_sensitive_share: dict[str, float] = {}
         self.recent_failures: dict[str, dict[str, int]] = {}
         self.limits = endpointlimits.EndpointLimits()
+        self.reachability = reachability.Reachability()
         self.part_updates = make_part_updates()
         self.has_kept_connection: Callable[[str], bool] = lambda address: False
 
@@ -744,6 +747,13 @@
         failed_at = self.recent_failures.setdefault(domain, {})
         failed_at[endpoint.record.id] = now
 
+    def end_ejections(self, service: str) -> None:
+        """Give the endpoints of a service another chance."""
+        for endpoint in self.endpoints.values():
+            if endpoint.record.service == service:
+                endpoint.ejected_until = 0
+                endpoint.consecutive_failures = 0
+
     def _is_domain_unreachable(self, domain: str, now: int) -> bool:
         """Return whether several endpoints of a domain failed recently.
 
--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -20,6 +20,7 @@
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import gathering
+from primrosehitch import helpers as helpers_module
 from primrosehitch import instance as instance_module
 from primrosehitch import links as links_module
 from primrosehitch import loads as loads_module
@@ -83,10 +84,12 @@
 
     Args:
         now: when it subscribed, in ms.
+        helpers: how other edges can send requests to it, if they can.
     """
 
-    def __init__(self, now: int):
+    def __init__(self, now: int, helpers: tuple[messages.HelperEdge, ...]):
         self.last_seen_ms = now
+        self.helpers = helpers
 
 
 class ControlInstance:
@@ -484,7 +487,27 @@
             edges=len(self.subscribers),
             leaving=self.is_leaving,
             registry=self.registry.digest(),
+            helpers=helpers_module.select_helpers(
+                self._own_helpers(), self.settings.domain, self.rng
+            ),
+        )
+
+    def _own_helpers(self) -> list[messages.HelperEdge]:
+        """Return the edges of this instance that can help others."""
+        edges = self.subscribers.values()
+        return [helper for edge in edges for helper in edge.helpers]
+
+    def _on_helper_request(
+        self, sender: str, request: messages.HelperRequest
+    ) -> None:
+        """Tell an edge which edges can help it."""
+        known = self._own_helpers()
+        for presence in self.peers.alive_presences(clock.now_ms()):
+            known += presence.helpers
+        helpers = helpers_module.select_helpers(
+            known, request.domain, self.rng
         )
+        self.links.send(sender, messages.HelperReply(helpers))
 
     async def _broadcast_refreshed(self) -> None:
         """Send the records of the endpoints that sent heartbeats here.
@@ -573,7 +596,7 @@
         now = clock.now_ms()
         if sender not in self.subscribers:
             self.lacking_updates.add(sender)
-        self.subscribers[sender] = Subscriber(now)
+        self.subscribers[sender] = Subscriber(now, subscription.helpers)
         if sender in self.lacking_updates:
             self._send_missed(sender, self.registry.inactive_records())
         self.true_time.add_report(sender, subscription.wall_ms, now)
@@ -907,6 +930,7 @@
         messages.EndpointLimits: _on_limits,
         messages.PermitRequest: _on_permit_request,
         messages.PermitGrant: _on_permit_grant,
+        messages.HelperRequest: _on_helper_request,
         messages.StreamOrigins: _on_origins,
         messages.OriginRequest: _on_origin_request,
         messages.ReplicaMessage: _on_replica_message,
--- a/primrosehitch/dialect.py
+++ b/primrosehitch/dialect.py
@@ -48,6 +48,8 @@
         parts: the prompt parts, in order.
         prompt_tokens: the size of the prompt, 0 for plain calls.
         output_tokens: the expected output size, 0 for plain calls.
+        edge_token: what proves that another edge sends the request for its
+            caller, or b"".
         headers: the headers that every endpoint gets unchanged.
     """
 
@@ -59,6 +61,7 @@
     parts: tuple[balancer.PromptPart, ...]
     prompt_tokens: int
     output_tokens: int
+    edge_token: bytes
     headers: list[Header]
 
 
@@ -80,6 +83,22 @@
     last_event_id: bytes
 
 
+class HelpInfo(NamedTuple):
+    """The values of one attempt to send a request to another edge.
+
+    Attributes:
+        token: what proves to that edge that an edge sends it.
+        remaining_ms: the time left until the caller's deadline.
+        last_event_id: the event after which a stream resumes, or b"".
+        resumed_stream: the identifier of the attempt that began it, or b"".
+    """
+
+    token: bytes
+    remaining_ms: int
+    last_event_id: bytes
+    resumed_stream: bytes
+
+
 class AnswerInfo(NamedTuple):
     """The decoded headers of an endpoint's answer.
 
@@ -130,6 +149,11 @@
     ) -> list[Header]:
         """Return the headers of a request to an endpoint."""
 
+    def helper_headers(
+        self, call: CallInfo, help_info: HelpInfo
+    ) -> list[Header]:
+        """Return the headers of a request to another edge."""
+
     def read_answer(self, head: httpclient.ResponseHead) -> AnswerInfo:
         """Return the decoded headers of an endpoint's answer."""
 
@@ -146,5 +170,6 @@
     "Dialect",
     "HOP_BY_HOP",
     "Header",
+    "HelpInfo",
     "ForwardInfo",
 ]
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -23,6 +23,8 @@
 from primrosehitch import events
 from primrosehitch import forwarder as forwarder_module
 from primrosehitch import gathering
+from primrosehitch import helpers as helpers_module
+from primrosehitch import httpclient
 from primrosehitch import httpserver
 from primrosehitch import instance as instance_module
 from primrosehitch import links as links_module
@@ -46,6 +48,10 @@
 SWEEP_PERIOD_MS = 1000
 # Permits are asked for this often, while there are requests that want them.
 PERMIT_REQUEST_PERIOD_MS = 100
+# Other edges are asked for this often at most, in seconds.
+HELPER_REQUEST_PERIOD_S = 0.05
+# While an edge is cut off from a service, it tries an endpoint this often.
+PROBE_PERIOD_MS = 500
 MAX_INBOX_MESSAGES = 4096
 # Time without a status of a control instance that has a quorum, after
 # which the edge switches to another one. Well below the time in which a
@@ -140,6 +146,9 @@
             self.quarantine,
             self.origins,
             self.rng,
+            helpers_module.HelperDirectory(
+                str(settings.front), settings.domain, self.rng
+            ),
         )
         self.front = httpserver.Server(
             self._serve_front, routes.ClientLimits()
@@ -241,6 +250,8 @@
             group.start_soon(self._send_limits)
             group.start_soon(self._send_origins)
             group.start_soon(self._request_origins)
+            group.start_soon(self._request_helpers)
+            group.start_soon(self._probe_endpoints)
             group.start_soon(self._request_permits)
             group.start_soon(self._resend_tallies)
             group.start_soon(self._sweep)
@@ -318,11 +329,24 @@
                     table.version if table else 0,
                     self.registry.digest(),
                     clock.wall_ms(),
+                    self._offered_help(),
                 )
             )
             self._send_load_report()
             self._send_tallies()
 
+    def _offered_help(self) -> tuple[messages.HelperEdge, ...]:
+        """Return how other edges can send requests here, if they can."""
+        if not self.is_ready:
+            return ()
+        helper = messages.HelperEdge(
+            str(self.settings.front),
+            self.settings.domain,
+            self.forwarder.edge_token,
+            tuple(self.balancer.reachability.cut_since),
+        )
+        return (helper,)
+
     def _connect_to_control(self, name: str) -> None:
         """Open a link to a control instance and make it the current one."""
         self.current_control = name
@@ -378,6 +402,8 @@
             elif isinstance(message, messages.EndpointLimits):
                 for limit in message.limits:
                     self.balancer.limits.apply(limit)
+            elif isinstance(message, messages.HelperReply):
+                self.forwarder.helpers.apply(message.helpers)
             elif isinstance(message, messages.StreamOrigins):
                 self.origins.apply(message.origins)
             elif isinstance(message, messages.PermitGrant):
@@ -607,6 +633,42 @@
             streams = await self.origins.unknown.take()
             self._send(messages.OriginRequest(streams))
 
+    async def _request_helpers(self) -> None:
+        """Ask which edges can help, while requests wait for one."""
+        helpers = self.forwarder.helpers
+        while True:
+            await helpers.wanted.wait()
+            helpers.wanted = anyio.Event()
+            self._send(messages.HelperRequest(self.settings.domain))
+            await anyio.sleep(HELPER_REQUEST_PERIOD_S)
+
+    async def _probe_endpoints(self) -> None:
+        """Learn whether endpoints of a service can be reached again.
+
+        The connection that opens is kept for the next request.
+        """
+        async for tick in self.timers.subscribe(PROBE_PERIOD_MS):
+            for service in list(self.balancer.reachability.cut_since):
+                endpoints = self.balancer.ready_by_service.get(service, ())
+                if not endpoints:
+                    continue
+                endpoint = self.rng.choice(endpoints)
+                pool = self.forwarder.connection_pool(endpoint.record.address)
+                try:
+                    connection = await pool.open(tick.now)
+                except httpclient.EndpointError as exc:
+                    self.forwarder.record_unreached(
+                        service, endpoint.record.id
+                    )
+                    events.emit(
+                        events.PROBE_FAILED,
+                        endpoint=endpoint.record.id,
+                        error=str(exc),
+                    )
+                    continue
+                pool.release(connection)
+                self.forwarder.record_reached(service)
+
     async def _request_permits(self) -> None:
         """Ask for permits to send requests to limited endpoints."""
         async for _ in self.timers.subscribe(PERMIT_REQUEST_PERIOD_MS):
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -184,6 +184,38 @@
     " succeeds.",
     "If it stays ejected, check the endpoint.",
 )
+CUT_OFF = Event(
+    1503,
+    "cut-off",
+    "This edge reaches no endpoint of a service: several failed and none was"
+    " heard since. Its requests go to other edges.",
+    "Check the network between this edge and the endpoints that 1511 names.",
+)
+CUT_ENDED = Event(
+    1504,
+    "cut-ended",
+    "This edge reaches endpoints of a service again.",
+    NO_ACTION,
+)
+PROBE_FAILED = Event(
+    1505,
+    "probe-failed",
+    "This edge is cut off from a service, and could not open a connection to"
+    " one of its endpoints either.",
+    "See 1503.",
+)
+HELPED = Event(
+    1414,
+    "helped",
+    "A request was sent to another edge, as this one reaches no endpoint.",
+    NO_ACTION,
+)
+HELPER_FAILED = Event(
+    1415,
+    "helper-failed",
+    "Another edge did not serve a request that was sent to it.",
+    "Look for the request's id in the logs of that edge.",
+)
 ENDPOINT_FAILED = Event(
     1511,
     "endpoint-failed",
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -4,14 +4,17 @@
 customer. It then forwards the request, or refuses it with a local reply.
 """
 
+import hmac
 import random
 
 import anyio
 
 from primrosehitch import balancer as balancer_module
 from primrosehitch import budget as budget_module
+from primrosehitch import clock
 from primrosehitch import dialect as dialect_module
 from primrosehitch import events
+from primrosehitch import helpers as helpers_module
 from primrosehitch import httpclient
 from primrosehitch import httpserver
 from primrosehitch import metering
@@ -46,6 +49,7 @@
         quarantine: prompt parts that are kept from endpoints.
         origins: which software version began each stream.
         rng: picks a service of a route by weight.
+        helpers: edges that forward requests for this one.
 
     Attributes:
         table: the route table in force, None until the first one arrives.
@@ -54,6 +58,7 @@
         pools: connection pools by endpoint address.
         active: the requests under way.
         ended: whether ``end_requests`` was called.
+        edge_token: by which requests of other edges are known.
     """
 
     def __init__(
@@ -67,6 +72,7 @@
         quarantine: quarantine_module.Quarantine,
         origins: streamorigins.StreamOrigins,
         rng: random.Random,
+        helpers: helpers_module.HelperDirectory,
     ):
         self.dialect = dialect
         self.balancer = balancer
@@ -83,6 +89,8 @@
         balancer.has_kept_connection = self.has_kept_connection
         self.active: set[ForwardedRequest] = set()
         self.ended = False
+        self.helpers = helpers
+        self.edge_token = helpers_module.make_token()
 
     async def serve(
         self, request: httpserver.Request, responder: httpserver.Responder
@@ -121,6 +129,34 @@
         for forwarded in self.active:
             forwarded.end(reason)
 
+    def is_from_edge(self, call: dialect_module.CallInfo) -> bool:
+        """Return whether another edge sends a request for its caller."""
+        return hmac.compare_digest(call.edge_token, self.edge_token.encode())
+
+    def record_unreached(self, service: str, endpoint: str) -> None:
+        """Record that an endpoint was not reached or did not answer."""
+        now = clock.now_ms()
+        reachability = self.balancer.reachability
+        if reachability.record_failure(service, endpoint, now):
+            events.emit(
+                events.CUT_OFF,
+                service=service,
+                endpoints=" ".join(reachability.failed_at[service]),
+            )
+            self.notify_routing_change()
+
+    def record_reached(self, service: str) -> None:
+        """Record that an endpoint was heard, or a connection to it opened."""
+        now = clock.now_ms()
+        cut_since = self.balancer.reachability.record_heard(service, now)
+        if cut_since >= 0:
+            self.balancer.end_ejections(service)
+            events.emit(
+                events.CUT_ENDED,
+                service=service,
+                after_ms=now - cut_since,
+            )
+
     def notify_routing_change(self) -> None:
         """Wake the requests that wait for a route table or an endpoint."""
         event, self.routing_changed = self.routing_changed, anyio.Event()
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -21,8 +21,10 @@
 from primrosehitch import eventframes
 from primrosehitch import events
 from primrosehitch import fingerprints
+from primrosehitch import helpers as helpers_module
 from primrosehitch import httpclient
 from primrosehitch import httpserver
+from primrosehitch import messages
 from primrosehitch import metering
 from primrosehitch import metrics
 from primrosehitch import overload
@@ -80,8 +82,14 @@
 ORIGIN_WAIT_FRACTION = 0.3
 # Outcome of an attempt for which the endpoint's limit left no permit.
 RATE_LIMITED_REASON = "rate-limited"
+# Outcome of an attempt at which no connection opened.
+UNREACHABLE_REASON = "unreachable"
+# After so many endpoints that could not be reached, a request goes to
+# another edge, and at most to so many edges.
+UNREACHABLE_ATTEMPTS = 2
+MAX_HELPERS = 2
 # Outcomes of attempts in which nothing was sent.
-UNSENT_REASONS = ("unreachable", RATE_LIMITED_REASON)
+UNSENT_REASONS = (UNREACHABLE_REASON, RATE_LIMITED_REASON)
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 # Statuses that tell a caller that the request has not run and will not.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -192,6 +200,16 @@
     origins: streamorigins.StreamOrigins
     rng: random.Random
     routing_changed: anyio.Event
+    helpers: helpers_module.HelperDirectory
+
+    def is_from_edge(self, call: dialect_module.CallInfo) -> bool:
+        """Return whether another edge sends a request for its caller."""
+
+    def record_unreached(self, service: str, endpoint: str) -> None:
+        """Record that an endpoint was not reached or did not answer."""
+
+    def record_reached(self, service: str) -> None:
+        """Record that an endpoint was heard, or a connection to it opened."""
 
     def connection_pool(self, address: str) -> httpclient.ConnectionPool:
         """Return the connection pool of an endpoint's address."""
@@ -226,6 +244,11 @@
         deadline_at_ms: when the request times out, by ``clock.now_ms``.
         event_frames: splits a stream into whole events.
         tried_endpoints: identifiers of the endpoints chosen so far.
+        is_from_edge: whether another edge sends it for its caller.
+        unreachable_count: endpoints that could not be reached.
+        helper_count: edges that it was sent to.
+        was_helped: whether its stream went on at another edge, so that
+            this edge does not know its version.
         attempts: how often the request was sent.
         in_flight: whether it was sent in the current attempt and the
             endpoint has not said that it did not run it.
@@ -280,6 +303,10 @@
         self.deadline_at_ms = request.started_ms + time_limit_ms
         self.event_frames = eventframes.EventSplitter(call.last_event_id)
         self.tried_endpoints: list[str] = []
+        self.is_from_edge = shared.is_from_edge(call)
+        self.unreachable_count = 0
+        self.helper_count = 0
+        self.was_helped = False
         self.attempts = 0
         self.in_flight = False
         self.earlier_may_have_run = False
@@ -301,8 +328,9 @@
             shared.refuse(self.call, self.responder, refused)
             return
         now = clock.now_ms()
-        shared.retry_budget.record_request(self.ask.service, now)
         service = self.ask.service
+        if not self.is_from_edge:
+            shared.retry_budget.record_request(service, now)
         part = self._quarantined_part()
         if part is not None:
             self._refuse_quarantined(part)
@@ -377,6 +405,17 @@
     async def _try_endpoints(self) -> str:
         """Try endpoints until one responds; return the outcome to log."""
         while True:
+            helper = await self._choose_helper()
+            if helper is not None:
+                outcome = await self._attempt_at_helper(helper)
+                self._record_attempt(helper.front, outcome)
+                if isinstance(outcome, Passed):
+                    return "helped"
+                if not self._acquire_retry(outcome):
+                    return self._respond_with_failure(outcome)
+                continue
+            if self.was_helped:
+                return self._respond_with_failure(Broken("no helper"))
             now = clock.now_ms()
             choice = self.balancer.choose(self.ask, self.tried_endpoints, now)
             if choice is None and not self.tried_endpoints:
@@ -389,16 +428,157 @@
                 reason = _quarantine_reason(part)
                 return self._respond_with_failure(NotRun(reason))
             outcome = await self._attempt(choice)
-            self.earlier_may_have_run |= isinstance(outcome, Broken | Failed)
-            self.in_flight = False
-            self.trail.append(
-                f"{choice.endpoint.record.id}:{type(outcome).__name__}"
-            )
+            self._record_attempt(choice.endpoint.record.id, outcome)
             if isinstance(outcome, Passed):
                 return "ok" if outcome.status < 400 else "endpoint-error"
             if not self._acquire_retry(outcome):
                 return self._respond_with_failure(outcome)
 
+    def _record_attempt(self, target: str, outcome: Outcome) -> None:
+        """Record how an attempt at an endpoint or another edge ended."""
+        self.earlier_may_have_run |= isinstance(outcome, Broken | Failed)
+        self.in_flight = False
+        self.trail.append(f"{target}:{type(outcome).__name__}")
+
+    async def _choose_helper(self) -> messages.HelperEdge | None:
+        """Return the edge to send the request to, or None for an endpoint.
+
+        A request of another edge goes no further.
+        """
+        service = self.ask.service
+        is_cut_off = (
+            self.was_helped
+            or self.unreachable_count >= UNREACHABLE_ATTEMPTS
+            or self.balancer.reachability.is_cut_off(service)
+        )
+        if (
+            not is_cut_off
+            or self.is_from_edge
+            or self.helper_count >= MAX_HELPERS
+        ):
+            return None
+        return await self.shared.helpers.choose(service)
+
+    async def _attempt_at_helper(self, helper: messages.HelperEdge) -> Outcome:
+        """Send the request to another edge and relay its response.
+
+        That edge counts it as under way, for the customer's usage and in
+        the retry budget; this one only relays.
+        """
+        shared = self.shared
+        self.helper_count += 1
+        self.sent_at_ms = self.answer_began_at_ms = -1
+        events.emit(
+            events.HELPED,
+            request_id=self.call.identifier.decode("latin-1"),
+            service=self.ask.service,
+            helper=helper.front,
+        )
+        now = clock.now_ms()
+        pool = shared.connection_pool(helper.front)
+        try:
+            connection = await pool.acquire(now, self.deadline_at_ms - now)
+        except httpclient.EndpointError as exc:
+            self._emit_helper_failure(helper, str(exc))
+            return NotRun(UNREACHABLE_REASON)
+        shared.gate.record_end(self.ask.service)
+        try:
+            self._send_to_helper(connection, helper)
+            outcome = await self._relay_from_helper(connection)
+        finally:
+            shared.gate.record_start(self.ask.service)
+            pool.release(connection)
+        if not isinstance(outcome, Passed):
+            self._emit_helper_failure(helper, getattr(outcome, "reason", ""))
+        return outcome
+
+    def _emit_helper_failure(
+        self, helper: messages.HelperEdge, error_text: str
+    ) -> None:
+        self.shared.helpers.record_failure(helper)
+        events.emit(
+            events.HELPER_FAILED,
+            request_id=self.call.identifier.decode("latin-1"),
+            helper=helper.front,
+            error=error_text,
+        )
+
+    def _send_to_helper(
+        self,
+        connection: httpclient.EndpointConnection,
+        helper: messages.HelperEdge,
+    ) -> None:
+        """Send the request, or what is left of its stream."""
+        resumed_stream = self.call.resumed_stream or b""
+        if self.event_frames.event_count:
+            resumed_stream = self.call.identifier
+        help_info = dialect_module.HelpInfo(
+            helper.token.encode(),
+            max(1, self.deadline_at_ms - clock.now_ms()),
+            self.event_frames.last_id,
+            resumed_stream,
+        )
+        headers = self.shared.dialect.helper_headers(self.call, help_info)
+        self._send_on(connection, headers)
+
+    async def _relay_from_helper(
+        self, connection: httpclient.EndpointConnection
+    ) -> Outcome:
+        """Relay the response of another edge, which may refuse as well."""
+        head = await connection.receive()
+        if not isinstance(head, httpclient.ResponseHead):
+            return Broken("closed without a response")
+        info = self.shared.dialect.read_answer(head)
+        refused = head.status in NOT_RUN_STATUSES and not info.is_authentic
+        if refused:
+            self.in_flight = False
+        if self.route.kind == routes.STREAM and head.status < 300:
+            return await self._relay_helped_stream(connection, head)
+        parts: list[bytes] = []
+        item = await connection.receive()
+        while isinstance(item, bytes):
+            parts.append(item)
+            item = await connection.receive()
+        if item is httpclient.ResponseEnd.BROKEN:
+            return NotRun("refused") if refused else Broken("incomplete")
+        if refused and (
+            self._may_have_run() or self.helper_count < MAX_HELPERS
+        ):
+            return NotRun("refused")
+        if self.responder.head_sent:
+            return Broken(f"status {head.status} in the middle of a stream")
+        if head.status < 300 and not info.is_authentic:
+            return Broken("successful response without a valid signature")
+        self._send_buffered(head, b"".join(parts))
+        return Passed(head.status)
+
+    async def _relay_helped_stream(
+        self,
+        connection: httpclient.EndpointConnection,
+        head: httpclient.ResponseHead,
+    ) -> Outcome:
+        """Relay a stream of another edge in whole events."""
+        item = await connection.receive()
+        while isinstance(item, bytes):
+            try:
+                complete_events = self.event_frames.feed(item)
+            except eventframes.EventTooLargeError as exc:
+                return Broken(f"event too large: {exc}")
+            if complete_events:
+                self.was_helped = True
+                self._ensure_head_sent(head)
+                await self.responder.write(complete_events)
+            item = await connection.receive()
+        if (
+            item is httpclient.ResponseEnd.COMPLETE
+            and self.event_frames.is_at_event_boundary
+        ):
+            self._ensure_head_sent(head)
+            self.responder.finish()
+            return Passed(head.status)
+        self.event_frames.prepare_resume()
+        return Broken("stream incomplete")
+
     def _emit_no_endpoint(self) -> None:
         now = clock.now_ms()
         availability = self.balancer.availability(self.ask.service, now)
@@ -578,16 +758,23 @@
         try:
             connection = await pool.acquire(now, self.deadline_at_ms - now)
         except httpclient.EndpointError as exc:
+            self.unreachable_count += 1
             self.balancer.record_unreachable(choice.endpoint, clock.now_ms())
+            self.shared.record_unreached(record.service, record.id)
             self._emit_endpoint_failure(choice, str(exc))
-            if exc.is_refused and not choice.endpoint.is_departing:
+            # A partition may refuse connections as well.
+            if (
+                exc.is_refused
+                and not choice.endpoint.is_departing
+                and not self.balancer.reachability.is_cut_off(record.service)
+            ):
                 self._report_ended(choice)
-            return NotRun("unreachable")
+            return NotRun(UNREACHABLE_REASON)
         if choice.endpoint.is_departing or self.balancer.is_replaced(
             choice.endpoint
         ):
             pool.release(connection)
-            return NotRun("unreachable")
+            return NotRun(UNREACHABLE_REASON)
         if not self.balancer.limits.take(
             choice.endpoint.incarnation, clock.now_ms()
         ):
@@ -658,21 +845,28 @@
         choice: balancer_module.Choice,
     ) -> None:
         """Send the request on a connection to the chosen endpoint."""
-        errors.require(
-            self.route.repeatable or not self._may_have_run(),
-            "a non-repeatable request must not be sent again",
-            "forward.send",
-        )
         record = choice.endpoint.record
-        now = clock.now_ms()
         sending = dialect_module.ForwardInfo(
             record.id,
-            max(1, self.deadline_at_ms - now),
+            max(1, self.deadline_at_ms - clock.now_ms()),
             self.customer,
             self.priority,
             self.event_frames.last_id,
         )
         headers = self.shared.dialect.endpoint_headers(self.call, sending)
+        self._send_on(connection, headers)
+
+    def _send_on(
+        self,
+        connection: httpclient.EndpointConnection,
+        headers: list[httpclient.Header],
+    ) -> None:
+        """Send the request with the given headers on a connection."""
+        errors.require(
+            self.route.repeatable or not self._may_have_run(),
+            "a non-repeatable request must not be sent again",
+            "forward.send",
+        )
         request = self.request
         lines = [
             b"%s %s HTTP/1.1\r\n" % (request.method.encode(), request.target)
@@ -686,7 +880,7 @@
         )
         self.attempts += 1
         self.in_flight = True
-        self.sent_at_ms = now
+        self.sent_at_ms = clock.now_ms()
         connection.send(
             b"".join(lines),
             request.body,
@@ -767,6 +961,8 @@
             with anyio.move_on_after(read_timeout_ms / 1000):
                 item = await connection.receive()
                 self.balancer.record_activity(choice.endpoint, clock.now_ms())
+                if self.balancer.reachability.failed_at:
+                    self.shared.record_reached(self.ask.service)
                 return item
             silent_ms = clock.now_ms() - choice.endpoint.last_heard_at
             endpoint_active = (
@@ -774,6 +970,10 @@
             )
             if self.route.kind == routes.STREAM and endpoint_active:
                 continue
+            if not endpoint_active:
+                self.shared.record_unreached(
+                    self.ask.service, choice.endpoint.record.id
+                )
             if self._can_fail_over():
                 return None
 
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -439,6 +439,19 @@
             connection = await connect(self.address, timeout_ms)
         return connection
 
+    async def open(self, now: int) -> EndpointConnection:
+        """Open a new connection, which may be kept for later requests.
+
+        Args:
+            now: the current time in ms.
+
+        Raises:
+            EndpointError: no connection could be opened.
+        """
+        connection = await connect(self.address, CONNECT_TIMEOUT_MS)
+        connection.idle_since_ms = now
+        return connection
+
     def release(self, connection: EndpointConnection) -> None:
         """Return a connection to the pool, or close it.
 
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1329,6 +1329,7 @@
     edges: int = 0
     leaving: bool = False
     registry: int = 0
+    helpers: tuple["HelperEdge", ...] = ()
 
 
 def _write_presence(b: Any, m: Presence) -> None:
@@ -1345,6 +1346,9 @@
     b.edges = m.edges
     b.leaving = m.leaving
     b.registry = m.registry
+    items = b.init("helpers", len(m.helpers))
+    for i, item in enumerate(m.helpers):
+        _write_helper_edge(items[i], item)
 
 
 def _read_presence(r: Any) -> Presence:
@@ -1362,6 +1366,7 @@
         r.edges,
         r.leaving,
         r.registry,
+        tuple(_read_helper_edge(x) for x in r.helpers),
     )
 
 
@@ -1408,12 +1413,16 @@
     version: int = 0
     registry: int = 0
     wall_ms: int = 0
+    helpers: tuple["HelperEdge", ...] = ()
 
 
 def _write_subscribe(b: Any, m: Subscribe) -> None:
     b.version = m.version
     b.registry = m.registry
     b.wallMs = m.wall_ms
+    items = b.init("helpers", len(m.helpers))
+    for i, item in enumerate(m.helpers):
+        _write_helper_edge(items[i], item)
 
 
 def _read_subscribe(r: Any) -> Subscribe:
@@ -1421,6 +1430,7 @@
         r.version,
         r.registry,
         r.wallMs,
+        tuple(_read_helper_edge(x) for x in r.helpers),
     )
 
 
@@ -1987,6 +1997,65 @@
     )
 
 
+class HelperEdge(NamedTuple):
+    """Message ``HelperEdge`` of the schema."""
+
+    front: str = ""
+    domain: str = ""
+    token: str = ""
+    unreachable: tuple[str, ...] = ()
+
+
+def _write_helper_edge(b: Any, m: HelperEdge) -> None:
+    b.front = m.front
+    b.domain = m.domain
+    b.token = m.token
+    b.unreachable = list(m.unreachable)
+
+
+def _read_helper_edge(r: Any) -> HelperEdge:
+    return HelperEdge(
+        r.front,
+        r.domain,
+        r.token,
+        tuple(r.unreachable),
+    )
+
+
+class HelperRequest(NamedTuple):
+    """Message ``HelperRequest`` of the schema."""
+
+    domain: str = ""
+
+
+def _write_helper_request(b: Any, m: HelperRequest) -> None:
+    b.domain = m.domain
+
+
+def _read_helper_request(r: Any) -> HelperRequest:
+    return HelperRequest(
+        r.domain,
+    )
+
+
+class HelperReply(NamedTuple):
+    """Message ``HelperReply`` of the schema."""
+
+    helpers: tuple["HelperEdge", ...] = ()
+
+
+def _write_helper_reply(b: Any, m: HelperReply) -> None:
+    items = b.init("helpers", len(m.helpers))
+    for i, item in enumerate(m.helpers):
+        _write_helper_edge(items[i], item)
+
+
+def _read_helper_reply(r: Any) -> HelperReply:
+    return HelperReply(
+        tuple(_read_helper_edge(x) for x in r.helpers),
+    )
+
+
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -2177,6 +2246,13 @@
         _write_origin_request,
         _read_origin_request,
     ),
+    HelperEdge: (_capnp.HelperEdge, _write_helper_edge, _read_helper_edge),
+    HelperRequest: (
+        _capnp.HelperRequest,
+        _write_helper_request,
+        _read_helper_request,
+    ),
+    HelperReply: (_capnp.HelperReply, _write_helper_reply, _read_helper_reply),
 }
 
 KINDS: dict[int, type] = {
@@ -2257,6 +2333,9 @@
     75: StreamOrigin,
     76: StreamOrigins,
     77: OriginRequest,
+    78: HelperEdge,
+    79: HelperRequest,
+    80: HelperReply,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -2328,6 +2407,9 @@
     "HardState",
     "Heartbeat",
     "Hello",
+    "HelperEdge",
+    "HelperReply",
+    "HelperRequest",
     "Identity",
     "KINDS",
     "LoadReport",
--- a/primrosehitch/overload.py
+++ b/primrosehitch/overload.py
@@ -51,5 +51,9 @@
         """Record the end of an admitted request."""
         self.in_flight[service] -= 1
 
+    def record_start(self, service: str) -> None:
+        """Record that an admitted request is under way here again."""
+        self.in_flight[service] += 1
+
 
 __all__ = ["AdmissionGate", "Rejection"]
--- a/primrosehitch/platform/dialect.py
+++ b/primrosehitch/platform/dialect.py
@@ -31,6 +31,8 @@
 SERVER_LEAVING = b"server-leaving"
 SERVER_LIMIT = b"server-limit"
 SERVER_LOAD = b"server-load"
+# Sent by edges to each other only.
+EDGE_TOKEN = b"edge-token"
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
@@ -44,6 +46,7 @@
 RESERVED_HEADERS = frozenset(
     (
         CREDENTIAL,
+        EDGE_TOKEN,
         TENANT,
         EXPECT_INSTANCE,
         DEADLINE_MS,
@@ -59,7 +62,7 @@
 
 
 # Headers of an engine's answer that are meant for the edges only.
-INTERNAL_HEADERS = frozenset((SERVER_LIMIT, SERVER_LOAD))
+INTERNAL_HEADERS = frozenset((SERVER_LEAVING, SERVER_LIMIT, SERVER_LOAD))
 
 
 class PlatformDialect:
@@ -83,6 +86,7 @@
             parts=_parse_prefix_parts(headers.get(PREFIX_HASH, b"")),
             prompt_tokens=prompt,
             output_tokens=output,
+            edge_token=headers.get(EDGE_TOKEN, b"").strip(),
             headers=_forwarded_headers(request.headers),
         )
 
@@ -104,6 +108,23 @@
             headers.append((REQUEST_PRIORITY, b"%d" % capped_priority))
         return headers
 
+    def helper_headers(
+        self,
+        call: dialect_module.CallInfo,
+        help_info: dialect_module.HelpInfo,
+    ) -> list[Header]:
+        """Return the headers of a request to another edge."""
+        headers = [h for h in call.headers if h[0] != RESUMES]
+        headers.append((EDGE_TOKEN, help_info.token))
+        headers.append((DEADLINE_MS, b"%d" % help_info.remaining_ms))
+        if call.key:
+            headers.append((CREDENTIAL, call.key.encode("latin-1")))
+        if help_info.last_event_id:
+            headers.append((LAST_EVENT_ID, help_info.last_event_id))
+        if help_info.resumed_stream:
+            headers.append((RESUMES, help_info.resumed_stream))
+        return headers
+
     def read_answer(
         self, head: httpclient.ResponseHead
     ) -> dialect_module.AnswerInfo:
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -439,6 +439,8 @@
   leaving @11 :Bool;
   # Digest of the sender's endpoint registry; 0 if it has none.
   registry @12 :UInt64;
+  # Some of its edges that can help others.
+  helpers @13 :List(HelperEdge);
 }
 
 # The state that a control instance sends to its subscribed edges.
@@ -458,6 +460,8 @@
   version @0 :UInt64;
   registry @1 :UInt64;
   wallMs @2 :UInt64;
+  # The sender, unless it is draining.
+  helpers @3 :List(HelperEdge);
 }
 
 # A route table with its version.
@@ -641,3 +645,22 @@
 struct OriginRequest {
   streams @0 :List(Text);
 }
+
+# An edge that forwards requests for edges which are cut off from endpoints.
+# They prove themselves to it by the token.
+struct HelperEdge {
+  front @0 :Text;
+  domain @1 :Text;
+  token @2 :Text;
+  # The services that it does not reach itself.
+  unreachable @3 :List(Text);
+}
+
+# An edge asks its control instance for edges that can help.
+struct HelperRequest {
+  domain @0 :Text;
+}
+
+struct HelperReply {
+  helpers @0 :List(HelperEdge);
+}
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -15,6 +15,7 @@
 from primrosehitch import budget
 from primrosehitch import clock
 from primrosehitch import forwarder
+from primrosehitch import helpers
 from primrosehitch import httpserver
 from primrosehitch import messages
 from primrosehitch import metering
@@ -81,6 +82,7 @@
             quarantine.Quarantine(),
             streamorigins.StreamOrigins(),
             random.Random(1),
+            helpers.HelperDirectory("", "za", random.Random(1)),
         )
         self.forwarder.table = table
         self.server = httpserver.Server(self.forwarder.serve, table.limits)
--- a/tests/test_cut_edges.py
+++ b/tests/test_cut_edges.py
@@ -4,6 +4,8 @@
 bound on what it serves is the one of the users' pages.
 """
 
+import contextlib
+
 import anyio
 import instances
 import pytest
@@ -40,6 +42,11 @@
             # What is sent on a kept connection gets no answer.
             self.kept -= 1
             return await httpclient.connect(self.cut.sink, timeout_ms)
+        return await self.open(now, timeout_ms)
+
+    async def open(self, now, timeout_ms=httpclient.CONNECT_TIMEOUT_MS):
+        if not self.cut.active:
+            return await super().open(now)
         if self.cut.mode == "hang":
             await anyio.sleep(
                 min(timeout_ms, httpclient.CONNECT_TIMEOUT_MS) / 1000
@@ -122,6 +129,19 @@
                 for e in self.fleet.edges.values()
             )
         )
+        await instances.wait_until(
+            lambda: all(
+                len(self.known_helpers(control)) == len(self.fleet.edges)
+                for control in self.fleet.controls.values()
+            )
+        )
+
+    def known_helpers(self, control):
+        """Return the addresses of the edges that can help."""
+        known = control._own_helpers()
+        for presence in control.peers.alive_presences(routed.clock.now_ms()):
+            known += presence.helpers
+        return {helper.front for helper in known}
 
     async def cut(self, edge, mode):
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -129,8 +149,11 @@
 
         async def sink(stream):
             async with stream:
-                while await stream.receive():
-                    pass
+                with contextlib.suppress(
+                    anyio.EndOfStream, anyio.BrokenResourceError
+                ):
+                    while True:
+                        await stream.receive()
 
         self.fleet.group.start_soon(listener.serve, sink)
         address = instances.settings.Address("127.0.0.1", port)
@@ -193,3 +216,231 @@
             assert served >= SERVED_SHARE * len(answers)
 
     instances.run_test(body)
+
+
+def test_request_that_runs_once_runs_once_while_an_edge_is_cut_off(tmp_path):
+    """Pattern: bookings while a partition begins and ends, twice."""
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start()
+            answers = {}
+
+            async def book(number):
+                request = routed.request("/once/x", identifier=f"b{number}")
+                answers[f"b{number}"] = await fleet.call(CUT, request)
+
+            async with anyio.create_task_group() as group:
+                for number in range(160):
+                    if number == 10:
+                        await fleet.cut(CUT, "hang")
+                    elif number == 90:
+                        fleet.cuts[CUT].active = False
+                    group.start_soon(book, number)
+                    await anyio.sleep(0.03)
+            runs = fleet.runs()
+            assert max(runs.values()) == 1
+            for identifier, (status, *_) in answers.items():
+                assert status != 503 or identifier not in runs
+
+    instances.run_test(body)
+
+
+def test_stream_goes_on_at_another_edge(tmp_path):
+    """The caller gets each event once, in one answer."""
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start(("paced_stream",), events=20)
+            answers = []
+
+            async def stream():
+                request = routed.request("/resume/x", identifier="s1")
+                answers.append(await fleet.call(CUT, request))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(stream)
+                await anyio.sleep(0.3)
+                await fleet.cut(CUT, "refused")
+                # The engine that serves the stream ends with it.
+                for engine in fleet.engines:
+                    if engine.seen:
+                        engine.crash.set()
+            ((status, _, received, whole),) = answers
+            assert status == 200 and whole
+            ids = [line for line in received.split(b"\n") if b"id:" in line]
+            assert ids == [b"id: %d" % n for n in range(1, 21)]
+
+    instances.run_test(body)
+
+
+def test_stream_is_cut_where_no_other_edge_can_go_on(tmp_path):
+    """The refusal of the other edge must not follow the stream's events."""
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start(("paced_stream",), events=20)
+            answers = []
+
+            async def stream():
+                request = routed.request("/resume/x", identifier="s1")
+                answers.append(await fleet.call(CUT, request))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(stream)
+                await anyio.sleep(0.3)
+                for edge in EDGES:
+                    await fleet.cut(edge, "refused")
+                for engine in fleet.engines:
+                    engine.crash.set()
+            ((status, _, received, whole),) = answers
+            assert status == 200 and not whole
+            assert received and b"HTTP/1.1" not in received
+
+    instances.run_test(body)
+
+
+def test_cut_edge_serves_by_itself_once_the_partition_ends(tmp_path):
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start()
+            edge = running.edges[CUT]
+            await fleet.cut(CUT, "hang")
+            await fleet.press(CUT, "/a/x", 2)
+            assert edge.balancer.reachability.is_cut_off("svc")
+            fleet.cuts[CUT].active = False
+            await instances.wait_until(
+                lambda: not edge.balancer.reachability.cut_since, 2
+            )
+            before = edge.meter.totals.copy()
+            answers = await fleet.press(CUT, "/a/x", 0.5)
+            assert {a[0] for a in answers} == {200}
+            assert edge.meter.totals != before
+
+    instances.run_test(body)
+
+
+def test_helped_requests_are_counted_once(tmp_path):
+    """For the customer's usage, the retry budget and the demand."""
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start(("slow",))
+            await fleet.cut(CUT, "refused")
+            await fleet.press(CUT, "/a/x", 0.2)
+            edges = running.edges.values()
+
+            def usage():
+                return sum(
+                    sum(counts.values())
+                    for edge in edges
+                    for counts in edge.meter.totals.values()
+                )
+
+            counted = usage()
+            demands = []
+
+            async def observe():
+                for _ in range(70):
+                    await anyio.sleep(0.02)
+                    demands.append(
+                        sum(
+                            edge.forwarder.gate.in_flight.get("svc", 0)
+                            for edge in edges
+                        )
+                    )
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(observe)
+                answers = [
+                    await fleet.call(
+                        CUT, routed.request("/a/x", identifier=f"u{number}")
+                    )
+                    for number in range(3)
+                ]
+            assert [a[0] for a in answers] == [200] * 3
+            assert usage() == counted + 3
+            assert max(demands) == 1 and demands[-1] == 0
+
+    instances.run_test(body)
+
+
+def test_caller_that_leaves_a_cut_edge_stops_the_engine(tmp_path):
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start(("silent",))
+            await fleet.cut(CUT, "refused")
+            with anyio.move_on_after(0.4):
+                await fleet.call(CUT, routed.request("/once/x"))
+            assert sum(fleet.runs().values()) == 1
+            await instances.wait_until(
+                lambda: sum(e.cancelled for e in fleet.engines) == 1, 0.5
+            )
+
+    instances.run_test(body)
+
+
+@pytest.mark.parametrize("mode", ["hang", "refused"])
+def test_requests_are_refused_where_no_edge_reaches_an_endpoint(
+    tmp_path, mode
+):
+    """They go to no third edge, and are said not to have run."""
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start()
+            for edge in EDGES:
+                await fleet.cut(edge, mode)
+            await fleet.press(CUT, "/once/x", CONTACT_S)
+            answers = await fleet.press(CUT, "/once/x", 1)
+            assert {a[0] for a in answers} <= {503, 504}
+            assert not fleet.runs()
+
+    instances.run_test(body)
+
+
+def test_caller_cannot_pass_for_an_edge(tmp_path):
+    """A token that the edge did not choose means nothing."""
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start()
+            await fleet.cut(CUT, "refused")
+            requests = [
+                routed.request("/a/x", Edge_Token=token)
+                for token in (
+                    "0" * 32,
+                    running.edges[HELPER].forwarder.edge_token,
+                )
+            ]
+            for request in requests:
+                assert (await fleet.call(CUT, request))[0] == 200
+            for engine in fleet.engines:
+                for seen in engine.seen:
+                    assert "edge-token" not in seen.headers
+
+    instances.run_test(body)
+
+
+def test_draining_edge_is_no_helper(tmp_path):
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start()
+            await fleet.cut(CUT, "refused")
+            running.stops[HELPER].set()
+            await anyio.sleep(0.6)
+            answers = await fleet.press(CUT, "/once/x", 1)
+            assert {a[0] for a in answers} == {200}
+            served = running.edges[OTHER].meter.totals
+            assert sum(sum(c.values()) for c in served.values()) >= 20
+
+    instances.run_test(body)
