Serve requests that wait at an edge in order of their tier

Urgent requests waited or got nothing while less urgent ones ran, on real processes (report of TIER, without logs). Cause: where an edge's connections to the endpoints are all in use, its requests waited without an order, each asking again every 50 ms; arrivals overtook them all. Change: one line for each service, by tier and time of arrival; an arrival that is no more urgent joins it, and the end of a request wakes it. That this was the cause of the report is not proved.

--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -25,6 +25,7 @@
 from primrosehitch import settings as settings_module
 from primrosehitch import streamorigins
 from primrosehitch import truetime as truetime_module
+from primrosehitch import waiting
 from primrosehitch.forwarding import ForwardedRequest
 from primrosehitch.forwarding import Refused
 from primrosehitch.forwarding import send_local_reply
@@ -58,6 +59,7 @@
         pools: connection pools by endpoint address.
         active: the requests under way.
         ended: whether ``end_requests`` was called.
+        waiting: the requests that wait for an endpoint.
         edge_token: by which requests of other edges are known.
     """
 
@@ -90,6 +92,7 @@
         self.active: set[ForwardedRequest] = set()
         self.ended = False
         self.helpers = helpers
+        self.waiting = waiting.WaitingLine()
         self.edge_token = helpers_module.make_token()
 
     async def serve(
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -32,6 +32,7 @@
 from primrosehitch import routes
 from primrosehitch import streamorigins
 from primrosehitch import truetime as truetime_module
+from primrosehitch import waiting
 
 # Responses up to this size are buffered, so that the request can be
 # retried when one breaks off; larger ones are relayed as they arrive.
@@ -201,6 +202,7 @@
     rng: random.Random
     routing_changed: anyio.Event
     helpers: helpers_module.HelperDirectory
+    waiting: waiting.WaitingLine
 
     def is_from_edge(self, call: dialect_module.CallInfo) -> bool:
         """Return whether another edge sends a request for its caller."""
@@ -211,6 +213,9 @@
     def record_reached(self, service: str) -> None:
         """Record that an endpoint was heard, or a connection to it opened."""
 
+    def notify_routing_change(self) -> None:
+        """Wake the requests that wait for a route table or an endpoint."""
+
     def connection_pool(self, address: str) -> httpclient.ConnectionPool:
         """Return the connection pool of an endpoint's address."""
 
@@ -417,7 +422,11 @@
             if self.was_helped:
                 return self._respond_with_failure(Broken("no helper"))
             now = clock.now_ms()
-            choice = self.balancer.choose(self.ask, self.tried_endpoints, now)
+            choice = None
+            if self.tried_endpoints or not self._has_to_wait():
+                choice = self.balancer.choose(
+                    self.ask, self.tried_endpoints, now
+                )
             if choice is None and not self.tried_endpoints:
                 choice = await self._wait_for_endpoint()
             if choice is None:
@@ -592,8 +601,24 @@
             **availability._asdict(),
         )
 
+    def _has_to_wait(self) -> bool:
+        """Return whether a request that is no less urgent waits already."""
+        return self.shared.waiting.is_waited_for(self._line(), self.priority)
+
+    def _line(self) -> str:
+        """Return the line in which the request waits.
+
+        One that is bound to a version keeps no other from an endpoint.
+        """
+        if self.ask.version is None:
+            return self.ask.service
+        return f"{self.ask.service} {self.ask.version}"
+
     async def _wait_for_endpoint(self) -> balancer_module.Choice | None:
-        """Wait until an endpoint is available; return None on timeout."""
+        """Wait until an endpoint is available; return None on timeout.
+
+        The most urgent request gets it, and its choice wakes the next one.
+        """
         wait_ms = min(
             ENDPOINT_WAIT_FRACTION * (self.deadline_at_ms - clock.now_ms()),
             max(self.route.objective_ms, MIN_ENDPOINT_WAIT_MS),
@@ -603,11 +628,20 @@
         if available_at - now > wait_ms:
             return None
         choice = None
-        with anyio.move_on_after(wait_ms / 1000):
-            while choice is None:
-                with anyio.move_on_after(ENDPOINT_POLL_INTERVAL_S):
-                    await self.shared.routing_changed.wait()
-                choice = self.balancer.choose(self.ask, (), clock.now_ms())
+        line = self.shared.waiting
+        ticket = line.join(self._line(), self.priority)
+        try:
+            with anyio.move_on_after(wait_ms / 1000):
+                while choice is None:
+                    with anyio.move_on_after(ENDPOINT_POLL_INTERVAL_S):
+                        await self.shared.routing_changed.wait()
+                    if not line.is_behind(self._line(), ticket):
+                        choice = self.balancer.choose(
+                            self.ask, (), clock.now_ms()
+                        )
+        finally:
+            line.leave(self._line(), ticket)
+            self.shared.notify_routing_change()
         return choice
 
     def _acquire_retry(self, outcome: Outcome) -> bool:
@@ -794,6 +828,8 @@
                 self._report_abandoned(choice)
             self.balancer.record_finish(choice, self.ask, response_began[0])
             pool.release(connection)
+            if self.shared.waiting.tickets:
+                self.shared.notify_routing_change()
 
     def _report_answering(self, choice: balancer_module.Choice) -> None:
         """Report that the endpoint, and no other at its address, answers."""
