Fault soak: two software versions, and callers that resume streams

Change: two versions serve, and a slot changes its version with every second process; callers resume streams that broke off with their next request; no stream may hold events of two versions. The soak's engines answer 421 to a request that names another process, as the platform's do.

--- a/primrosehitch_lab/fault_callers.py
+++ b/primrosehitch_lab/fault_callers.py
@@ -12,12 +12,17 @@
 
 TIMEOUT_S = 2.0
 ANSWER_LIMIT_S = 8.0
-PATHS = ("/a/x", "/once/x", "/resume/x")
+RESUMED_PATH = "/resume/x"
+PATHS = ("/a/x", "/once/x", RESUMED_PATH)
 # Share of new connections that ignore readiness, as those of a balancer
 # that has not noticed a drain yet. They go to an edge until its end.
 UNAWARE_SHARE = 0.3
 
 
+# The attempt that began a stream, and the events that the caller has of it.
+Resumption = tuple[str, int]
+
+
 class Callers:
     """All callers of a soak.
 
@@ -38,6 +43,7 @@
         self.now = now
         self.requests = 0
         self.ready: set[str] = set()
+        self.resumptions: dict[int, Resumption] = {}
 
     async def watch_ready(self) -> None:
         """Keep the edges that say they are ready, as a balancer does."""
@@ -72,17 +78,39 @@
                 continue
             async with stream:
                 caller = platform_caller.Caller(stream)
-                while await self._try(caller, edge, rng.choice(PATHS)):
+                resumption = self.resumptions.pop(number, None)
+                while await self._try(
+                    caller, edge, rng.choice(PATHS), number, resumption
+                ):
+                    resumption = None
                     await anyio.sleep(rng.uniform(0.01, 0.08))
 
     async def _try(
-        self, caller: platform_caller.Caller, edge: str, path: str
+        self,
+        caller: platform_caller.Caller,
+        edge: str,
+        path: str,
+        number: int,
+        resumption: Resumption | None,
     ) -> bool:
-        """Send a request; return whether the connection goes on."""
+        """Send a request; return whether the connection goes on.
+
+        A stream that breaks off is resumed by the caller's next request.
+        """
         self.requests += 1
         identifier = f"{self.requests:016x}"
         method = "POST" if path.startswith("/once/") else "GET"
-        data = platform_caller.request(path, method, b"", identifier)
+        stream, events_before = resumption or (identifier, 0)
+        headers = {}
+        if resumption is not None:
+            path, method = RESUMED_PATH, "GET"
+            headers = {
+                "Resumes": stream,
+                "Last_Event_Id": str(events_before),
+            }
+        data = platform_caller.request(
+            path, method, b"", identifier, **headers
+        )
         begin = self.now()
         status, headers, body, whole = 0, {}, b"", False
         try:
@@ -101,8 +129,13 @@
             body,
             whole,
             TIMEOUT_S,
+            stream,
+            events_before,
         )
         self.ledger.tries.append(item)
+        events = body.count(b"\n\n") if status == 200 else 0
+        if path == RESUMED_PATH and events and not whole:
+            self.resumptions[number] = (stream, events_before + events)
         return whole and headers.get("connection", "").lower() != "close"
 
     async def ask(self, edge: str, path: str) -> int | None:
--- a/primrosehitch_lab/fault_engines.py
+++ b/primrosehitch_lab/fault_engines.py
@@ -35,16 +35,21 @@
         slot: "EngineSlot",
         group: anyio.abc.TaskGroup,
     ):
-        super().__init__(["by_path"], fault_ledger.STREAM_EVENTS)
+        super().__init__(
+            ["by_path"], fault_ledger.STREAM_EVENTS, version=slot.version
+        )
         self.ledger = ledger
         self.now = now
         self.name = slot.identifier
         self.slot = slot
+        self.first_born = slot.born
         self.group = group
 
     async def _play_by_path(self, stream, seen) -> bool:
         path = seen.line.split()[1]
         identifier = seen.headers["request-id"]
+        if not self._is_expected(seen):
+            return await self._play_elsewhere(stream, seen)
         run = fault_ledger.Run(identifier, path, self.name, self.now())
         self.ledger.note_run(run)
         self.limit = self.slot.limit
@@ -61,10 +66,22 @@
             stream, b"200 OK", headers, identifier.encode()
         )
 
+    def _is_expected(self, seen: platform_engine.Seen) -> bool:
+        """Return whether the request is for this process.
+
+        A drain gives it a new name, and it answers to the earlier ones.
+        """
+        _, _, born = seen.headers["expect-instance"].rpartition("-")
+        return self.first_born <= int(born) <= self.slot.born
+
     async def _event(self, stream, seen, number: int) -> None:
         await anyio.sleep(EVENT_GAP_S)
         identifier = seen.headers["request-id"].encode()
-        event = b"id: %d\ndata: %s\n\n" % (number, identifier)
+        event = b"id: %d\ndata: %s %s\n\n" % (
+            number,
+            identifier,
+            self.version.encode(),
+        )
         await self._chunk(stream, event)
 
 
@@ -81,6 +98,9 @@
         number: which one.
 
     Attributes:
+        starts: how often an engine process has started; a drain renames one.
+        version: the software version of the process that serves. Two serve
+            side by side, and it changes with every second start.
         limit: the limit that its engines name, if not empty.
         on_crashing_request: handles a request that crashes its engine.
     """
@@ -95,11 +115,14 @@
         self.fleet = fleet
         self.ledger = ledger
         self.now = now
+        self.number = number
         self.name = f"engine-{number}"
         self.proxy = fault_proxy.FaultProxy()
         self.state = "ready"
         self.is_heard = True
         self.born = 0
+        self.starts = 0
+        self.version = ""
         self.sequence = 0
         self.scope: anyio.CancelScope | None = None
         self.limit = ""
@@ -116,6 +139,8 @@
             group.start_soon(self._announce)
             while True:
                 self.born += 1
+                self.starts += 1
+                self.version = f"v{(self.number + self.starts // 2) % 2}"
                 self.sequence = 0
                 with anyio.CancelScope() as scope:
                     self.scope = scope
@@ -152,6 +177,7 @@
                 "state": self.state,
                 "seq": self.sequence,
                 "born": self.born,
+                "version": self.version,
             }
             path = f"/-/Instances.Heartbeat/{self.identifier}"
             await self.fleet.control_call("POST", path, report)
--- a/primrosehitch_lab/fault_ledger.py
+++ b/primrosehitch_lab/fault_ledger.py
@@ -4,6 +4,7 @@
 Pure. Times are in seconds since the soak began.
 """
 
+import re
 from typing import NamedTuple
 
 # Statuses that promise that a request has not run and never will.
@@ -27,6 +28,9 @@
 MAX_LATE_SENDS = 3
 
 
+_EVENT_VERSION = re.compile(rb"data: \S+ (v\d)$", re.MULTILINE)
+
+
 class Fault(NamedTuple):
     """Something that was done to a process, an endpoint or its path.
 
@@ -48,6 +52,9 @@
         status: of the answer, 0 where the connection ended before it.
         whole: whether the answer was complete.
         timeout_s: the route's.
+        stream: the attempt that began the stream which it resumes, or its
+            own identifier.
+        events_before: events of that stream that the caller had.
     """
 
     identifier: str
@@ -59,6 +66,8 @@
     body: bytes
     whole: bool
     timeout_s: float
+    stream: str = ""
+    events_before: int = 0
 
 
 class Run(NamedTuple):
@@ -181,6 +190,7 @@
         for slot, since in self.limited_since.items():
             self._check_limit(slot, since)
         self._check_crashes()
+        self._check_versions()
         return self.findings
 
     def _check_limit(self, slot: str, since: float) -> None:
@@ -263,10 +273,14 @@
     def _check_stream(self, item: Try) -> None:
         if not item.path.startswith("/resume/") or item.status != 200:
             return
-        events = [e for e in item.body.split(b"\n\n") if b"\ndata: " in e]
+        events = [
+            e.rpartition(b" v")[0]
+            for e in item.body.split(b"\n\n")
+            if _EVENT_VERSION.search(e)
+        ]
         wanted = [
             b"id: %d\ndata: %s" % (n, item.identifier.encode())
-            for n in range(1, STREAM_EVENTS + 1)
+            for n in range(item.events_before + 1, STREAM_EVENTS + 1)
         ]
         count = len(wanted) if item.whole else min(len(events), len(wanted))
         if not item.whole and events and events[-1] != wanted[count - 1]:
@@ -275,6 +289,17 @@
         if events != wanted[:count]:
             self._find(f"{item.identifier} got {len(events)} events, torn")
 
+    def _check_versions(self) -> None:
+        """A stream holds events of one software version of endpoints."""
+        versions: dict[str, set[bytes]] = {}
+        for item in self.tries:
+            if item.path.startswith("/resume/") and item.status == 200:
+                found = versions.setdefault(item.stream, set())
+                found.update(_EVENT_VERSION.findall(item.body))
+        for stream, found in versions.items():
+            if len(found) > 1:
+                self._find(f"{stream} was joined from {sorted(found)}")
+
     def _check_cut(self, item: Try) -> None:
         """Nothing is cut while only planned work goes on."""
         cut = not item.status or not item.whole
