Check and bound what another edge answers

Cause: read in the diff; a stream of another edge was relayed without its signature being looked at, and a large answer was held in memory whole. Change: a success of another edge without a signature is broken, as from an endpoint; answers over 1 MiB are relayed as they arrive.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -541,12 +541,22 @@
         refused = head.status in NOT_RUN_STATUSES and not info.is_authentic
         if refused:
             self.in_flight = False
+        if head.status < 300 and not info.is_authentic:
+            return Broken("successful response without a valid signature")
         if self.route.kind == routes.STREAM and head.status < 300:
             return await self._relay_helped_stream(connection, head)
         parts: list[bytes] = []
+        size = 0
         item = await connection.receive()
         while isinstance(item, bytes):
             parts.append(item)
+            size += len(item)
+            if (
+                size > MAX_BUFFERED_RESPONSE_BYTES
+                and not self.responder.head_sent
+            ):
+                await self._relay_unbuffered(connection, head, parts)
+                return Passed(head.status)
             item = await connection.receive()
         if item is httpclient.ResponseEnd.BROKEN:
             return NotRun("refused") if refused else Broken("incomplete")
@@ -556,8 +566,6 @@
             return NotRun("refused")
         if self.responder.head_sent:
             return Broken(f"status {head.status} in the middle of a stream")
-        if head.status < 300 and not info.is_authentic:
-            return Broken("successful response without a valid signature")
         self._send_buffered(head, b"".join(parts))
         return Passed(head.status)
 
@@ -1188,9 +1196,13 @@
             parts.append(item)
             size += len(item)
             if size > MAX_BUFFERED_RESPONSE_BYTES:
-                return await self._relay_unbuffered(
-                    connection, choice, head, parts
-                )
+                ending = await self._relay_unbuffered(connection, head, parts)
+                if ending is httpclient.ResponseEnd.BROKEN:
+                    self._report_crash(choice)
+                    self._record_broken(choice, "large response incomplete")
+                else:
+                    self._report_sound()
+                return Passed(head.status)
             item = await connection.receive()
         if item is httpclient.ResponseEnd.BROKEN:
             self._report_crash(choice)
@@ -1218,15 +1230,13 @@
     async def _relay_unbuffered(
         self,
         connection: httpclient.EndpointConnection,
-        choice: balancer_module.Choice,
         head: httpclient.ResponseHead,
         parts: list[bytes],
-    ) -> Outcome:
-        """Relay a response that is too large to buffer.
+    ) -> httpclient.ResponseEnd:
+        """Relay a response that is too large to buffer; return its end.
 
         Args:
             connection: where the rest of the body comes from.
-            choice: the endpoint.
             head: the head of the response.
             parts: the part of the body received so far.
         """
@@ -1238,13 +1248,10 @@
             await self.responder.write(item)
             item = await connection.receive()
         if item is httpclient.ResponseEnd.BROKEN:
-            self._report_crash(choice)
-            self._record_broken(choice, "large response incomplete")
             self.responder.abort()
-            return Passed(head.status)
-        self.responder.finish()
-        self._report_sound()
-        return Passed(head.status)
+        else:
+            self.responder.finish()
+        return item
 
     async def _relay_stream(
         self,
