Write no second answer into a stream that has begun

Callers could get the bytes of a whole answer in the middle of a stream: a resumed attempt that the endpoint answered with a status below 500, such as 404, was passed on although the head of the stream had been sent. Change: such an attempt counts as broken, and the stream is cut. Result: test_no_other_answer_follows_in_the_middle_of_a_stream fails before and passes now.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -1209,6 +1209,9 @@
             return self._record_broken(choice, "response incomplete")
         body = b"".join(parts)
         self._report_sound()
+        if self.responder.head_sent:
+            error_text = f"status {head.status} in the middle of a stream"
+            return self._record_broken(choice, error_text)
         if head.status >= 500:
             self.balancer.record_error_answer(choice.endpoint)
             return Failed(head, body)
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -184,6 +184,10 @@
         headers = self._echo(seen) + STAMP
         return await self._answer(stream, b"500 Oops", headers, b"bad")
 
+    async def _play_unknown(self, stream, seen: Seen) -> bool:
+        headers = self._echo(seen) + STAMP
+        return await self._answer(stream, b"404 Not Found", headers, b"no")
+
     async def _play_full(self, stream, seen: Seen) -> bool:
         headers = self._echo(seen) + b"Not-Run: 1\r\n"
         return await self._answer(stream, b"503 Full", headers, b"")
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -313,6 +313,22 @@
     run(body)
 
 
+def test_no_other_answer_follows_in_the_middle_of_a_stream():
+    """The engine that is to go on answers with a failure of its own."""
+
+    async def body():
+        failing, other = Engine(["torn_event"]), Engine(["unknown"])
+        async with routed.running_edge(failing, other) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            response = await routed.send_request(
+                edge, routed.request("/resume/x")
+            )
+            assert not response[3] and b"HTTP/1.1" not in response[2]
+            assert len(other.seen) == 1
+
+    run(body)
+
+
 def test_caller_resumes_a_stream():
     async def body():
         engine = Engine(["stream"])
