Mutants of stream versions and of the waiting line

Cause: new mechanisms had no mutants. Change: seven mutants; a stricter test of who has to wait. Result: six killed at once; 'arrivals do not overtake those who wait' lived and is killed by the stricter test.

--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -92,4 +92,7 @@
             tickets.sort()
         free = [t for t in tickets if not line.is_behind("svc", t)]
         assert free == tickets[:1]
+        for arriving in range(4):
+            waits = any(ticket.tier <= arriving for ticket in tickets)
+            assert line.is_waited_for("svc", arriving) == waits
     assert not line.is_behind("other", waiting.Ticket(3, 0))
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -710,6 +710,62 @@
         "        )",
         "tests/test_scaling.py",
     ),
+    Mutant(
+        "a stream goes on at its software version only",
+        "balancer.py",
+        "            and version in (None, e.record.version)\n",
+        "",
+        "tests/test_stream_versions.py"
+        "::test_failover_keeps_the_version_of_a_stream",
+    ),
+    Mutant(
+        "a stream of unknown version is refused",
+        "forwarding.py",
+        "        if origin is None or origin.service not in services:\n"
+        "            return False",
+        "        if origin is None or origin.service not in services:\n"
+        "            return True",
+        "tests/test_stream_versions.py"
+        "::test_stream_of_unknown_version_is_refused_as_not_run",
+    ),
+    Mutant(
+        "the customer is a part of a stream's key",
+        "streamorigins.py",
+        '    hasher.update(customer.encode() + b"\\0" + attempt)',
+        "    hasher.update(attempt)",
+        "tests/test_stream_versions.py"
+        "::test_stream_of_unknown_version_is_refused_as_not_run",
+    ),
+    Mutant(
+        "an identifier of two versions has no origin",
+        "streamorigins.py",
+        "            origin = AMBIGUOUS\n",
+        "            pass\n",
+        "tests/test_stream_versions.py"
+        "::test_identifier_used_for_two_versions_has_no_origin",
+    ),
+    Mutant(
+        "no second answer follows in a stream",
+        "forwarding.py",
+        "        self._report_sound()\n        if self.responder.head_sent:",
+        "        self._report_sound()\n        if False:",
+        "tests/test_forwarder.py"
+        "::test_no_other_answer_follows_in_the_middle_of_a_stream",
+    ),
+    Mutant(
+        "the more urgent request gets an endpoint first",
+        "waiting.py",
+        "        ticket = Ticket(tier, next(self.numbers))",
+        "        ticket = Ticket(0, next(self.numbers))",
+        "tests/test_waiting.py",
+    ),
+    Mutant(
+        "arrivals do not overtake those who wait",
+        "waiting.py",
+        "        return bool(line) and line[0].tier <= tier",
+        "        return False",
+        "tests/test_waiting.py",
+    ),
 ]
 
 
