--- a/tests/test_assertions.py
+++ b/tests/test_assertions.py
@@ -29,7 +29,7 @@
 @pytest.mark.parametrize("state", [(True, False), (False, True)])
 def test_non_repeatable_request_is_never_resent(state):
     with pytest.raises(errors.InvariantError, match="sent again"):
-        _make_forwarding(False, *state)._send_request(None, None)
+        _make_forwarding(False, *state)._send_on(None, [])
 
 
 @pytest.mark.parametrize("status", [408, 421, 429, 503])
