--- a/primrosehitch_lab/fault_ledger.py
+++ b/primrosehitch_lab/fault_ledger.py
@@ -28,6 +28,7 @@
 MAX_LATE_SENDS = 3
 
 
+_VERSION_AT_END = re.compile(rb" v\d$")
 _EVENT_VERSION = re.compile(rb"data: \S+ (v\d)$", re.MULTILINE)
 
 
@@ -274,9 +275,9 @@
         if not item.path.startswith("/resume/") or item.status != 200:
             return
         events = [
-            e.rpartition(b" v")[0]
+            _VERSION_AT_END.sub(b"", e)
             for e in item.body.split(b"\n\n")
-            if _EVENT_VERSION.search(e)
+            if b"\ndata: " in e
         ]
         wanted = [
             b"id: %d\ndata: %s" % (n, item.identifier.encode())
