Wait for a stream's origin longer than a control instance may be mute

Callers who resumed a stream at an edge whose control instance had just ended were refused as unknown, although the other instances knew the origin. Cause: the edge asked for 0.6 s, or 0.3 of the time left, while it takes 0.7 s to leave a control instance that does not answer. Change: 1.2 s, and half of the time left.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -78,9 +78,10 @@
 # known, or whose service the route no longer has.
 UNKNOWN_STREAM_REASON = "unknown-stream"
 # How long a request waits to learn which version began the stream that it
-# resumes, and at most which fraction of its time.
-ORIGIN_WAIT_S = 0.6
-ORIGIN_WAIT_FRACTION = 0.3
+# resumes, and at most which fraction of its time. An edge takes 0.7 s to leave
+# a control instance that does not answer.
+ORIGIN_WAIT_S = 1.2
+ORIGIN_WAIT_FRACTION = 0.5
 # Outcome of an attempt for which the endpoint's limit left no permit.
 RATE_LIMITED_REASON = "rate-limited"
 # Outcome of an attempt at which no connection opened.
