Read the bodies of endpoints and of other edges in one place

Change: _read_body serves both, and keeps nothing once a stream has begun. The hole itself has no test.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -546,20 +546,10 @@
             return Broken("successful response without a valid signature")
         if self.route.kind == routes.STREAM and head.status < 300:
             return await self._relay_helped_stream(connection, head)
-        parts: list[bytes] = []
-        size = 0
-        item = await connection.receive()
-        while isinstance(item, bytes):
-            parts.append(item)
-            size += len(item)
-            if (
-                size > MAX_BUFFERED_RESPONSE_BYTES
-                and not self.responder.head_sent
-            ):
-                await self._relay_unbuffered(connection, head, parts)
-                return Passed(head.status)
-            item = await connection.receive()
-        if item is httpclient.ResponseEnd.BROKEN:
+        body, ending = await self._read_body(connection, head)
+        if body is None:
+            return Passed(head.status)
+        if ending is httpclient.ResponseEnd.BROKEN:
             return NotRun("refused") if refused else Broken("incomplete")
         if refused and (
             self._may_have_run() or self.helper_count < MAX_HELPERS
@@ -567,7 +557,7 @@
             return NotRun("refused")
         if self.responder.head_sent:
             return Broken(f"status {head.status} in the middle of a stream")
-        self._send_buffered(head, b"".join(parts))
+        self._send_buffered(head, body)
         return Passed(head.status)
 
     async def _relay_helped_stream(
@@ -1190,25 +1180,14 @@
     ) -> Outcome:
         """Buffer a response and relay it once it is complete."""
         self._record_first_byte(choice, response_began, self.sent_at_ms)
-        parts: list[bytes] = []
-        size = 0
-        item = await connection.receive()
-        while isinstance(item, bytes):
-            parts.append(item)
-            size += len(item)
-            if size > MAX_BUFFERED_RESPONSE_BYTES:
-                ending = await self._relay_unbuffered(connection, head, parts)
-                if ending is httpclient.ResponseEnd.BROKEN:
-                    self._report_crash(choice)
-                    self._record_broken(choice, "large response incomplete")
-                else:
-                    self._report_sound()
-                return Passed(head.status)
-            item = await connection.receive()
-        if item is httpclient.ResponseEnd.BROKEN:
+        body, ending = await self._read_body(connection, head)
+        if ending is httpclient.ResponseEnd.BROKEN:
             self._report_crash(choice)
-            return self._record_broken(choice, "response incomplete")
-        body = b"".join(parts)
+            broken = self._record_broken(choice, "response incomplete")
+            return broken if body is not None else Passed(head.status)
+        if body is None:
+            self._report_sound()
+            return Passed(head.status)
         self._report_sound()
         if self.responder.head_sent:
             error_text = f"status {head.status} in the middle of a stream"
@@ -1219,6 +1198,30 @@
         self._send_buffered(head, body)
         return Passed(head.status)
 
+    async def _read_body(
+        self,
+        connection: httpclient.EndpointConnection,
+        head: httpclient.ResponseHead,
+    ) -> tuple[bytes | None, Any]:
+        """Read the body of a response, and how the response ended.
+
+        A large one is relayed as it arrives, and the body is then None. In
+        the middle of a stream no other response is sent, nor kept.
+        """
+        parts: list[bytes] = []
+        size = 0
+        item = await connection.receive()
+        while isinstance(item, bytes):
+            if not self.responder.head_sent:
+                parts.append(item)
+                size += len(item)
+            if size > MAX_BUFFERED_RESPONSE_BYTES:
+                return None, await self._relay_unbuffered(
+                    connection, head, parts
+                )
+            item = await connection.receive()
+        return b"".join(parts), item
+
     def _send_buffered(
         self, head: httpclient.ResponseHead, body: bytes
     ) -> None:
