--- a/review/fleet.py
+++ b/review/fleet.py
@@ -538,7 +538,7 @@
         held = asyncio.run(limited())
         code = 0 if held else 1
         record.note("the rule held" if held else "the rule was broken")
-    except (CannotRun, TimeoutError) as exc:
+    except Exception as exc:
         record.note(f"the case could not run: {exc!r}")
     record.write()
     print(record.lines[-1].strip())
