Refuse heartbeats that no message of ours can carry

Cause: json.loads reads such bytes as surrogates, the registry kept the record, and a task that sends it to the other instances ended its process when encoding it raised. Whole numbers beyond the schema's integers did the same, and an address that no resolver takes made connecting raise.

Change: one strict reader for JSON from outside (jsontext); bounded integers and IP addresses where fields are decoded; a record enters the registry only if it can be encoded; links drop a message that cannot be encoded, with a log line, and the loops that handle messages contain the failure of one. Violated invariants still end the process.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -16,6 +16,7 @@
 
 from primrosehitch import balancer
 from primrosehitch import clock
+from primrosehitch import containment
 from primrosehitch import endpointlimits
 from primrosehitch import errors
 from primrosehitch import events
@@ -331,7 +332,13 @@
         return None
 
     def record_heartbeat(self, record: messages.EndpointRecord) -> None:
-        """Store an endpoint's record from its heartbeat to this instance."""
+        """Store an endpoint's record from its heartbeat to this instance.
+
+        Raises:
+            MessageError: the record holds a value that no message carries.
+        """
+        # A record that is known is sent to other instances again and again.
+        messages.encode(record)
         self.refreshed_ids.add(record.id)
         change = self.registry.apply_record(record, clock.now_ms())
         if change is not None:
@@ -551,9 +558,13 @@
     ) -> None:
         """Pass each received message to the handler of its type."""
         async for received in source:
-            handler = self._HANDLERS.get(type(received.message))
+            kind = type(received.message)
+            handler = self._HANDLERS.get(kind)
             if handler is not None:
-                handler(self, received.sender, received.message)
+                with containment.contain(
+                    "dispatch", kind=kind.__name__, sender=received.sender
+                ):
+                    handler(self, received.sender, received.message)
 
     def _on_presence(self, sender: str, presence: messages.Presence) -> None:
         now = clock.now_ms()
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -18,6 +18,7 @@
 from primrosehitch import balancer as balancer_module
 from primrosehitch import budget as budget_module
 from primrosehitch import clock
+from primrosehitch import containment
 from primrosehitch import dialect as dialect_module
 from primrosehitch import errors
 from primrosehitch import events
@@ -384,33 +385,38 @@
     ) -> None:
         """Handle each message from a control instance."""
         async for received in source:
-            message = received.message
-            if isinstance(message, messages.ControlStatus):
-                self._on_status(received.sender, message)
-            elif isinstance(message, messages.Table):
-                self._on_table(message)
-            elif isinstance(message, messages.EndpointUpdate):
-                self._on_endpoints(message)
-            elif isinstance(message, messages.LoadReport):
-                self.balancer.apply_load_totals(message)
-            elif isinstance(message, messages.PartsRead):
-                self.balancer.apply_part_updates(message)
-            elif isinstance(message, messages.PartFindings):
-                now = clock.now_ms()
-                for finding in message.findings:
-                    self.quarantine.apply_finding(finding, now)
-            elif isinstance(message, messages.EndpointLimits):
-                for limit in message.limits:
-                    self.balancer.limits.apply(limit)
-            elif isinstance(message, messages.HelperReply):
-                self.forwarder.helpers.apply(message.helpers)
-            elif isinstance(message, messages.StreamOrigins):
-                self.origins.apply(message.origins)
-            elif isinstance(message, messages.PermitGrant):
-                self.balancer.limits.add_permits(
-                    message.limits, clock.now_ms()
-                )
-                self.forwarder.notify_routing_change()
+            with containment.contain(
+                "dispatch",
+                kind=type(received.message).__name__,
+                sender=received.sender,
+            ):
+                self._handle_message(received.sender, received.message)
+
+    def _handle_message(self, sender: str, message: tuple) -> None:
+        if isinstance(message, messages.ControlStatus):
+            self._on_status(sender, message)
+        elif isinstance(message, messages.Table):
+            self._on_table(message)
+        elif isinstance(message, messages.EndpointUpdate):
+            self._on_endpoints(message)
+        elif isinstance(message, messages.LoadReport):
+            self.balancer.apply_load_totals(message)
+        elif isinstance(message, messages.PartsRead):
+            self.balancer.apply_part_updates(message)
+        elif isinstance(message, messages.PartFindings):
+            now = clock.now_ms()
+            for finding in message.findings:
+                self.quarantine.apply_finding(finding, now)
+        elif isinstance(message, messages.EndpointLimits):
+            for limit in message.limits:
+                self.balancer.limits.apply(limit)
+        elif isinstance(message, messages.HelperReply):
+            self.forwarder.helpers.apply(message.helpers)
+        elif isinstance(message, messages.StreamOrigins):
+            self.origins.apply(message.origins)
+        elif isinstance(message, messages.PermitGrant):
+            self.balancer.limits.add_permits(message.limits, clock.now_ms())
+            self.forwarder.notify_routing_change()
 
     def _on_status(self, sender: str, status: messages.ControlStatus) -> None:
         """Apply the status of the current control instance.
--- a/primrosehitch/errors.py
+++ b/primrosehitch/errors.py
@@ -51,6 +51,18 @@
         super().__init__(f"{path}: {text}", step, peer)
 
 
+class MessageError(PrimrosehitchError):
+    """A message holds a value that its schema cannot carry.
+
+    Args:
+        kind: the name of the message's type.
+    """
+
+    def __init__(self, text: str, kind: str):
+        self.kind = kind
+        super().__init__(f"{kind}: {text}", "encode message")
+
+
 class LinkError(PrimrosehitchError):
     """A link to a peer could not be opened or was lost."""
 
@@ -102,6 +114,7 @@
     "LinkError",
     "LogDamagedError",
     "LogFullError",
+    "MessageError",
     "PrimrosehitchError",
     "ProposalError",
     "RequestError",
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -81,6 +81,13 @@
     "The state of an instance changed to alive, suspect, left or removed.",
     "If it is suspect or removed, check its VM and failure domain.",
 )
+MESSAGE_DROPPED = Event(
+    1105,
+    "message-dropped",
+    "A message to other instances holds a value that no message can carry;"
+    " it was not sent.",
+    "Report it as a bug, with the error text.",
+)
 LEADER_CHANGED = Event(
     1201,
     "leader-changed",
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -385,7 +385,8 @@
                 address.host,
                 address.port,
             )
-    except (OSError, TimeoutError) as exc:
+    # A host that no resolver takes raises a ValueError.
+    except (OSError, TimeoutError, ValueError) as exc:
         text = str(exc) or type(exc).__name__
         raise EndpointError(
             text,
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -72,6 +72,15 @@
     return FRAME_HEADER.pack(len(body), messages.NUMBERS[type(message)]) + body
 
 
+def _encode_or_drop(message: tuple) -> bytes | None:
+    """Return a message as a frame, or None if it cannot be encoded."""
+    try:
+        return encode_frame(message)
+    except errors.MessageError as exc:
+        events.emit(events.MESSAGE_DROPPED, kind=exc.kind, error=str(exc))
+        return None
+
+
 class LinkPeer(NamedTuple):
     """The name of a peer and the address its links listen on."""
 
@@ -247,12 +256,14 @@
         """Queue a message for a peer.
 
         Returns:
-            Whether it was queued. It is dropped if the peer is unknown or
-            disconnected, or if its queue is full.
+            Whether it need not be sent again. It is dropped if the peer is
+            unknown or disconnected, or if its queue is full. One that can't
+            be encoded is dropped for good.
         """
         if not self.is_connected(target):
             return False
-        return self.send_frame(target, encode_frame(message))
+        frame = _encode_or_drop(message)
+        return frame is None or self.send_frame(target, frame)
 
     def send_frame(self, target: str, frame: bytes) -> bool:
         """Queue an encoded message for a peer.
@@ -274,7 +285,9 @@
 
     def multicast(self, targets: Iterable[str], message: tuple) -> None:
         """Encode a message once and queue it for several peers."""
-        frame = encode_frame(message)
+        frame = _encode_or_drop(message)
+        if frame is None:
+            return
         for target in targets:
             self.send_frame(target, frame)
 
@@ -292,10 +305,14 @@
                 instead; None to send the same message to all.
             cell: the names of the peers in the cell.
         """
-        frame = encode_frame(message)
+        frame = _encode_or_drop(message)
         outside_frame = (
-            frame if outside_message is None else encode_frame(outside_message)
+            frame
+            if outside_message is None
+            else _encode_or_drop(outside_message)
         )
+        if frame is None or outside_frame is None:
+            return
         for target in self.queues:
             gets_message = outside_message is None or target in cell
             self.send_frame(target, frame if gets_message else outside_frame)
--- a/primrosehitch/platform/calls.py
+++ b/primrosehitch/platform/calls.py
@@ -18,9 +18,9 @@
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import httpserver
+from primrosehitch import jsontext
 from primrosehitch import messages
 from primrosehitch import registry
-from primrosehitch import settings as settings_module
 from primrosehitch.platform import fields
 from primrosehitch.platform import tables
 
@@ -29,6 +29,8 @@
 CONFIG_PUT_PATH = "/-/Config.Put"
 CONFIG_GET_PATH = "/-/Config.Get"
 STATES = {"ready": registry.READY, "draining": registry.DRAINING}
+# The range of the field in our messages.
+MAX_SLOTS = (1 << 32) - 1
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -46,15 +48,6 @@
     state = STATES.get(item.string("state"))
     if state is None:
         raise fields.FieldError("not a known state", "$.state")
-    address = item.string("address")
-    try:
-        parsed = settings_module.parse_address(address)
-    except ValueError as exc:
-        raise fields.FieldError(
-            "not a host:port address", "$.address"
-        ) from exc
-    if not parsed.host or not 0 < parsed.port < 65536:
-        raise fields.FieldError("not a host:port address", "$.address")
     return messages.EndpointRecord(
         id=identifier,
         # Start of the engine's process, not its first heartbeat: it
@@ -62,9 +55,9 @@
         born=item.integer("born", 0),
         sequence=item.integer("seq"),
         service=item.string("service"),
-        address=address,
+        address=str(item.ip_address("address")),
         domain=item.string("zone"),
-        slots=item.integer("slots"),
+        slots=item.integer("slots", maximum=MAX_SLOTS),
         state=state,
         spot=item.boolean("spot"),
         leaves_ms=int(item.number("leaves_ms", 0)),
@@ -74,9 +67,9 @@
 
 def _decode_json(body: bytes) -> Any:
     try:
-        return json.loads(body)
-    except (ValueError, RecursionError) as exc:
-        raise fields.FieldError(f"not JSON: {exc}", "$") from exc
+        return jsontext.loads(body)
+    except jsontext.JsonError as exc:
+        raise fields.FieldError(exc.text, "$") from exc
 
 
 class ControlApi:
--- a/primrosehitch/platform/fields.py
+++ b/primrosehitch/platform/fields.py
@@ -4,9 +4,16 @@
 a field that is missing.
 """
 
+import ipaddress
+import re
 from typing import Any
 
 from primrosehitch import errors
+from primrosehitch import settings as settings_module
+
+# Every integer field of our messages with 64 bits can hold it.
+MAX_INTEGER = (1 << 63) - 1
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 class FieldError(errors.PrimrosehitchError):
@@ -64,13 +71,35 @@
             )
         return field_value
 
-    def integer(self, name: str, default: int | None = None) -> int:
-        """Return a non-negative integer."""
+    def integer(
+        self,
+        name: str,
+        default: int | None = None,
+        maximum: int = MAX_INTEGER,
+    ) -> int:
+        """Return a non-negative integer that is not above a maximum."""
         field_value = self.number(name, default)
         if field_value != int(field_value):
             raise FieldError("not an integer", f"{self.path}.{name}")
+        if field_value > maximum:
+            raise FieldError(f"greater than {maximum}", f"{self.path}.{name}")
         return int(field_value)
 
+    def ip_address(self, name: str) -> settings_module.Address:
+        """Return an address given as ``IP:PORT``; names are not resolved."""
+        host, _, port = self.string(name).rpartition(":")
+        try:
+            parsed = ipaddress.ip_address(host)
+        except ValueError:
+            parsed = None
+        if (
+            parsed is None
+            or not _PORT.fullmatch(port)
+            or not 0 < int(port) < 65536
+        ):
+            raise FieldError("not an IP:PORT address", f"{self.path}.{name}")
+        return settings_module.Address(str(parsed), int(port))
+
     def boolean(self, name: str, default: bool = False) -> bool:
         """Return a boolean."""
         field_value = self.value.get(name, default)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -795,3 +795,77 @@
             await instances.wait_until(lambda: not control.limits.entries, 3)
 
     instances.run_test(body)
+
+
+UNCARRIABLE_HEARTBEATS = {
+    "no-utf8": (b'"v1"', b'"v1-\xed\xa0\xbd"'),
+    "half-pair": (b'"v1"', b'"v1-\\ud83d"'),
+    "huge-seq": (b'"seq": 1', b'"seq": 1e25'),
+    "huge-born": (b'"born": 5', b'"born": 10000000000000000000000000'),
+    "huge-slots": (b'"slots": 8', b'"slots": 5000000000'),
+    "huge-leaves": (b'"slots": 8', b'"slots": 8, "leaves_ms": 1e25'),
+    "infinite": (b'"slots": 8', b'"slots": 8, "leaves_ms": Infinity'),
+    "twice": (b'"seq": 1', b'"seq": 1, "seq": 2'),
+    "nested": (b'"v1"', b"[" * 9000 + b"]" * 9000),
+    "no-host": (b"127.0.0.1:9", b"a..b:80"),
+    "foreign-digits": (b"127.0.0.1:9", "127.0.0.1:\u0669".encode()),
+}
+
+
+# Guards against: a heartbeat whose text or numbers no message can carry
+# ends the control instances when they pass it on.
+@pytest.mark.parametrize("name", UNCARRIABLE_HEARTBEATS)
+def test_heartbeat_that_no_message_carries_costs_only_itself(tmp_path, name):
+    report = {
+        "service": "svc",
+        "address": "127.0.0.1:9",
+        "zone": "z0",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "seq": 1,
+        "born": 5,
+    }
+    sound, unreadable = UNCARRIABLE_HEARTBEATS[name]
+    body_bytes = json.dumps(report).encode().replace(sound, unreadable)
+    assert unreadable in body_bytes
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
+            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
+            path = "/-/Instances.Heartbeat/i-other"
+            status, _ = await instances.send_call(2, "POST", path, body_bytes)
+            assert status == 400
+            await anyio.sleep(PASSING_ON_S)
+            assert "i-other" not in fleet.controls[2].registry.entries
+            good = json.dumps(report).encode()
+            assert (await instances.send_call(2, "POST", path, good))[0] == 200
+            await instances.wait_until(
+                lambda: all(
+                    "i-other" in c.registry.entries
+                    for c in fleet.controls.values()
+                )
+            )
+
+    instances.run_test(body)
+
+
+# Guards against: one record that cannot be handled ends the instance.
+def test_message_that_cannot_be_handled_costs_only_itself(tmp_path):
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
+            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
+            for running in (fleet.controls[2], fleet.edges[9]):
+                sender = str(instances.address(3, instances.LINK_PORT))
+                bad = messages.Presence(link=sender, peers=("no address",))
+                bad_status = messages.ControlStatus(peers=("x",), edges="y")
+                kind = bad if running is fleet.controls[2] else bad_status
+                if running is fleet.edges[9]:
+                    running.current_control = sender
+                await running.links.inbox.send(links.Received(sender, kind))
+            await anyio.sleep(PASSING_ON_S)
+            assert await instances.put_table(2, routed.table_document(7)) == (
+                200
+            )
+
+    instances.run_test(body)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -252,3 +252,28 @@
 def test_message_for_a_peer_without_a_link_is_not_encoded():
     links_a, _ = create_links("a", 25931, "b", 25932)
     assert not links_a.send("b", ("no message of the schema",))
+
+
+# Guards against: one message that no schema carries ends the instance.
+def test_message_that_cannot_be_encoded_costs_only_itself():
+    unreadable = messages.EndpointRecord(id="\ud83d")
+    update = messages.EndpointUpdate((unreadable,), False)
+
+    async def body():
+        links_a, _ = create_links("a", 25941, "b", 25942)
+        links_b, source = create_links("b", 25942, "a", 25941)
+        async with anyio.create_task_group() as group:
+            group.start_soon(links_b.run)
+            group.start_soon(links_a.run)
+            await instances.wait_until(lambda: links_a.is_connected("b"), 2)
+            # No repetition helps, so none is asked for.
+            assert links_a.send("b", update)
+            links_a.multicast(["b"], update)
+            links_a.broadcast(update)
+            links_a.broadcast(messages.Refresh(7), update)
+            assert links_a.send("b", messages.Refresh(8))
+            with anyio.fail_after(2):
+                assert (await source.receive()).message.nonce == 8
+            group.cancel_scope.cancel()
+
+    anyio.run(body)
--- a/tools/generate_messages.py
+++ b/tools/generate_messages.py
@@ -35,6 +35,8 @@
 
 import capnp
 
+from primrosehitch import errors
+
 _SCHEMA = pathlib.Path(__file__).parent / "schema" / "messages.capnp"
 _capnp: Any = capnp.load(str(_SCHEMA))
 _READ_LIMIT_WORDS = 1 << 28
@@ -51,10 +53,18 @@
 
     Returns:
         Packed Cap'n Proto bytes, without a length or a kind.
+
+    Raises:
+        MessageError: a text is not Unicode, a number is out of its range,
+            or a value has another type.
     """
     struct, write, _ = _CODECS[type(message)]
     builder = struct.new_message()
-    write(builder, message)
+    try:
+        write(builder, message)
+    except (ValueError, TypeError, OverflowError, capnp.KjException) as exc:
+        kind = type(message).__name__
+        raise errors.MessageError(str(exc), kind) from exc
     return builder.to_bytes_packed()
 
 
