Bound the numbers that headers name

What callers saw: a request with Prefix-Hash: ab: ended the edge that got it, with all requests under way there; a Deadline-Ms of more than 4,300 digits closed its connection without an answer.

The numbers were taken as they came, and load reports and parts with more than 32 bits cannot be encoded.

Change: a number of more than nine digits is malformed (a deadline then has no end); sums of loads end at what a report carries.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -18,6 +18,7 @@
 
 from primrosehitch import endpointlimits
 from primrosehitch import gathering
+from primrosehitch import loads as loads_module
 from primrosehitch import messages
 from primrosehitch import reachability
 from primrosehitch import registry
@@ -583,8 +584,8 @@
         loads = []
         for endpoint in self.endpoints.values():
             endpoint.published_inflight = endpoint.inflight
-            endpoint.published_prefill_tokens = max(
-                0, endpoint.pending_prefill_tokens
+            endpoint.published_prefill_tokens = min(
+                max(0, endpoint.pending_prefill_tokens), loads_module.MAX_LOAD
             )
             if endpoint.inflight:
                 loads.append(
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -39,6 +39,8 @@
 DEFAULT_IDLE_TIMEOUT_MS = 2000
 # Reading pauses while more than this of a response waits for a slow reader.
 MAX_BUFFERED_BYTES = 64 * 1024
+# A longer idle timeout is taken for a malformed one.
+MAX_TIMEOUT_DIGITS = 9
 BODYLESS_STATUSES = frozenset((204, 304))
 # Bytes that are no body: heads, chunk framing, trailers and discarded
 # messages. A response may have this many, and some for each byte of its
@@ -283,9 +285,11 @@
         value = head.header(b"keep-alive") or b""
         for part in value.split(b","):
             name, _, number = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and number.strip().isdigit():
+            digits = number.strip()
+            is_number = digits.isdigit() and len(digits) <= MAX_TIMEOUT_DIGITS
+            if name.lower() == b"timeout" and is_number:
                 self.idle_timeout_ms = int(
-                    int(number) * 1000 * IDLE_TIMEOUT_FRACTION
+                    int(digits) * 1000 * IDLE_TIMEOUT_FRACTION
                 )
 
     def _enqueue(self, item: ResponseHead | bytes | ResponseEnd) -> None:
--- a/primrosehitch/loads.py
+++ b/primrosehitch/loads.py
@@ -14,6 +14,9 @@
 # An older report says nothing about the present load.
 REPORT_TTL_MS = 1500
 
+# The largest load that a report carries; callers name their prompts' size.
+MAX_LOAD = (1 << 32) - 1
+
 
 class LoadAggregator:
     """Newest load reports by sender, and their sums.
@@ -66,9 +69,17 @@
         self.sequence += 1
         return messages.LoadReport(
             self.sequence,
-            tuple(messages.ServiceDemand(s, n) for s, n in demands.items()),
-            tuple(messages.EndpointLoad(i, *n) for i, n in loads.items()),
+            tuple(
+                messages.ServiceDemand(s, min(n, MAX_LOAD))
+                for s, n in demands.items()
+            ),
+            tuple(
+                messages.EndpointLoad(
+                    i, min(running, MAX_LOAD), min(reading, MAX_LOAD)
+                )
+                for i, (running, reading) in loads.items()
+            ),
         )
 
 
-__all__ = ["LoadAggregator"]
+__all__ = ["LoadAggregator", "MAX_LOAD"]
--- a/primrosehitch/platform/dialect.py
+++ b/primrosehitch/platform/dialect.py
@@ -40,6 +40,9 @@
 MAX_PAUSE_S = 3600
 DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 MAX_LOGGED_LIMIT_BYTES = 40
+# A number with more digits is malformed: none of our messages carries it.
+COUNT = re.compile(rb"[0-9]{1,9}")
+MAX_DEADLINE_MS = 10**9
 
 # Headers that are not copied from a caller's request to an engine: either
 # only the edge may set them, or it replaces their value.
@@ -76,10 +79,9 @@
         """Return the decoded headers of a caller's request."""
         headers = {name: value for name, value in request.headers}
         prompt, output = _parse_token_count(headers.get(TOKEN_COUNT, b""))
-        deadline = headers.get(DEADLINE_MS, b"").strip()
         return dialect_module.CallInfo(
             identifier=headers.get(REQUEST_ID, b"").strip(),
-            deadline_ms=int(deadline) if deadline.isdigit() else None,
+            deadline_ms=_parse_deadline_ms(headers.get(DEADLINE_MS, b"")),
             key=headers.get(CREDENTIAL, b"").decode("latin-1").strip(),
             last_event_id=headers.get(LAST_EVENT_ID, b"").strip(),
             resumed_stream=_parse_resumes(request.headers),
@@ -131,11 +133,10 @@
         """Return the decoded headers of an engine's answer."""
         address_reassigned = head.status == MISDIRECTED_STATUS
         load_values = (head.header(SERVER_LOAD) or b"").split(b",")
+        load = [_parse_count(value) for value in load_values]
         running, waiting, slots = -1, 0, 0
-        if len(load_values) == 3 and all(
-            n.strip().isdigit() for n in load_values
-        ):
-            running, waiting, slots = (int(n) for n in load_values)
+        if len(load) == 3 and None not in load:
+            running, waiting, slots = (n or 0 for n in load)
         limit_per_s, malformed_limit = _parse_limit(head)
         return dialect_module.AnswerInfo(
             not_run=head.header(NOT_RUN) is not None,
@@ -197,9 +198,10 @@
     parts = []
     for item in value.split(b","):
         identifier, _, size = item.strip().partition(b":")
-        if identifier and size.isdigit():
+        tokens = _parse_count(size)
+        if identifier and tokens is not None:
             parts.append(
-                balancer.PromptPart(identifier.decode("latin-1"), int(size))
+                balancer.PromptPart(identifier.decode("latin-1"), tokens)
             )
     return tuple(parts)
 
@@ -254,10 +256,28 @@
     The value is ``prompt,output``; a missing or malformed number is 0.
     """
     prompt, _, output = value.partition(b",")
-    prompt, output = prompt.strip(), output.strip()
-    if not prompt.isdigit():
+    prompt_tokens = _parse_count(prompt)
+    if prompt_tokens is None:
         return 0, 0
-    return int(prompt), int(output) if output.isdigit() else 0
+    return prompt_tokens, _parse_count(output) or 0
+
+
+def _parse_count(value: bytes) -> int | None:
+    """Return a whole number of 0 or more, or None if it is malformed."""
+    digits = value.strip()
+    return int(digits) if COUNT.fullmatch(digits) else None
+
+
+def _parse_deadline_ms(value: bytes) -> int | None:
+    """Return how long a caller waits, or None if it does not say.
+
+    A number that is too large to be read is a wait without end.
+    """
+    digits = value.strip()
+    if not digits.isdigit():
+        return None
+    deadline_ms = _parse_count(digits)
+    return MAX_DEADLINE_MS if deadline_ms is None else deadline_ms
 
 
 __all__ = ["PlatformDialect"]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -869,3 +869,35 @@
             )
 
     instances.run_test(body)
+
+
+OUTSIZED_HEADERS = [
+    {"Prefix-Hash": "ab:99999999999999999999,c:1,own:1"},
+    {"Prefix-Hash": "ab:5000000000,c:1,own:1"},
+    {"Token-Count": "5000000000,5", "Prefix-Hash": "a:9,own:7"},
+    {"Token-Count": "999999999,999999999", "Prefix-Hash": "a:9,own:7"},
+    {"Deadline-Ms": "9" * 5000},
+    {"Prefix-Hash": "\xe9\xff:5,own:7", "Token-Count": "12,5"},
+]
+
+
+# Guards against: a caller's number that no message carries ends the edge
+# that reports it to the others.
+@pytest.mark.parametrize("headers", OUTSIZED_HEADERS)
+def test_outsized_header_of_a_caller_does_not_end_the_edge(tmp_path, headers):
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=(9,)) as fleet:
+            engine = platform_engine.StandInEngine(["slow"])
+            table = routed.table_document(7, limits={})
+            await instances.serve_from(fleet, engine, table)
+            for _ in range(2):
+                data = routed.request(**{"Deadline-Ms": "", **headers})
+                async with await anyio.connect_tcp(
+                    instances.host(9), instances.FRONT_PORT
+                ) as stream:
+                    caller = routed.Caller(stream)
+                    await caller.send(data)
+                    assert (await caller.answer())[0] == 200
+                await anyio.sleep(PASSING_ON_S)
+
+    instances.run_test(body)
