Refuse configurations that cannot be read in full

One function judged what operators send and read what is in force.

Change: tables.decode judges strictly; tables.decode_accepted reads what is in force, also what an earlier release let in, with replaced characters and bounded numbers. The leader's duties read it where an error is contained.

--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -225,8 +225,8 @@
 
     async def _scale_periodically(self) -> None:
         async for tick in self.control.timers.subscribe(TICK_PERIOD_MS):
-            self._observe(tick.now)
             with _log_exceptions("scaling"):
+                self._observe(tick.now)
                 lease = self.current_lease()
                 if lease is None or not self._has_run(
                     SCALING_WARM_UP_MS, tick.now
--- a/primrosehitch/jsontext.py
+++ b/primrosehitch/jsontext.py
@@ -15,6 +15,8 @@
 
 # An escape of one half of a surrogate pair begins like this.
 _SURROGATE_ESCAPE = re.compile(r"\\u[dD][89a-fA-F]")
+# Every integer field of our messages with 64 bits can hold it.
+MAX_INTEGER = (1 << 63) - 1
 
 
 class JsonError(errors.PrimrosehitchError):
@@ -48,6 +50,38 @@
     return value
 
 
+def loads_accepted(data: bytes) -> Any:
+    """Return the value of a document that an earlier release accepted.
+
+    Earlier releases took text that is no Unicode and numbers of any size. A
+    document that they acknowledged is read as far as it can be: a character
+    that is none becomes a question mark, a large number the largest.
+
+    Args:
+        data: the document.
+
+    Raises:
+        JsonError: an earlier release could not read it either.
+    """
+    try:
+        return _repair(json.loads(data))
+    except (ValueError, RecursionError) as exc:
+        raise JsonError(f"not JSON: {_describe(exc)}") from exc
+
+
+def _repair(value: Any) -> Any:
+    """Return a value with the text and numbers that messages can carry."""
+    if isinstance(value, str):
+        return value.encode("utf-8", "replace").decode("utf-8")
+    if isinstance(value, dict):
+        return {_repair(name): _repair(item) for name, item in value.items()}
+    if isinstance(value, list):
+        return [_repair(item) for item in value]
+    if isinstance(value, (int, float)) and value > MAX_INTEGER:
+        return MAX_INTEGER
+    return value
+
+
 def _describe(exc: Exception) -> str:
     """Return the text of an error, without a copy of the document."""
     if isinstance(exc, UnicodeDecodeError):
@@ -77,4 +111,4 @@
     return value
 
 
-__all__ = ["JsonError", "loads"]
+__all__ = ["JsonError", "MAX_INTEGER", "loads", "loads_accepted"]
--- a/primrosehitch/platform/__main__.py
+++ b/primrosehitch/platform/__main__.py
@@ -70,7 +70,7 @@
             if self.settings.platform is not None:
                 client = api.PlatformApi(self.settings.platform)
                 leader_duties = duties.Duties(
-                    self.control, client, tables.decode
+                    self.control, client, tables.decode_accepted
                 )
                 group.start_soon(leader_duties.run)
             await self.control.run(stop, self._finish_calls)
@@ -94,7 +94,9 @@
     """Return a control instance if ``control`` is set, or else an edge."""
     if settings.control is not None:
         return ControlProcess(settings)
-    return edge_module.Edge(settings, dialect.PlatformDialect(), tables.decode)
+    return edge_module.Edge(
+        settings, dialect.PlatformDialect(), tables.decode_accepted
+    )
 
 
 async def _run(path: pathlib.Path, sink: logsink.LogSink) -> None:
--- a/primrosehitch/platform/fields.py
+++ b/primrosehitch/platform/fields.py
@@ -9,10 +9,9 @@
 from typing import Any
 
 from primrosehitch import errors
+from primrosehitch import jsontext
 from primrosehitch import settings as settings_module
 
-# Every integer field of our messages with 64 bits can hold it.
-MAX_INTEGER = (1 << 63) - 1
 _PORT = re.compile(r"[0-9]{1,5}")
 
 
@@ -75,7 +74,7 @@
         self,
         name: str,
         default: int | None = None,
-        maximum: int = MAX_INTEGER,
+        maximum: int = jsontext.MAX_INTEGER,
     ) -> int:
         """Return a non-negative integer that is not above a maximum."""
         field_value = self.number(name, default)
--- a/primrosehitch/platform/tables.py
+++ b/primrosehitch/platform/tables.py
@@ -3,9 +3,11 @@
 Does no I/O. Fields that are not listed here are ignored.
 """
 
-import json
 from typing import Any
+from typing import Callable
 
+from primrosehitch import errors
+from primrosehitch import jsontext
 from primrosehitch import routes
 from primrosehitch.platform import fields
 
@@ -17,7 +19,7 @@
 
 
 def decode(body: bytes) -> routes.RouteTable:
-    """Return the route table of a configuration.
+    """Return the route table of a configuration that an operator sends.
 
     Args:
         body: the configuration, a JSON object.
@@ -26,11 +28,34 @@
         TableError: the routes do not match the services.
         FieldError: a field is missing or invalid.
     """
+    return _decode(body, jsontext.loads)
+
+
+def decode_accepted(body: bytes) -> routes.RouteTable:
+    """Return the route table of a configuration that is in force.
+
+    An earlier release may have accepted what is refused now.
+
+    Args:
+        body: the configuration, a JSON object.
+
+    Raises:
+        TableError: the routes do not match the services.
+        FieldError: a field is missing or invalid.
+    """
+    try:
+        return decode(body)
+    except errors.PrimrosehitchError:
+        return _decode(body, jsontext.loads_accepted)
+
+
+def _decode(
+    body: bytes, load_json: Callable[[bytes], Any]
+) -> routes.RouteTable:
     try:
-        document: Any = json.loads(body)
-    except (ValueError, RecursionError) as exc:
-        raise fields.FieldError(f"not JSON: {exc}", "$") from exc
-    top = fields.Fields(document)
+        top = fields.Fields(load_json(body))
+    except jsontext.JsonError as exc:
+        raise fields.FieldError(exc.text, "$") from exc
     if not top.has("routes") or not top.has("services"):
         raise fields.FieldError("routes or services are missing", "$")
     return routes.RouteTable(
@@ -137,4 +162,4 @@
     )
 
 
-__all__ = ["decode"]
+__all__ = ["decode", "decode_accepted"]
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -86,7 +86,7 @@
         edge = edge_module.Edge(
             self.make_settings(number, False, True),
             dialect.PlatformDialect(),
-            tables.decode,
+            tables.decode_accepted,
         )
         self.edges[number] = edge
         self._start(number, edge)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -901,3 +901,53 @@
                 await anyio.sleep(PASSING_ON_S)
 
     instances.run_test(body)
+
+
+# Guards against: a configuration that cannot be read is acknowledged, and
+# requests on its route end the edges.
+def test_unreadable_table_is_refused(tmp_path):
+    async def body():
+        async with instances.serving_fleet(tmp_path) as fleet:
+            for number, raw in enumerate((b"svc\xed\xa0\xbd", b"svc\\ud83d")):
+                table = instances.encode(routed.table_document(20 + number))
+                table = table.replace(b"svc", raw)
+                status, _ = await instances.send_call(
+                    2, "POST", "/-/Config.Put", table
+                )
+                assert status == 400
+            _, got = await instances.send_call(3, "GET", "/-/Config.Get")
+            assert json.loads(got)["version"] == 7
+            assert (await send_request())[0] == 200
+
+    instances.run_test(body)
+
+
+# Guards against: a table that an earlier release let in ends the edges or
+# leaves one that starts without a table.
+def test_unreadable_table_of_an_earlier_release_is_served(tmp_path):
+    document = routed.table_document(9)
+    added = {**document["routes"][0], "path_prefix": "/added/"}
+    document["routes"].append({**added, "service": "other"})
+    document["services"].append({"name": "other"})
+    table = instances.encode(document).replace(b"other", b"other\xed\xa0\xbd")
+
+    async def body():
+        async with instances.serving_fleet(tmp_path) as fleet:
+            assert await fleet.controls[2].put_table(9, table)
+            await instances.wait_until(
+                lambda: fleet.edges[9].forwarder.table.version == 9
+            )
+            await fleet.kill(9)
+            fleet.start_edge(9)
+            await instances.wait_until(lambda: fleet.edges[9].is_ready)
+            await instances.send_heartbeat(2, fleet.engine, seq=2)
+            for path, status in (("/added/x", 503), ("/a/x", 200)):
+                async with await anyio.connect_tcp(
+                    instances.host(9), instances.FRONT_PORT
+                ) as stream:
+                    caller = routed.Caller(stream)
+                    await caller.send(routed.request(path))
+                    assert (await caller.answer())[0] == status
+                await anyio.sleep(PASSING_ON_S)
+
+    instances.run_test(body)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -131,3 +131,46 @@
     high_priority = customer._replace(priority=0)
     assert routes.RoutingDecision(route, high_priority).priority == 0
     assert routes.RoutingDecision(route, None).priority == 1
+
+
+# Guards against: a configuration that cannot be read in full is accepted.
+@pytest.mark.parametrize(
+    "sound,unreadable",
+    [
+        (b'"svc"', b'"svc\xed\xa0\xbd"'),
+        (b'"svc"', b'"svc\\ud83d"'),
+        (b'"ana"', b'"\xff"'),
+        (b'"version": 1', b'"version": 1, "version": 2'),
+        (b'"version": 1', b'"version": 1e25'),
+        (b'"version": 1', b'"version": NaN'),
+    ],
+)
+def test_unreadable_tables_are_refused(sound, unreadable):
+    body = json.dumps(routed.table_document()).encode()
+    assert sound in body
+    with pytest.raises(fields.FieldError):
+        tables.decode(body.replace(sound, unreadable))
+    with pytest.raises(fields.FieldError):
+        tables.decode(json.dumps(routed.table_document()).encode("utf-16"))
+
+
+# Guards against: what an earlier release accepted leaves a new one without
+# a table, or ends it.
+@pytest.mark.parametrize(
+    "sound,unreadable",
+    [
+        (b'"svc"', b'"svc\xed\xa0\xbd"'),
+        (b'"ana"', b'"ana\\ud83d"'),
+        (b'"version": 1', b'"version": 0, "version": 1'),
+        (b'"slo_ms": 500', b'"slo_ms": 10000000000000000000000000'),
+    ],
+)
+def test_accepted_tables_are_read_as_far_as_they_can_be(sound, unreadable):
+    body = json.dumps(routed.table_document()).encode()
+    assert sound in body
+    table = tables.decode_accepted(body.replace(sound, unreadable))
+    assert table.version == 1
+    assert len(table.routes) == len(routed.table_document()["routes"])
+    for name in (*table.services, *(c.name for c in table.customers)):
+        name.encode()
+    assert tables.decode_accepted(body).routes == tables.decode(body).routes
