--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -907,7 +907,7 @@
 # requests on its route end the edges.
 def test_unreadable_table_is_refused(tmp_path):
     async def body():
-        async with instances.serving_fleet(tmp_path) as fleet:
+        async with instances.serving_fleet(tmp_path):
             for number, raw in enumerate((b"svc\xed\xa0\xbd", b"svc\\ud83d")):
                 table = instances.encode(routed.table_document(20 + number))
                 table = table.replace(b"svc", raw)
