--- a/primrosehitch/jsonc.py
+++ b/primrosehitch/jsonc.py
@@ -23,7 +23,7 @@
     """
     try:
         return json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         # Few documents contain comments, so the slower json5 parser is
         # imported and used only where the standard parser fails.
         import json5
--- /dev/null
+++ b/primrosehitch/platform/process.py
@@ -0,0 +1,178 @@
+"""Runs one edge or one control instance on the platform.
+
+The environment variable ``PRIMROSEHITCH_NODE_FILE`` has the path of the
+settings file. SIGTERM and SIGINT stop the instance; SIGHUP checks the
+settings file without applying it.
+"""
+
+import os
+import pathlib
+import signal
+import sys
+from typing import Iterator
+from typing import Protocol
+
+import anyio
+
+from primrosehitch import clock
+from primrosehitch import control as control_module
+from primrosehitch import duties
+from primrosehitch import edge as edge_module
+from primrosehitch import errors
+from primrosehitch import events
+from primrosehitch import httpserver
+from primrosehitch import instance as instance_module
+from primrosehitch import logsink
+from primrosehitch import metrics
+from primrosehitch import routes
+from primrosehitch.platform import api
+from primrosehitch.platform import calls
+from primrosehitch.platform import dialect
+from primrosehitch.platform import tables
+
+SETTINGS_VARIABLE = "PRIMROSEHITCH_NODE_FILE"
+# Operators send whole tables; engines reuse connections for minutes.
+CONTROL_LIMITS = routes.ClientLimits(
+    body_bytes=16 << 20, idle_timeout_ms=60_000
+)
+LOG_FLUSH_PERIOD_S = 1.0
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+# Longer than a call to replace or read the route table may take.
+FINISH_CALLS_TIMEOUT_S = 3.5
+
+
+class Instance(Protocol):
+    """An edge or a control instance."""
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve until ``stop`` is set, then drain and return."""
+
+
+class ControlProcess:
+    """A control instance with its HTTP API and the leader's duties.
+
+    Args:
+        settings: the instance's settings.
+    """
+
+    def __init__(self, settings: instance_module.InstanceSettings):
+        self.settings = settings
+        self.control = control_module.ControlInstance(settings)
+        self.api = calls.ControlApi(self.control)
+        self.server = httpserver.Server(self.api.serve, CONTROL_LIMITS)
+        self.metrics = httpserver.Server(_serve_metrics, CONTROL_LIMITS)
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serve until ``stop`` is set, then transfer the leadership."""
+        async with anyio.create_task_group() as group:
+            if self.settings.metrics is not None:
+                await group.start(self.metrics.run, self.settings.metrics)
+            if self.settings.control is not None:
+                await group.start(self.server.run, self.settings.control)
+            if self.settings.platform is not None:
+                client = api.PlatformApi(self.settings.platform)
+                leader_duties = duties.Duties(
+                    self.control, client, tables.decode_accepted
+                )
+                group.start_soon(leader_duties.run)
+            await self.control.run(stop, self._finish_calls)
+            group.cancel_scope.cancel()
+
+    async def _finish_calls(self) -> None:
+        """Finish the calls under way, and refuse the ones that follow."""
+        self.api.stopping = True
+        self.server.close_idle_connections()
+        await self.server.stop(FINISH_CALLS_TIMEOUT_S)
+
+
+async def _serve_metrics(
+    request: httpserver.Request, responder: httpserver.Responder
+) -> None:
+    headers = [(b"content-type", metrics.CONTENT_TYPE)]
+    responder.respond(200, headers, metrics.exposition())
+
+
+def make_instance(settings: instance_module.InstanceSettings) -> Instance:
+    """Return a control instance if ``control`` is set, or else an edge."""
+    if settings.control is not None:
+        return ControlProcess(settings)
+    return edge_module.Edge(
+        settings, dialect.PlatformDialect(), tables.decode_accepted
+    )
+
+
+async def _run(path: pathlib.Path, sink: logsink.LogSink) -> None:
+    instance = make_instance(instance_module.load(path))
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_signals, path, stop)
+        group.start_soon(_flush_log, sink)
+        await instance.run(stop)
+        group.cancel_scope.cancel()
+
+
+async def _watch_signals(path: pathlib.Path, stop: anyio.Event) -> None:
+    try:
+        with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+            async for signal_number in signals:
+                if signal_number != signal.SIGHUP:
+                    stop.set()
+                    continue
+                _check_changed_settings(path)
+    finally:
+        # Closing the receiver restores the default actions, which would end
+        # the process in the middle of its last steps.
+        for signal_number in HANDLED_SIGNALS:
+            signal.signal(signal_number, signal.SIG_IGN)
+
+
+def _check_changed_settings(path: pathlib.Path) -> None:
+    """Check the settings file; changes apply from the next start."""
+    try:
+        instance_module.load(path)
+    except (errors.PrimrosehitchError, ValueError) as exc:
+        events.emit(events.SETTINGS_REFUSED, error=str(exc))
+        return
+    events.emit(events.SETTINGS_READ, path=path.name)
+
+
+async def _flush_log(sink: logsink.LogSink) -> None:
+    while True:
+        await anyio.sleep(LOG_FLUSH_PERIOD_S)
+        sink.flush()
+        dropped = sink.take_dropped()
+        if dropped:
+            events.emit(events.LINES_DROPPED, lines=dropped)
+
+
+def _leaves(group: BaseExceptionGroup) -> Iterator[BaseException]:
+    """Yield the exceptions of a group and of the groups in it."""
+    for exc in group.exceptions:
+        if isinstance(exc, BaseExceptionGroup):
+            yield from _leaves(exc)
+        else:
+            yield exc
+
+
+def main() -> None:
+    """Run the instance of the settings file named by the environment."""
+    settings_path = os.environ.get(SETTINGS_VARIABLE)
+    if not settings_path:
+        sys.exit(f"primrosehitch: {SETTINGS_VARIABLE} is not set")
+    sink = logsink.LogSink(sys.stdout.fileno(), clock.now_ms)
+    events.open_log(sink)
+    options = {"use_uvloop": True}
+    try:
+        anyio.run(
+            _run, pathlib.Path(settings_path), sink, backend_options=options
+        )
+    except* (OSError, errors.PrimrosehitchError) as group:
+        text = "; ".join(map(str, _leaves(group)))
+        events.emit(events.TASK_FAILED, task="main", error=text)
+        sys.exit(f"primrosehitch: {text}")
+    sink.flush()
+    # Skip the interpreter's finalization; it only delays a restart.
+    os._exit(0)
+
+
+__all__ = ["ControlProcess", "Instance", "main", "make_instance"]
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -14,8 +14,8 @@
 from primrosehitch import edge as edge_module
 from primrosehitch import instance
 from primrosehitch import settings
-from primrosehitch.platform import __main__ as platform_main
 from primrosehitch.platform import dialect
+from primrosehitch.platform import process as process_module
 from primrosehitch.platform import tables
 from primrosehitch_lab import platform_engine
 
@@ -76,7 +76,7 @@
         )
 
     def start_control(self, number, bootstrap=True):
-        process = platform_main.ControlProcess(
+        process = process_module.ControlProcess(
             self.make_settings(number, bootstrap, False)
         )
         self.controls[number] = process.control
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -15,7 +15,7 @@
 
 from primrosehitch import daemon as daemon_module
 from primrosehitch import settings as settings_module
-from primrosehitch.platform import __main__ as platform_main
+from primrosehitch.platform import process as process_module
 from primrosehitch_lab import fault_calls
 
 EDGES = (9, 10, 11, 12)
@@ -237,7 +237,7 @@
             other = next(n for n in instances.SEEDS if n != leader)
             await instances.put_table(leader, routed.table_document(7))
             process = fleet.processes[leader]
-            assert isinstance(process, platform_main.ControlProcess)
+            assert isinstance(process, process_module.ControlProcess)
             log = ReadLog(process.server)
             callers = [
                 DrainCaller(
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -86,7 +86,7 @@
     That matters when all processes are restarted, at once or in turn.
     """
     code = (
-        "import sys; from primrosehitch.platform import __main__; "
+        "import sys; from primrosehitch.platform import process; "
         "from primrosehitch import instance; import pathlib; "
         "instance.load(pathlib.Path(sys.argv[1])); "
         "print('jsonschema' in sys.modules, 'json5' in sys.modules)"
--- a/tests/test_routed_processes.py
+++ b/tests/test_routed_processes.py
@@ -4,6 +4,9 @@
 import json
 import os
 import pathlib
+import resource
+import signal
+import socket
 import subprocess
 import sys
 import time
@@ -82,3 +85,33 @@
     names = [json.loads(line)["message_type"] for line in output.splitlines()]
     assert names[-1] == "stopped"
     assert "version-in-force" in names
+
+
+def wait_until_importing(process):
+    """Wait until a process runs and imports its libraries."""
+    end = time.monotonic() + TIMEOUT_S
+    maps = pathlib.Path(f"/proc/{process.pid}/maps")
+    while "capnp" not in maps.read_text():
+        assert process.poll() is None and time.monotonic() < end
+
+
+# Guards against: a change of the settings while a process starts ends it.
+@pytest.mark.parametrize("name", ["control", "edge"])
+def test_signal_of_changed_settings_does_not_end_a_start(tmp_path, name):
+    with running_process(name, tmp_path) as process:
+        wait_until_importing(process)
+        address = CONTROL_ADDRESS if name == "control" else READY_ADDRESS
+        path = "/-/Config.Get" if name == "control" else "/-/ready"
+        end = time.monotonic() + TIMEOUT_S
+        while request_status("GET", address, path) != 503:
+            process.send_signal(signal.SIGHUP)
+            assert time.monotonic() < end
+            assert process.poll() is None
+            time.sleep(0.005)
+        process.send_signal(signal.SIGHUP)
+        process.terminate()
+        # The last steps of an end are not cut short either.
+        while process.poll() is None:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.002)
+        assert process.returncode == 0
