Wait while an address to listen on is in use

What was seen (FAULT): starts ended with "address already in use" while the users' FAULT was reproduced; the last line named no address.

Cause: listeners were opened once. An address can be held for a moment by a process that still ends or by the local end of a connection.

Change: listeners are opened again for up to 10 s, with a log line (1008); then the process ends with an error that names the address. Any other error ends it at once, as before.

--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -335,6 +335,13 @@
     "If it reports requests, check what kept them until the grace's end.",
 )
 
+ADDRESS_IN_USE = Event(
+    1008,
+    "address-in-use",
+    "An address to listen on is in use; it is tried again for some seconds.",
+    "If the process ends, look which other process listens there.",
+)
+
 CATALOGUE = tuple(
     value for value in list(globals().values()) if isinstance(value, Event)
 )
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -25,6 +25,7 @@
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import flowcontrol
+from primrosehitch import listening
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
 
@@ -498,16 +499,19 @@
             task_status: started once the server listens.
 
         Raises:
-            OSError: the address cannot be bound.
+            ListenError: the address cannot be listened on.
         """
         loop = asyncio.get_running_loop()
         async with anyio.create_task_group() as task_group:
             self.task_group = task_group
-            self.listener = await loop.create_server(
-                lambda: Connection(self),
-                address.host,
-                address.port,
-                backlog=LISTEN_BACKLOG,
+            self.listener = await listening.bind(
+                address,
+                lambda: loop.create_server(
+                    lambda: Connection(self),
+                    address.host,
+                    address.port,
+                    backlog=LISTEN_BACKLOG,
+                ),
             )
             task_status.started()
             try:
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -31,6 +31,7 @@
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import instance as instance_module
+from primrosehitch import listening
 from primrosehitch import messages
 from primrosehitch import settings as settings_module
 
@@ -320,9 +321,15 @@
     async def run(self) -> None:
         """Accept connections and dial all peers until cancelled."""
         host, port = self.listen_address
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port
-        )
+
+        async def open_listener() -> anyio.abc.Listener[
+            anyio.abc.SocketStream
+        ]:
+            return await anyio.create_tcp_listener(
+                local_host=host, local_port=port
+            )
+
+        listener = await listening.bind(self.listen_address, open_listener)
         async with listener, anyio.create_task_group() as task_group:
             self.task_group = task_group
             for peer in self.peers.values():
--- /dev/null
+++ b/primrosehitch/listening.py
@@ -0,0 +1,60 @@
+"""Listening sockets that wait for an address in use.
+
+Another process can hold an address for a moment: one that is about to end,
+or the local end of a connection that it opened.
+"""
+
+import errno
+from typing import Awaitable
+from typing import Callable
+from typing import TypeVar
+
+import anyio
+
+from primrosehitch import errors
+from primrosehitch import events
+from primrosehitch import settings as settings_module
+
+# An address that is in use for longer belongs to another process.
+BIND_TIMEOUT_S = 10.0
+BIND_RETRY_S = 0.1
+
+Listener = TypeVar("Listener")
+
+
+class ListenError(errors.PrimrosehitchError):
+    """An address cannot be listened on."""
+
+
+async def bind(
+    address: settings_module.Address,
+    open_listener: Callable[[], Awaitable[Listener]],
+    timeout_s: float = BIND_TIMEOUT_S,
+) -> Listener:
+    """Open a listener; wait while its address is in use.
+
+    Args:
+        address: the address, for errors and the log.
+        open_listener: opens the listener.
+        timeout_s: how long to wait, in seconds.
+
+    Raises:
+        ListenError: the address is still in use then, or cannot be listened
+            on for another reason.
+    """
+    gives_up_at = anyio.current_time() + timeout_s
+    is_reported = False
+    while True:
+        try:
+            return await open_listener()
+        except OSError as exc:
+            is_in_use = exc.errno == errno.EADDRINUSE
+            if not is_in_use or anyio.current_time() >= gives_up_at:
+                raise ListenError(str(exc), "listen", str(address)) from exc
+        if not is_reported:
+            events.emit(events.ADDRESS_IN_USE, address=str(address))
+            is_reported = True
+        await anyio.sleep(BIND_RETRY_S)
+
+
+__all__ = ["ListenError", "bind"]
