Go on accepting links after a lack of descriptors

What was seen (FAULT): with 90 descriptors and more connections than that, each of three control instances and two edges ended by itself.

Cause: the listener of the links raises where a connection cannot be accepted, in the task group of the instance.

Change: it is logged (1009) and accepted again after 0.1 s.

--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -341,6 +341,13 @@
     "An address to listen on is in use; it is tried again for some seconds.",
     "If the process ends, look which other process listens there.",
 )
+ACCEPT_FAILED = Event(
+    1009,
+    "accept-failed",
+    "A connection could not be accepted, mostly since the process has no"
+    " descriptor left; it is tried again.",
+    "Raise the limit on descriptors, or look who opens connections.",
+)
 
 CATALOGUE = tuple(
     value for value in list(globals().values()) if isinstance(value, Event)
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -334,7 +334,7 @@
             self.task_group = task_group
             for peer in self.peers.values():
                 self._start_dialing(peer, task_group)
-            await listener.serve(self._serve_connection, task_group)
+            await listening.serve(listener, self._serve_connection, task_group)
 
     def _start_dialing(
         self, peer: LinkPeer, task_group: anyio.abc.TaskGroup
--- a/primrosehitch/listening.py
+++ b/primrosehitch/listening.py
@@ -1,15 +1,18 @@
-"""Listening sockets that wait for an address in use.
+"""Listening sockets that outlast a shortage of addresses or descriptors.
 
 Another process can hold an address for a moment: one that is about to end,
-or the local end of a connection that it opened.
+or the local end of a connection that it opened. Descriptors run out while
+callers open more connections than a process may have. Neither ends a server.
 """
 
 import errno
+from typing import Any
 from typing import Awaitable
 from typing import Callable
 from typing import TypeVar
 
 import anyio
+import anyio.abc
 
 from primrosehitch import errors
 from primrosehitch import events
@@ -18,6 +21,7 @@
 # An address that is in use for longer belongs to another process.
 BIND_TIMEOUT_S = 10.0
 BIND_RETRY_S = 0.1
+ACCEPT_RETRY_S = 0.1
 
 Listener = TypeVar("Listener")
 
@@ -57,4 +61,25 @@
         await anyio.sleep(BIND_RETRY_S)
 
 
-__all__ = ["ListenError", "bind"]
+async def serve(
+    listener: anyio.abc.Listener[anyio.abc.SocketStream],
+    handler: Callable[[anyio.abc.SocketStream], Awaitable[Any]],
+    group: anyio.abc.TaskGroup,
+) -> None:
+    """Handle the connections of a listener until cancelled.
+
+    Args:
+        listener: accepts one connection after the other.
+        handler: handles one connection.
+        group: runs the handlers.
+    """
+    while True:
+        try:
+            await listener.serve(handler, group)
+        except* OSError as failures:
+            # The connections that wait are accepted later.
+            events.emit(events.ACCEPT_FAILED, error=repr(failures.exceptions))
+        await anyio.sleep(ACCEPT_RETRY_S)
+
+
+__all__ = ["ListenError", "bind", "serve"]
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -1,5 +1,6 @@
-"""Listeners wait for an address in use."""
+"""Listeners outlast an address in use and a lack of descriptors."""
 
+import errno
 import socket
 
 import anyio
@@ -62,3 +63,36 @@
                 )
 
     anyio.run(body)
+
+
+class FailingListener:
+    """Lacks descriptors for some connections, then accepts one."""
+
+    def __init__(self):
+        self.failures = 2
+
+    async def serve(self, handler, group):
+        while True:
+            if not self.failures:
+                group.start_soon(handler, "connection")
+                await anyio.sleep_forever()
+            self.failures -= 1
+            lacking = OSError(errno.EMFILE, "Too many open files")
+            raise ExceptionGroup("accept", [lacking])
+
+
+# Guards against: a process that has no descriptor left ends by itself.
+def test_listener_goes_on_after_a_lack_of_descriptors():
+    served = []
+
+    async def body():
+        async def handle(stream):
+            served.append(stream)
+            group.cancel_scope.cancel()
+
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as group:
+                await listening.serve(FailingListener(), handle, group)
+
+    anyio.run(body)
+    assert served == ["connection"]
--- a/tests/test_routed_processes.py
+++ b/tests/test_routed_processes.py
@@ -115,3 +115,30 @@
             process.send_signal(signal.SIGHUP)
             time.sleep(0.002)
         assert process.returncode == 0
+
+
+LINK_PORT, DESCRIPTORS = 27101, 60
+
+
+# Guards against: more connections than a process may have end it.
+@pytest.mark.parametrize("name", ["control", "edge"])
+def test_lack_of_descriptors_does_not_end_a_process(tmp_path, name):
+    link = "127.0.0.2" if name == "control" else "127.0.0.3"
+    with running_process(name, tmp_path) as process:
+        address = CONTROL_ADDRESS if name == "control" else READY_ADDRESS
+        path = "/-/Config.Get" if name == "control" else "/-/ready"
+        wait_for_status(503, "GET", address, path)
+        limits = (DESCRIPTORS, DESCRIPTORS)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+        with contextlib.ExitStack() as stack:
+            for _ in range(2 * DESCRIPTORS):
+                with contextlib.suppress(OSError):
+                    stack.enter_context(
+                        socket.create_connection(
+                            (link, LINK_PORT), timeout=0.2
+                        )
+                    )
+            time.sleep(1)
+            assert process.poll() is None
+        wait_for_status(503, "GET", address, path)
+        assert process.poll() is None
