Pass on only events that follow each other

Cause: each block that ends with an empty line passed for an event; its identifier was only used to drop repetitions of a resumed stream.

Change: an event has one identifier, a whole number greater than the last. Anything else ends the attempt after the sound events before it; the stream goes on elsewhere, or is broken off. Comments and empty blocks are left out. The same for streams from another edge and for a caller's Last-Event-Id.

Ruled out: events of two runs joined; identifiers went on after the garbage.

--- a/primrosehitch/eventframes.py
+++ b/primrosehitch/eventframes.py
@@ -2,21 +2,47 @@
 
 Does no I/O. An endpoint may fail in the middle of an event. Only complete
 events are passed on, so that another endpoint can continue after the last
-one. Events that a resumed stream repeats are dropped by their identifiers.
+one. Each event has one identifier, a whole number that is greater than that
+of the event before. Whatever else stands in a stream was not written by the
+run that the caller asked for, and ends the attempt. Events that a resumed
+stream repeats are dropped by their identifiers.
 """
 
 import re
 
+from primrosehitch import errors
+
 MAX_EVENT_BYTES = 1 << 20
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_FIELD = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+_NUMBER = re.compile(rb"[0-9]{1,18}")
+# Lines that a reader of server-sent events skips.
+_NO_EVENT = re.compile(rb"(?::[^\r\n]*|[\r\n])*")
+_SHOWN_BYTES = 40
+
+
+class EventError(errors.PrimrosehitchError):
+    """A stream holds what is no event of it.
+
+    Args:
+        text: what is wrong.
+        sound_events: the new events that came before it.
+    """
+
+    def __init__(self, text: str, sound_events: bytes = b""):
+        self.sound_events = sound_events
+        super().__init__(text, "read event")
 
 
-class EventTooLargeError(Exception):
+class EventTooLargeError(EventError):
     """An event is larger than MAX_EVENT_BYTES."""
 
 
+class EventIdError(EventError):
+    """An event has no identifier, or one that does not follow the last."""
+
+
 class EventSplitter:
     """Splits a byte stream into complete events.
 
@@ -24,16 +50,19 @@
         last_id: identifier of the last event that the caller has, or b"".
 
     Attributes:
+        last_number: that identifier as a number, -1 if there is none.
         partial: bytes after the last complete event.
         event_count: number of events returned.
-        is_resumed: whether another endpoint continues the stream.
+        may_repeat: whether the next events may repeat earlier ones, as the
+            stream has just been resumed.
     """
 
     def __init__(self, last_id: bytes = b""):
         self.last_id = last_id
+        self.last_number = _parse_number(last_id)
         self.partial = b""
         self.event_count = 0
-        self.is_resumed = False
+        self.may_repeat = bool(last_id)
 
     @property
     def is_at_event_boundary(self) -> bool:
@@ -44,6 +73,8 @@
         """Add bytes, and return the new events that are now complete.
 
         Raises:
+            EventIdError: an event has no identifier that follows the last
+                one; the error has the sound events before it.
             EventTooLargeError: an event does not end within
                 MAX_EVENT_BYTES.
         """
@@ -53,39 +84,64 @@
         for match in _EVENT_END.finditer(data):
             event = data[start : match.end()]
             start = match.end()
-            if self._is_new(event):
+            try:
+                is_new = self._is_new(event)
+            except EventIdError as exc:
+                exc.sound_events = b"".join(new_events)
+                raise
+            if is_new:
                 new_events.append(event)
+                self.event_count += 1
         self.partial = data[start:]
+        sound_events = b"".join(new_events)
         if len(self.partial) > MAX_EVENT_BYTES:
-            raise EventTooLargeError(f"{len(self.partial)} bytes")
-        self.event_count += len(new_events)
-        return b"".join(new_events)
+            raise EventTooLargeError(
+                f"{len(self.partial)} bytes without an end", sound_events
+            )
+        return sound_events
 
     def prepare_resume(self) -> None:
         """Drop a partial event before another endpoint continues."""
         self.partial = b""
-        self.is_resumed = True
+        self.may_repeat = True
 
     def _is_new(self, event: bytes) -> bool:
-        """Return whether a resumed stream does not repeat an event."""
-        match = _ID_FIELD.search(event)
-        if match is None:
-            return True
-        identifier = match.group(1)
-        if self.is_resumed and not _is_after(identifier, self.last_id):
+        """Return whether this is an event that the caller does not have.
+
+        Raises:
+            EventIdError: it is no event of this stream.
+        """
+        identifiers = _ID_FIELD.findall(event)
+        if not identifiers and _NO_EVENT.fullmatch(event):
             return False
-        self.last_id = identifier
+        if len(identifiers) != 1:
+            raise self._id_error(event, f"{len(identifiers)} identifiers")
+        number = _parse_number(identifiers[0])
+        if number < 0:
+            raise self._id_error(event, "an identifier that is no number")
+        if number <= self.last_number:
+            if self.may_repeat:
+                return False
+            raise self._id_error(event, "an identifier that goes back")
+        self.last_id, self.last_number = identifiers[0], number
+        self.may_repeat = False
         return True
 
+    def _id_error(self, event: bytes, text: str) -> EventIdError:
+        shown = event[:_SHOWN_BYTES].decode("latin-1")
+        return EventIdError(
+            f"event after {self.last_number} has {text}: {shown!r}"
+        )
 
-def _is_after(identifier: bytes, last: bytes) -> bool:
-    """Return whether an identifier is after the last one.
 
-    Identifiers that are not numbers have no order; they only differ.
-    """
-    if not (identifier.isdigit() and last.isdigit()):
-        return identifier != last
-    return int(identifier) > int(last)
+def _parse_number(identifier: bytes) -> int:
+    """Return an identifier as a number, or -1 if it is none."""
+    return int(identifier) if _NUMBER.fullmatch(identifier) else -1
 
 
-__all__ = ["EventSplitter", "EventTooLargeError"]
+__all__ = [
+    "EventError",
+    "EventIdError",
+    "EventSplitter",
+    "EventTooLargeError",
+]
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -568,14 +568,14 @@
         """Relay a stream of another edge in whole events."""
         item = await connection.receive()
         while isinstance(item, bytes):
-            try:
-                complete_events = self.event_frames.feed(item)
-            except eventframes.EventTooLargeError as exc:
-                return Broken(f"event too large: {exc}")
+            complete_events, event_error = self._split_events(item)
             if complete_events:
                 self.was_helped = True
                 self._ensure_head_sent(head)
                 await self.responder.write(complete_events)
+            if event_error is not None:
+                self.event_frames.prepare_resume()
+                return Broken(str(event_error))
             item = await connection.receive()
         if (
             item is httpclient.ResponseEnd.COMPLETE
@@ -587,6 +587,22 @@
         self.event_frames.prepare_resume()
         return Broken("stream incomplete")
 
+    def _split_events(
+        self, data: bytes
+    ) -> tuple[bytes, eventframes.EventError | None]:
+        """Return the events that bytes of a stream complete.
+
+        The caller gets the sound ones also if no event follows them.
+
+        Returns:
+            The events, and what is wrong with the bytes after them, if
+            anything is.
+        """
+        try:
+            return self.event_frames.feed(data), None
+        except eventframes.EventError as exc:
+            return exc.sound_events, exc
+
     def _emit_no_endpoint(self) -> None:
         now = clock.now_ms()
         availability = self.balancer.availability(self.ask.service, now)
@@ -1282,10 +1298,7 @@
         last_event_ms = clock.now_ms()
         sound_at_ms = last_event_ms + quarantine_module.SOUND_ANSWER_MS
         while isinstance(item, bytes):
-            try:
-                complete_events = self.event_frames.feed(item)
-            except eventframes.EventTooLargeError as exc:
-                return self._record_broken(choice, f"event too large: {exc}")
+            complete_events, event_error = self._split_events(item)
             if complete_events:
                 if self.balancer.is_replaced(choice.endpoint):
                     # Which version wrote them is not known.
@@ -1298,7 +1311,10 @@
                 if last_event_ms >= sound_at_ms:
                     self._report_sound()
                     sound_at_ms = last_event_ms + SOUND_REPORT_PERIOD_MS
-            elif (
+            if event_error is not None:
+                self.event_frames.prepare_resume()
+                return self._record_broken(choice, str(event_error))
+            if not complete_events and (
                 clock.now_ms() - last_event_ms > event_timeout_ms
                 and self._can_fail_over()
             ):
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -13,6 +13,8 @@
 
 STAMP = b"Response-Stamp: 1.1.1\r\n"
 FLOOD_BYTES = 64 << 20
+# The event that foreign bytes follow in a garbled stream.
+GARBLED_AFTER = 2
 # How long a crashed engine takes to start again.
 RESTART_S = 0.5
 # How long the engine works before the answer that crashes it.
@@ -45,6 +47,7 @@
         version: of its software; each event of a stream names it.
 
     Attributes:
+        garbage: what a garbled stream holds beside its events.
         incarnation: how often the process has started.
     """
 
@@ -61,6 +64,7 @@
         self.version = version
         self.crashing_body = b""
         self.limit = ""
+        self.garbage = b"data: of no run\n\n"
         self.arrivals: list[float] = []
         self.incarnation = 1
         self.crash = anyio.Event()
@@ -313,6 +317,26 @@
         await stream.send(b"0\r\n\r\n")
         return True
 
+    async def _play_garbled_stream(self, stream, seen: Seen) -> bool:
+        """Send a whole stream, with foreign bytes after its second event."""
+        await self._begin_chunks(stream, seen)
+        first = int(seen.headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            await self._event(stream, seen, number)
+            if number == GARBLED_AFTER:
+                await self._chunk(stream, self.garbage)
+        await stream.send(b"0\r\n\r\n")
+        return True
+
+    async def _play_garbled_start(self, stream, seen: Seen) -> bool:
+        """Send foreign bytes, then a whole stream."""
+        await self._begin_chunks(stream, seen)
+        await self._chunk(stream, self.garbage)
+        for number in range(1, self.events + 1):
+            await self._event(stream, seen, number)
+        await stream.send(b"0\r\n\r\n")
+        return True
+
     # -- torn answers ------------------------------------------------------
 
     async def _play_cut(self, stream, seen: Seen) -> bool:
--- a/tests/test_edge_parts.py
+++ b/tests/test_edge_parts.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from primrosehitch import budget
 from primrosehitch import eventframes
@@ -88,6 +89,56 @@
     assert output == b"".join(EVENTS)
 
 
+FOREIGN_BLOCKS = {
+    "no-id": b"data: x\n\n",
+    "empty-id": b"id:\ndata: x\n\n",
+    "blank-id": b"id: \ndata: x\n\n",
+    "word": b"id: x7\ndata: x\n\n",
+    "goes-back": b"id: 1\ndata: x\n\n",
+    "same": b"id: 2\ndata: x\n\n",
+    "negative": b"id: -3\ndata: x\n\n",
+    "foreign-digit": "id: \u0663\ndata: x\n\n".encode(),
+    "endless-number": b"id: " + b"9" * 5000 + b"\ndata: x\n\n",
+    "two-ids": b"id: 3\nda\nid: 4\ndata: x\n\n",
+    "noise": b"\x00\xff\r\n\r\n",
+    "glued": b"xxid: 3\ndata: 9\n\n",
+}
+
+
+# Guards against: a block without an identifier that follows the last one
+# reaches the caller as an event of the stream.
+@pytest.mark.parametrize("name", FOREIGN_BLOCKS)
+@pytest.mark.parametrize("size", [1, 7, 10_000])
+def test_only_events_that_follow_each_other_are_passed_on(name, size):
+    splitter = eventframes.EventSplitter()
+    data = b"".join(EVENTS[:2]) + FOREIGN_BLOCKS[name] + EVENTS[2]
+    output = b""
+    with pytest.raises(eventframes.EventIdError) as caught:
+        for start in range(0, len(data), size):
+            output += splitter.feed(data[start : start + size])
+    output += caught.value.sound_events
+    assert output == b"".join(EVENTS[:2])
+    assert (splitter.last_id, splitter.event_count) == (b"2", 2)
+    # Another endpoint goes on after the last sound event.
+    splitter.prepare_resume()
+    output += splitter.feed(b"".join(EVENTS[1:]))
+    assert output == b"".join(EVENTS)
+
+
+def test_blocks_without_an_event_are_left_out():
+    splitter = eventframes.EventSplitter()
+    data = b": alive\n\n" + EVENTS[0] + b"\n\n" + b":\r\n\r\n" + EVENTS[1]
+    assert splitter.feed(data) == EVENTS[0] + EVENTS[1]
+    assert splitter.is_at_event_boundary
+
+
+@pytest.mark.parametrize("last_id", [b"2", b"", b"none", b"9" * 5000])
+def test_caller_that_resumes_gets_no_event_twice(last_id):
+    splitter = eventframes.EventSplitter(last_id)
+    known = int(last_id) if last_id == b"2" else 0
+    assert splitter.feed(b"".join(EVENTS)) == b"".join(EVENTS[known:])
+
+
 def test_event_without_end_is_refused():
     splitter = eventframes.EventSplitter()
     try:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -313,6 +313,54 @@
     run(body)
 
 
+GARBAGE = [
+    b"data: of no run\n\n",
+    b"id:\ndata: of no run\n\n",
+    b"id: 1\ndata: x\n\n",
+    b"\x00\xff garbage\r\n\r\n",
+]
+
+
+# Guards against: a caller gets a block that no run made as an event.
+@pytest.mark.parametrize("garbage", GARBAGE)
+@pytest.mark.parametrize("path", ["/resume/x", "/stream/x"])
+def test_garbage_in_a_stream_reaches_no_caller(garbage, path):
+    async def body():
+        garbling, good = Engine(["garbled_stream"]), Engine(["stream"])
+        garbling.garbage = garbage
+        async with routed.running_edge(garbling, good) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            response = await routed.send_request(edge, routed.request(path))
+            resumable = path == "/resume/x"
+            expected = EVENTS if resumable else EVENTS[:2]
+            assert response[2] == b"".join(expected)
+            # A stream that cannot go on must not look complete.
+            assert response[3] == resumable
+            assert len(good.seen) == resumable
+            assert edge.balancer.endpoints["i-0"].consecutive_failures == 1
+
+    run(body)
+
+
+# Guards against: garbage at the very start becomes the stream's first event.
+def test_stream_that_begins_with_garbage_begins_elsewhere():
+    async def body():
+        garbling, good = Engine(["garbled_start"]), Engine(["stream"])
+        async with routed.running_edge(garbling, good) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            request = routed.request("/resume/x")
+            response = await routed.send_request(edge, request)
+            assert (response[0], response[3]) == (200, True)
+            assert response[2] == b"".join(EVENTS)
+            garbled = routed.request("/stream/x", identifier="78")
+            edge.balancer.endpoints["i-1"].mean_call_ms = 5000
+            edge.balancer.end_ejections("svc")
+            response = await routed.send_request(edge, garbled)
+            assert response[0] == 502
+
+    run(body)
+
+
 def test_no_other_answer_follows_in_the_middle_of_a_stream():
     """The engine that is to go on answers with a failure of its own."""
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -363,9 +363,23 @@
     Mutant(
         "a resumed stream repeats no event",
         "eventframes.py",
-        "        if self.is_resumed "
-        "and not _is_after(identifier, self.last_id):",
-        "        if False:",
+        "            if self.may_repeat:\n                return False",
+        "            if self.may_repeat:\n                return True",
+        "tests/test_edge_parts.py",
+    ),
+    Mutant(
+        "an event without an identifier is not passed on",
+        "eventframes.py",
+        "        if len(identifiers) != 1:",
+        "        if len(identifiers) > 1:",
+        "tests/test_edge_parts.py",
+    ),
+    Mutant(
+        "an identifier that goes back ends the attempt",
+        "eventframes.py",
+        '            raise self._id_error(event, "an identifier that goes '
+        'back")',
+        "            return True",
         "tests/test_edge_parts.py",
     ),
     Mutant(
