Fault soak: garbling engines, SIGHUP, and ends that nobody asked for

Why: the soak could see neither of the faults that the users saw on real processes. It sent no SIGHUP, took no notice of a process that ended, and its ledger left out blocks of a stream that did not look like events.

Change: on odd seeds one engine after the other writes garbage between events for a while; SIGHUP comes all the time, mostly to processes that start; a process that nobody ended is a finding and is started again. The new parts draw from numbers of their own, so that the schedules of earlier seeds stay as they were.

--- a/primrosehitch_lab/fault_engine_needs.py
+++ b/primrosehitch_lab/fault_engine_needs.py
@@ -1,4 +1,4 @@
-"""Engines of a fault soak that name a limit, or crash on one request."""
+"""Engines of a fault soak that name a limit, crash or write garbage."""
 
 import random
 from typing import Callable
@@ -14,6 +14,15 @@
 
 LIMIT_DELAY_S = 3.0
 CRASH_PAUSE_S = (0.3, 1.5)
+GARBLE_PAUSE_S = (0.5, 2.0)
+GARBLE_S = (0.5, 2.0)
+# Bytes that no run of an engine wrote.
+GARBAGE = (
+    b"id: \ndata: of no run\n\n",
+    b"data: of no run\n\n",
+    b"id: 1\ndata: of no run\n\n",
+    b"\x00\xff\x80 noise\n\n",
+)
 
 
 class EngineNeeds:
@@ -72,6 +81,17 @@
                 "GET", address, path, headers=headers, limit_s=3
             )
 
+    async def garble_streams(self) -> None:
+        """Let one engine after the other write garbage for a while."""
+        while True:
+            await anyio.sleep(self.rng.uniform(*GARBLE_PAUSE_S))
+            slot = self.rng.choice(self.slots)
+            garbage = self.rng.choice(GARBAGE)
+            with self.schedule.fault("garble", slot.name, False):
+                slot.garbage = garbage
+                await anyio.sleep(self.rng.uniform(*GARBLE_S))
+                slot.garbage = b""
+
     async def _crash(self, slot: fault_engines.EngineSlot) -> None:
         with self.schedule.fault("crashing request", slot.name, False):
             slot.crash()
--- a/primrosehitch_lab/fault_engines.py
+++ b/primrosehitch_lab/fault_engines.py
@@ -16,6 +16,8 @@
 CALL_S = 0.02
 BEAT_S = 0.4
 RESTART_S = 0.2
+# Garbage follows these events of a stream.
+GARBLED_EVENTS = (2, 6)
 
 
 class SoakEngine(platform_engine.StandInEngine):
@@ -83,6 +85,8 @@
             self.version.encode(),
         )
         await self._chunk(stream, event)
+        if self.slot.garbage and number in GARBLED_EVENTS:
+            await self._chunk(stream, self.slot.garbage)
 
 
 CrashHandler = Callable[["EngineSlot"], Awaitable[None]]
@@ -102,6 +106,7 @@
         version: the software version of the process that serves. Two serve
             side by side, and it changes with every second start.
         limit: the limit that its engines name, if not empty.
+        garbage: what its engines write between events, if not empty.
         on_crashing_request: handles a request that crashes its engine.
     """
 
@@ -126,6 +131,7 @@
         self.sequence = 0
         self.scope: anyio.CancelScope | None = None
         self.limit = ""
+        self.garbage = b""
         self.on_crashing_request: CrashHandler | None = None
 
     async def live(
--- a/primrosehitch_lab/fault_fleet.py
+++ b/primrosehitch_lab/fault_fleet.py
@@ -22,6 +22,8 @@
 # A process that was asked to end is gone this long after its grace.
 END_SLACK_S = 1.0
 POLL_S = 0.02
+# A library that the processes import early.
+IMPORTED_LIBRARY = "capnp"
 ROOT = pathlib.Path(__file__).parent.parent
 
 
@@ -30,6 +32,8 @@
 
     Attributes:
         start: number of the newest start.
+        began_at: time of the newest start, by ``time.monotonic``.
+        is_ending: whether the process was killed or asked to end.
     """
 
     def __init__(self, name: str, host: str, folder: pathlib.Path):
@@ -37,6 +41,8 @@
         self.host = host
         self.folder = folder
         self.start = 0
+        self.began_at = 0.0
+        self.is_ending = False
         self.popen: subprocess.Popen[bytes] | None = None
 
     @property
@@ -47,6 +53,8 @@
     def begin(self) -> None:
         """Start the process."""
         self.start += 1
+        self.began_at = time.monotonic()
+        self.is_ending = False
         log = (self.folder / f"{self.name}.log").open("ab")
         with log:
             self.popen = subprocess.Popen(
@@ -61,6 +69,19 @@
                 stderr=log,
             )
 
+    @property
+    def is_importing(self) -> bool:
+        """Whether the process runs and has begun to import its libraries."""
+        if not self.running:
+            return False
+        assert self.popen is not None
+        maps = pathlib.Path(f"/proc/{self.popen.pid}/maps")
+        try:
+            return IMPORTED_LIBRARY in maps.read_text()
+        except OSError:
+            # It has just ended.
+            return False
+
     @property
     def settings_file(self) -> pathlib.Path:
         """Where its settings are."""
@@ -79,10 +100,17 @@
 
     def kill(self) -> None:
         """Kill the process and wait for its end."""
+        self.is_ending = True
         if self.popen is not None:
             self.popen.kill()
             self.popen.wait()
 
+    def own_end_status(self) -> int | None:
+        """Return the exit status of a process that nobody has ended."""
+        if self.popen is None or self.is_ending:
+            return None
+        return self.popen.poll()
+
     async def listens(self) -> bool:
         """Return whether the process takes connections."""
         try:
@@ -99,6 +127,7 @@
         Returns:
             None where it was still there after the time it has.
         """
+        self.is_ending = True
         self.signal(signal.SIGTERM)
         until = time.monotonic() + GRACE_S + END_SLACK_S
         while self.running and time.monotonic() < until:
--- a/primrosehitch_lab/fault_ledger.py
+++ b/primrosehitch_lab/fault_ledger.py
@@ -274,20 +274,15 @@
     def _check_stream(self, item: Try) -> None:
         if not item.path.startswith("/resume/") or item.status != 200:
             return
-        events = [
-            _VERSION_AT_END.sub(b"", e)
-            for e in item.body.split(b"\n\n")
-            if b"\ndata: " in e
-        ]
+        *blocks, rest = item.body.split(b"\n\n")
+        events = [_VERSION_AT_END.sub(b"", block) for block in blocks]
         wanted = [
             b"id: %d\ndata: %s" % (n, item.identifier.encode())
             for n in range(item.events_before + 1, STREAM_EVENTS + 1)
         ]
-        count = len(wanted) if item.whole else min(len(events), len(wanted))
-        if not item.whole and events and events[-1] != wanted[count - 1]:
-            # The connection ended inside the last event.
-            events, count = events[:-1], count - 1
-        if events != wanted[:count]:
+        # A connection may end inside an event, an answer may not.
+        is_short = item.whole and (rest or len(events) < len(wanted))
+        if is_short or events != wanted[: len(events)]:
             self._find(f"{item.identifier} got {len(events)} events, torn")
 
     def _check_versions(self) -> None:
--- a/primrosehitch_lab/fault_soak.py
+++ b/primrosehitch_lab/fault_soak.py
@@ -24,6 +24,7 @@
 from primrosehitch_lab import fault_ledger
 from primrosehitch_lab import fault_operator
 from primrosehitch_lab import fault_schedule
+from primrosehitch_lab import fault_signals
 
 ENGINES = 3
 CALLERS = 10
@@ -39,6 +40,8 @@
 # request that crashes engines.
 LIMIT_EVERY = 2
 CRASH_EVERY = 5
+# One in so many seeds has engines that write garbage into their streams.
+GARBLE_EVERY = 2
 FIRST_NET = 40
 NETS = 200
 
@@ -68,6 +71,7 @@
         self.silences_engine = seed % SILENCE_EVERY == 0
         self.names_limit = seed % LIMIT_EVERY == 0
         self.repeats_crash = seed % CRASH_EVERY == 0
+        self.garbles_streams = seed % GARBLE_EVERY == 1
         self.fleet = fault_fleet.FaultFleet(folder, net)
         self.ledger = fault_ledger.Ledger()
         self.slots = [
@@ -98,6 +102,13 @@
             random.Random(f"needs {seed}"),
         )
 
+        self.signals = fault_signals.Signals(
+            self.fleet,
+            self.ledger,
+            self.now,
+            random.Random(f"signals {seed}"),
+        )
+
     def now(self) -> float:
         """Return the time since the soak began, in seconds."""
         return time.monotonic() - self.began
@@ -111,6 +122,8 @@
                 for slot in self.slots:
                     await group.start(slot.live)
                 self.fleet.begin()
+                group.start_soon(self.signals.watch_ends)
+                group.start_soon(self.signals.reload_settings)
                 group.start_soon(self.callers.watch_ready)
                 await self._until_served(START_S)
                 self.fleet.no_bootstrap()
@@ -133,6 +146,8 @@
                 group.start_soon(self.needs.name_limit)
             if self.repeats_crash:
                 group.start_soon(self.needs.repeat_crash)
+            if self.garbles_streams:
+                group.start_soon(self.needs.garble_streams)
             async with anyio.create_task_group() as steps:
                 steps.start_soon(self.schedule.run)
                 if self.silences_engine:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -47,6 +47,18 @@
         ([], _try("/resume/x", body=_events(ALL - 1)), "torn"),
         ([], _try("/resume/x", body=_events(3) + _events(ALL)), "torn"),
         ([], _try("/resume/x", body=_events(3), whole=False), ""),
+        ([], _try("/resume/x", body=_events(3) + b"id", whole=False), ""),
+        (
+            [],
+            _try("/resume/x", body=b"id: \ndata: x\n\n" + _events(ALL)),
+            "torn",
+        ),
+        (
+            [],
+            _try("/resume/x", body=_events(2) + b"\xff\n\n", whole=False),
+            "torn",
+        ),
+        ([], _try("/resume/x", body=_events(ALL) + b"data"), "torn"),
         ([], _try(status=0, whole=False), ""),
         ([_run("/a/x")], _try(status=0, whole=False), "was cut by edge-1"),
     ],
