Ignore requests to change the protocol, rather than half of them

Cause: the parser reports such a request as complete at its head and raises afterwards; the request was queued at the first and refused at the second.

Change: it is parsed again without the header that asks, as any other request; CONNECT is refused before it is queued.

Ruled out: the path to endpoints, where only 101 changes the parser; that breaks the attempt off.

--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -245,15 +245,49 @@
         # after the read in which it began is counted.
         self.unparsed_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.refuse(400, "protocol upgrades are not supported")
+            self._parse(data)
         except httptools.HttpParserError as exc:
             if not self.discarding_input:
                 self.refuse(400, f"malformed HTTP request: {exc}")
         else:
             self._check_unparsed_bytes()
 
+    def _parse(self, data: bytes) -> None:
+        """Feed the parser; ignore requests to change the protocol.
+
+        A server may ignore them (RFC 9110, 7.8). The parser takes the head
+        of such a request for all of it, so the request is parsed again
+        without the header that asks.
+
+        Raises:
+            HttpParserError: the input is malformed.
+        """
+        while not self.discarding_input:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as exc:
+                data = self._head_without_upgrade() + data[exc.args[0] :]
+                self.parser = httptools.HttpRequestParser(self)
+                continue
+            return
+
+    def _head_without_upgrade(self) -> bytes:
+        """Return the head of the request being parsed, to parse it again."""
+        lines = [
+            b"%s %s HTTP/%s\r\n"
+            % (
+                self.parser.get_method(),
+                self.target,
+                self.parser.get_http_version().encode(),
+            )
+        ]
+        lines += [
+            b"%s: %s\r\n" % header
+            for header in self.headers
+            if header[0] != b"upgrade"
+        ]
+        return b"".join(lines) + b"\r\n"
+
     def _check_unparsed_bytes(self) -> None:
         """Refuse a header or trailer whose end does not come.
 
@@ -290,6 +324,10 @@
 
     def on_headers_complete(self) -> None:
         """Answer ``Expect: 100-continue`` (parser callback)."""
+        if self.parser.get_method() == b"CONNECT":
+            self.refuse(400, "CONNECT is not supported")
+        if self.parser.should_upgrade():
+            return
         self.in_body = True
         self.last_activity_ms = clock.now_ms()
         for name, value in self.headers:
@@ -307,7 +345,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request (parser callback)."""
-        if self.discarding_input:
+        if self.discarding_input or self.parser.should_upgrade():
             return
         request = Request(
             self.parser.get_method().decode("latin-1"),
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -849,3 +849,63 @@
             assert len(good.seen) == whole
 
     run(body)
+
+
+UPGRADES = [
+    {
+        "Upgrade": "h2c",
+        "Connection": "Upgrade, HTTP2-Settings",
+        "HTTP2-Settings": "AAMA",
+    },
+    {"Upgrade": "websocket", "Connection": "keep-alive, Upgrade"},
+    {"Upgrade": "h2c", "Connection": "Upgrade", "Expect": "100-continue"},
+]
+
+
+# Guards against: a request that asks for another protocol runs without its
+# body, and its caller gets 400.
+@pytest.mark.parametrize("upgrade", UPGRADES)
+@pytest.mark.parametrize("cut", [0, 1, 60, -3])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_request_to_change_the_protocol_is_served_whole(upgrade, cut, chunked):
+    async def body():
+        engine = Engine(["good"])
+        async with routed.running_edge(engine) as edge:
+            async with routed.connected_caller(edge) as caller:
+                content = b"4\r\nbody\r\n0\r\n\r\n" if chunked else b"body"
+                framing = {"Transfer-Encoding": "chunked"} if chunked else {}
+                framing["Content-Length"] = "" if chunked else "4"
+                headers = {**upgrade, **framing}
+                data = routed.request("/once/x", "POST", **headers) + content
+                for identifier in ("77", "78"):
+                    data = data.replace(b"Request-Id: 77", b"Request-Id: 78")
+                    for part in (data[:cut], data[cut:]):
+                        await caller.send(part)
+                        await anyio.sleep(0.02)
+                    if "Expect" in upgrade:
+                        assert (await read_interim(caller)) == 100
+                    assert (await caller.answer())[0] == 200
+            assert [seen.body for seen in engine.seen] == [b"body"] * 2
+            for seen in engine.seen:
+                assert not {"upgrade", "http2-settings"} & set(seen.headers)
+
+    run(body)
+
+
+async def read_interim(caller):
+    """Return the status of an interim response."""
+    while b"\r\n\r\n" not in caller.data:
+        caller.data += await caller.stream.receive()
+    head, _, caller.data = caller.data.partition(b"\r\n\r\n")
+    return int(head.split()[1])
+
+
+def test_connect_is_refused_and_runs_nowhere():
+    async def body():
+        engine = Engine(["good"])
+        async with routed.running_edge(engine) as edge:
+            data = routed.request("shop.example:443", "CONNECT")
+            assert (await routed.send_request(edge, data))[0] == 400
+            assert not engine.seen
+
+    run(body)
