--- a/primrosehitch/web.py
+++ b/primrosehitch/web.py
@@ -12,6 +12,7 @@
 from urllib import parse
 
 from primrosehitch import headers as headers_module
+from primrosehitch import jsontext
 from primrosehitch import outcomes
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -101,6 +102,15 @@
             body.
     """
     length = call.header(b"content-length")
+    if call.header(b"upgrade") and (
+        length.strip("0") or call.header(b"transfer-encoding")
+    ):
+        # The server does not pass on the body of such a request.
+        raise RefusedError(
+            bad_input(
+                "upgrade-with-body", "a request to upgrade must have no body"
+            )
+        )
     if length.isdigit() and int(length) > limit:
         raise RefusedError(body_too_large(limit))
     parts = []
@@ -139,9 +149,9 @@
         RefusedError: the body is not a JSON object.
     """
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError) as exc:
-        text = f"the body is not valid JSON: {str(exc)[:100]}"
+        value = jsontext.loads(body)
+    except jsontext.JsonError as exc:
+        text = f"the body is not valid JSON: {exc.text[:100]}"
         raise RefusedError(bad_input("bad-json", text)) from None
     if not isinstance(value, dict):
         raise RefusedError(
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -77,6 +77,17 @@
     assert answer.status in (200, 400, 404)
 
 
+# Guards against: a booking runs without the body that came with it.
+def test_request_to_upgrade_with_a_body_runs_nowhere(shared):
+    headers = [("connection", "Upgrade"), ("upgrade", "h2c")]
+    address, path = shared.http["g5"], "/services/booking"
+    answer = callers.send(
+        address, "POST", path, shared.key, b'{"bay":1}', headers
+    )
+    assert answer.status == 400
+    assert answer.error["reason"] == "upgrade-with-body"
+
+
 def test_arbitrary_bytes_are_answered_or_closed(shared):
     host, port = shared.http["g5"].split(":")
 
