Let records of unnamed services take no endpoint away

Cause: the registry did not know which services are named; the latest start at an address took it, and the engine there counted as left for good. The same under an engine's identifier.

Change: registries know the services of the table in force; a record of another service is kept, and claims its address once a table names it. Control instances decode the table for it.

Evidence: test_control plays both kinds of heartbeat, an edge that starts with the records before the table, and a table that names the service.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -36,6 +36,7 @@
 from primrosehitch import registry as registry_module
 from primrosehitch import replica as replica_module
 from primrosehitch import replicator as replicator_module
+from primrosehitch import routes
 from primrosehitch import settings as settings_module
 from primrosehitch import streamorigins
 from primrosehitch import timers
@@ -98,10 +99,16 @@
 
     Args:
         settings: the instance's settings; ``data_folder`` must be set.
+        decode_table: decodes the body of a route table.
     """
 
-    def __init__(self, settings: instance_module.InstanceSettings):
+    def __init__(
+        self,
+        settings: instance_module.InstanceSettings,
+        decode_table: Callable[[bytes], routes.RouteTable],
+    ):
         now = clock.now_ms()
+        self.decode_table = decode_table
         self.settings = settings
         self.name = str(settings.link)
         self.rng = random.Random()
@@ -116,6 +123,7 @@
         self.timers = timers.TimerService()
         self.true_time = truetime_module.TrueTime(clock.wall_ms(), now)
         self.registry = registry_module.Registry()
+        self.registry.set_services(())
         self.tallies = metering.TallyAggregator()
         self.edge_loads = loads_module.LoadAggregator()
         self.control_loads = loads_module.LoadAggregator()
@@ -228,6 +236,8 @@
         if table.version <= self.table.version:
             return
         self.table = table
+        with containment.contain("services of the table"):
+            self.registry.set_services(self.decode_table(table.body).services)
         metrics.CONFIG_VERSION.set(table.version)
         events.emit(events.VERSION_IN_FORCE, version=table.version)
         self.links.multicast(self.subscribers, table)
--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -10,6 +10,7 @@
 import contextlib
 import enum
 from typing import Callable
+from typing import Collection
 from typing import Iterator
 from typing import NamedTuple
 from typing import Protocol
@@ -291,18 +292,26 @@
             scaler = self._scaler(service.name)
             for want in scaler.plan_orders(
                 service.scaling,
-                self._scaling_domains(service.scaling),
+                self._scaling_domains(service.scaling, table.services),
                 self.control.registry.live_records(),
                 now,
             ):
                 if not await self._place_order(lease, scaler, want):
                     return
 
-    def _scaling_domains(self, spec: routes.Scaling) -> set[str]:
-        """Return the domains with a price, or else those with endpoints."""
+    def _scaling_domains(
+        self, spec: routes.Scaling, services: Collection[str]
+    ) -> set[str]:
+        """Return the domains with a price, or else those with endpoints.
+
+        Args:
+            spec: limits and prices of a service.
+            services: the services that the route table names.
+        """
         if spec.prices:
             return set(spec.prices)
-        return {r.domain for r in self.control.registry.live_records()}
+        records = self.control.registry.live_records()
+        return {r.domain for r in records if r.service in services}
 
     async def _place_order(
         self,
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -128,6 +128,7 @@
         self.timers = timers.TimerService()
         self.true_time = truetime_module.TrueTime(clock.wall_ms(), now)
         self.registry = registry_module.Registry()
+        self.registry.set_services(())
         self.balancer = balancer_module.Balancer(settings.domain, self.rng)
         self.budget = budget_module.SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
@@ -493,7 +494,8 @@
         self.front.limits = table.limits
         metrics.CONFIG_VERSION.set(table.version)
         events.emit(events.VERSION_IN_FORCE, version=table.version)
-        for record in self.registry.live_records():
+        self.registry.set_services(table.services)
+        for record in self.registry.records():
             self._update_balancer(record)
         self.forwarder.notify_routing_change()
 
--- a/primrosehitch/platform/process.py
+++ b/primrosehitch/platform/process.py
@@ -57,7 +57,9 @@
 
     def __init__(self, settings: instance_module.InstanceSettings):
         self.settings = settings
-        self.control = control_module.ControlInstance(settings)
+        self.control = control_module.ControlInstance(
+            settings, tables.decode_accepted
+        )
         self.api = calls.ControlApi(self.control)
         self.server = httpserver.Server(self.api.serve, CONTROL_LIMITS)
         self.metrics = httpserver.Server(_serve_metrics, CONTROL_LIMITS)
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -6,11 +6,16 @@
 nothing. An address belongs to the newest incarnation that reported it. An
 endpoint that left does not come back in the same incarnation.
 
+Whoever can reach a control instance can send records. One of a service that
+the route table does not name is kept, as the next table may name it, but
+takes neither an address nor an identifier from an endpoint of a named one.
+
 A silent endpoint has not left: its reports may be lost on their way here.
 Silence is this registry's own observation. It is not passed on to other
 registries as a report, and ends with the endpoint's next report.
 """
 
+from typing import Iterable
 from typing import NamedTuple
 
 import xxhash
@@ -71,6 +76,7 @@
     Attributes:
         entries: entries by endpoint identifier.
         owner_by_address: identifier of the endpoint that owns an address.
+        services: services that the route table names, None if any counts.
         cached_digest: digest of the records, None after a change of one
             that it covers; heartbeats alone change nothing.
     """
@@ -78,8 +84,27 @@
     def __init__(self) -> None:
         self.entries: dict[str, RegistryEntry] = {}
         self.owner_by_address: dict[str, str] = {}
+        self.services: frozenset[str] | None = None
         self.cached_digest: int | None = None
 
+    def set_services(self, services: Iterable[str]) -> None:
+        """Set the services that the route table names.
+
+        Endpoints of services that it did not name before now own the
+        addresses that they reported, unless newer ones do.
+        """
+        previous, self.services = self.services, frozenset(services)
+        claims = [
+            entry.record
+            for entry in self.entries.values()
+            if previous is not None and entry.record.service not in previous
+        ]
+        for record in sorted(claims, key=lambda claim: claim.born):
+            self._assign_address(record)
+
+    def _is_named(self, record: messages.EndpointRecord) -> bool:
+        return self.services is None or record.service in self.services
+
     def apply_record(
         self, record: messages.EndpointRecord, now: int
     ) -> EndpointChange | None:
@@ -95,6 +120,10 @@
         entry = self.entries.get(record.id)
         if entry is None:
             return self._add(record, None, now)
+        if self._is_named(entry.record) and not self._is_named(record):
+            # Departures of unknown endpoints name no service.
+            if record.state != LEFT or record.service:
+                return None
         if entry.record.born < record.born:
             return self._add(record, entry.record, now)
         if entry.record.born > record.born or not _supersedes(
@@ -244,13 +273,19 @@
 
         The endpoint of the older incarnation is marked as left.
         """
-        if not record.address or record.state == LEFT:
+        if (
+            not record.address
+            or record.state == LEFT
+            or not self._is_named(record)
+        ):
             return
         owner = self.entries.get(self.owner_by_address.get(record.address, ""))
         if owner is None or owner.record.id == record.id:
             self.owner_by_address[record.address] = record.id
             return
-        if owner.record.address != record.address:
+        if owner.record.address != record.address or not self._is_named(
+            owner.record
+        ):
             self.owner_by_address[record.address] = record.id
         elif owner.record.born <= record.born:
             self.cached_digest = None
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1007,3 +1007,39 @@
             await caller.send(routed.request(Credential=key))
             statuses.append((await caller.answer())[0])
     return statuses
+
+
+# Guards against: heartbeats of a service that no table names end all
+# service.
+def test_heartbeat_of_an_unnamed_service_takes_no_endpoint_away(tmp_path):
+    async def body():
+        async with instances.serving_fleet(tmp_path) as fleet:
+            for identifier in ("i-other", "i-0"):
+                status, _ = await instances.send_heartbeat(
+                    3, fleet.engine, identifier, service="exporter", born=99
+                )
+                assert status == 200
+            await anyio.sleep(PASSING_ON_S)
+            assert (await send_request())[0] == 200
+            # Nor after a restart, with records before the table.
+            await fleet.kill(9)
+            fleet.start_edge(9)
+            await instances.send_heartbeat(2, fleet.engine, seq=3)
+            await instances.wait_until(
+                lambda: (
+                    fleet.edges[9].is_ready
+                    and fleet.edges[9].balancer.usable_endpoints("svc", (), 0)
+                )
+            )
+            assert (await send_request())[0] == 200
+            # Once a table names it, its endpoint has the address.
+            table = routed.table_document(8)
+            table["services"].append({"name": "exporter"})
+            assert await instances.put_table(4, table) == 200
+            await instances.wait_until(
+                lambda: (
+                    not fleet.edges[9].balancer.usable_endpoints("svc", (), 0)
+                )
+            )
+
+    instances.run_test(body)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -241,3 +241,64 @@
     assert heartbeat == messages.EndpointRecord(
         "i-1", 5, 3, "s", "10.0.0.1:80", "z", 4, "draining", False, 2500
     )
+
+
+def record_of(service, identifier, born, address="10.0.0.1:80", **changes):
+    return messages.EndpointRecord(
+        identifier,
+        born,
+        1,
+        service,
+        address,
+        "z",
+        8,
+        registry.READY,
+        **changes,
+    )
+
+
+# Guards against: a record of a service that no table names takes an
+# endpoint away.
+@pytest.mark.parametrize("identifier", ["i-other", "i-0"])
+def test_record_of_an_unnamed_service_changes_no_named_endpoint(identifier):
+    known = registry.Registry()
+    known.set_services(["svc"])
+    sound = record_of("svc", "i-0", 5)
+    known.apply_record(sound, 0)
+    known.apply_record(record_of("exporter", identifier, 9), 1)
+    assert known.entries["i-0"].record == sound
+    assert known.owner_by_address == {"10.0.0.1:80": "i-0"}
+    later = sound._replace(sequence=2, state=registry.DRAINING)
+    assert known.apply_record(later, 2).record == later
+    # Neither does the next table, unless it names the service.
+    known.set_services(["svc", "third"])
+    assert known.entries["i-0"].record == later
+
+
+def test_table_that_names_a_service_lets_its_endpoints_take_addresses():
+    known = registry.Registry()
+    known.set_services(())
+    for service, identifier, born in (
+        ("new", "i-2", 9),
+        ("svc", "i-0", 5),
+        ("svc", "i-1", 6),
+    ):
+        known.apply_record(record_of(service, identifier, born), 0)
+    assert known.owner_by_address == {}
+    known.set_services(["svc"])
+    assert known.owner_by_address == {"10.0.0.1:80": "i-1"}
+    assert known.entries["i-0"].record.state == registry.LEFT
+    known.set_services(["svc", "new"])
+    assert known.owner_by_address == {"10.0.0.1:80": "i-2"}
+    assert known.entries["i-1"].record.state == registry.LEFT
+    known.set_services(["svc"])
+    known.apply_record(record_of("svc", "i-3", 7), 1)
+    assert known.owner_by_address == {"10.0.0.1:80": "i-3"}
+
+
+def test_departure_counts_whatever_service_it_names():
+    known = registry.Registry()
+    known.set_services(["svc"])
+    known.apply_record(record_of("svc", "i-0", 5), 0)
+    gone = messages.EndpointRecord("i-0", 5, state=registry.LEFT)
+    assert known.apply_record(gone, 1).record.state == registry.LEFT
