Count the attempts of a helped request over all edges

Cause: the helping edge counted attempts from nought.

Ruled out: a caller that names them itself; without the token the header is ignored, and no engine gets it.

--- a/primrosehitch/dialect.py
+++ b/primrosehitch/dialect.py
@@ -50,6 +50,8 @@
         output_tokens: the expected output size, 0 for plain calls.
         edge_token: what proves that another edge sends the request for its
             caller, or b"".
+        attempts_left: the endpoints to which that edge lets this one send
+            it, or None if it does not say.
         headers: the headers that every endpoint gets unchanged.
     """
 
@@ -62,6 +64,7 @@
     prompt_tokens: int
     output_tokens: int
     edge_token: bytes
+    attempts_left: int | None
     headers: list[Header]
 
 
@@ -91,12 +94,14 @@
         remaining_ms: the time left until the caller's deadline.
         last_event_id: the event after which a stream resumes, or b"".
         resumed_stream: the identifier of the attempt that began it, or b"".
+        attempts_left: the endpoints to which that edge may send it.
     """
 
     token: bytes
     remaining_ms: int
     last_event_id: bytes
     resumed_stream: bytes
+    attempts_left: int
 
 
 class AnswerInfo(NamedTuple):
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -251,6 +251,8 @@
         event_frames: splits a stream into whole events.
         tried_endpoints: identifiers of the endpoints chosen so far.
         is_from_edge: whether another edge sends it for its caller.
+        max_attempts: the endpoints to which it may be sent, by this edge and
+            by those that it goes to.
         unreachable_count: endpoints that could not be reached.
         helper_count: edges that it was sent to.
         was_helped: whether its stream went on at another edge, so that
@@ -310,6 +312,9 @@
         self.event_frames = eventframes.EventSplitter(call.last_event_id)
         self.tried_endpoints: list[str] = []
         self.is_from_edge = shared.is_from_edge(call)
+        self.max_attempts = self.route.max_attempts
+        if self.is_from_edge and call.attempts_left is not None:
+            self.max_attempts = min(self.max_attempts, call.attempts_left)
         self.unreachable_count = 0
         self.helper_count = 0
         self.was_helped = False
@@ -493,8 +498,12 @@
             return NotRun(UNREACHABLE_REASON)
         shared.gate.record_end(self.ask.service)
         try:
-            self._send_to_helper(connection, helper)
+            attempts_left = max(1, self.max_attempts - self.attempts)
+            self._send_to_helper(connection, helper, attempts_left)
             outcome = await self._relay_from_helper(connection)
+            if isinstance(outcome, Broken):
+                # It may have sent the request to as many endpoints.
+                self.attempts += attempts_left - 1
         finally:
             shared.gate.record_start(self.ask.service)
             pool.release(connection)
@@ -517,6 +526,7 @@
         self,
         connection: httpclient.EndpointConnection,
         helper: messages.HelperEdge,
+        attempts_left: int,
     ) -> None:
         """Send the request, or what is left of its stream."""
         resumed_stream = self.call.resumed_stream or b""
@@ -527,6 +537,7 @@
             max(1, self.deadline_at_ms - clock.now_ms()),
             self.event_frames.last_id,
             resumed_stream,
+            attempts_left,
         )
         headers = self.shared.dialect.helper_headers(self.call, help_info)
         self._send_on(connection, headers)
@@ -676,7 +687,7 @@
             return False
         if self._quarantined_part() is not None:
             return False
-        if self.attempts >= self.route.max_attempts:
+        if self.attempts >= self.max_attempts:
             return False
         if not self._remaining_endpoints(now):
             return False
@@ -1033,7 +1044,7 @@
         now = clock.now_ms()
         return (
             self.route.repeatable
-            and self.attempts < self.route.max_attempts
+            and self.attempts < self.max_attempts
             and self.deadline_at_ms - now > MIN_RETRY_TIME_MS
             and bool(self._remaining_endpoints(now))
             and self.shared.retry_budget.allows(self.ask.service, now)
--- a/primrosehitch/platform/dialect.py
+++ b/primrosehitch/platform/dialect.py
@@ -33,6 +33,7 @@
 SERVER_LOAD = b"server-load"
 # Sent by edges to each other only.
 EDGE_TOKEN = b"edge-token"
+EDGE_ATTEMPTS = b"edge-attempts"
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
@@ -50,6 +51,7 @@
     (
         CREDENTIAL,
         EDGE_TOKEN,
+        EDGE_ATTEMPTS,
         TENANT,
         EXPECT_INSTANCE,
         DEADLINE_MS,
@@ -89,6 +91,7 @@
             prompt_tokens=prompt,
             output_tokens=output,
             edge_token=headers.get(EDGE_TOKEN, b"").strip(),
+            attempts_left=_parse_count(headers.get(EDGE_ATTEMPTS, b"")),
             headers=_forwarded_headers(request.headers),
         )
 
@@ -119,6 +122,7 @@
         headers = [h for h in call.headers if h[0] != RESUMES]
         headers.append((EDGE_TOKEN, help_info.token))
         headers.append((DEADLINE_MS, b"%d" % help_info.remaining_ms))
+        headers.append((EDGE_ATTEMPTS, b"%d" % help_info.attempts_left))
         if call.key:
             headers.append((CREDENTIAL, call.key.encode("latin-1")))
         if help_info.last_event_id:
--- a/tests/test_cut_edges.py
+++ b/tests/test_cut_edges.py
@@ -444,3 +444,28 @@
             assert sum(sum(c.values()) for c in served.values()) >= 20
 
     instances.run_test(body)
+
+
+# Guards against: an edge that sends a request on to another one lets it run
+# on more endpoints than the route allows.
+@pytest.mark.parametrize("behaviour", ["silent", "close", "cut"])
+@pytest.mark.parametrize("own_attempts", [0, 1])
+def test_helped_request_runs_on_no_more_endpoints_than_allowed(
+    tmp_path, behaviour, own_attempts
+):
+    """Pattern: endpoints that fail requests, and an edge that takes itself
+    for cut off, from the start or once its own attempt has failed."""
+
+    async def body():
+        async with instances.running_fleet(tmp_path, edges=EDGES) as running:
+            fleet = CutFleet(running)
+            await fleet.start((behaviour,))
+            edge = running.edges[CUT]
+            edge.balancer.reachability.is_cut_off = lambda service: (
+                sum(fleet.runs().values()) >= own_attempts
+            )
+            await fleet.call(CUT, routed.request("/a/x", identifier="h"))
+            allowed = edge.forwarder.table.routes[0].max_attempts
+            assert fleet.runs()["h"] <= allowed == 2
+
+    instances.run_test(body)
