--- a/tests/test_cut_edges.py
+++ b/tests/test_cut_edges.py
@@ -453,8 +453,10 @@
 def test_helped_request_runs_on_no_more_endpoints_than_allowed(
     tmp_path, behaviour, own_attempts
 ):
-    """Pattern: endpoints that fail requests, and an edge that takes itself
-    for cut off, from the start or once its own attempt has failed."""
+    """Pattern: endpoints fail requests while an edge finds itself cut off.
+
+    It does so from the start, or once its own attempt has failed.
+    """
 
     async def body():
         async with instances.running_fleet(tmp_path, edges=EDGES) as running:
