Let a malformed answer of a peer end only its link

What was seen (FAULT, found by looking for ways in which a process ends by itself): a peer whose answer on a link is no message ends the instance that dialed it.

Cause: the errors of the tasks of a link come in a group; all but LinkError were turned into the end of the link, that one left the group as it was.

Change: LinkError is treated as the others; the link is dialed again.

Measured: the new test failed on ("frame of bytes is too large"); test_links: 18 passed.

--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -387,6 +387,7 @@
             except* (
                 OSError,
                 TimeoutError,
+                errors.LinkError,
                 anyio.BrokenResourceError,
                 anyio.ClosedResourceError,
                 anyio.EndOfStream,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -277,3 +277,29 @@
             group.cancel_scope.cancel()
 
     anyio.run(body)
+
+
+# Guards against: a peer that answers with what is no message ends the
+# instance that dialed it.
+def test_malformed_answer_of_a_peer_ends_only_the_link():
+    async def body():
+        links_a, _ = create_links("a", 25951, "b", 25952)
+        links_b, _ = create_links("b", 25952, "a", 25951)
+        sound, garbage = (
+            links_module.PONG_FRAME,
+            b"\xff" * links_module.FRAME_HEADER.size,
+        )
+        losses = []
+        links_a.on_loss = losses.append
+        async with anyio.create_task_group() as group:
+            group.start_soon(links_b.run)
+            links_module.PONG_FRAME = garbage
+            try:
+                group.start_soon(links_a.run)
+                await instances.wait_until(lambda: losses, 3)
+            finally:
+                links_module.PONG_FRAME = sound
+            await instances.wait_until(lambda: links_a.is_connected("b"), 3)
+            group.cancel_scope.cancel()
+
+    anyio.run(body)
