Read settings again that are invalid at a start

What was seen (FAULT, found by looking): a process that starts while its settings file is being written ends by itself.

Cause: the file was read once, though it may change at any time.

Change: it is read again for a second before the process ends.

--- a/primrosehitch/platform/process.py
+++ b/primrosehitch/platform/process.py
@@ -36,6 +36,9 @@
     body_bytes=16 << 20, idle_timeout_ms=60_000
 )
 LOG_FLUSH_PERIOD_S = 1.0
+# A file that is being replaced as the process starts is whole soon.
+SETTINGS_TIMEOUT_S = 1.0
+SETTINGS_RETRY_S = 0.1
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # Longer than a call to replace or read the route table may take.
 FINISH_CALLS_TIMEOUT_S = 3.5
@@ -103,8 +106,27 @@
     )
 
 
+async def _load_settings(
+    path: pathlib.Path,
+) -> instance_module.InstanceSettings:
+    """Return the settings of a file that may just be written.
+
+    Raises:
+        SettingsError: the file stays invalid.
+    """
+    gives_up_at = anyio.current_time() + SETTINGS_TIMEOUT_S
+    while True:
+        try:
+            return instance_module.load(path)
+        except errors.SettingsError as exc:
+            if anyio.current_time() >= gives_up_at:
+                raise
+            events.emit(events.SETTINGS_REFUSED, error=str(exc))
+        await anyio.sleep(SETTINGS_RETRY_S)
+
+
 async def _run(path: pathlib.Path, sink: logsink.LogSink) -> None:
-    instance = make_instance(instance_module.load(path))
+    instance = make_instance(await _load_settings(path))
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
         group.start_soon(_watch_signals, path, stop)
--- a/tests/test_routed_processes.py
+++ b/tests/test_routed_processes.py
@@ -22,9 +22,9 @@
 
 
 @contextlib.contextmanager
-def running_process(name, folder):
-    """Run the instance of an example settings file in a folder."""
-    file = ROOT / "examples" / "routed" / f"{name}.json"
+def running_process(name, folder, file=None):
+    """Run the instance of a settings file, or of an example, in a folder."""
+    file = file or ROOT / "examples" / "routed" / f"{name}.json"
     started = subprocess.Popen(
         [sys.executable, "-m", "primrosehitch.platform"],
         cwd=folder,
@@ -117,6 +117,24 @@
         assert process.returncode == 0
 
 
+# Guards against: settings that are replaced while a process starts end it.
+def test_process_waits_for_settings_that_are_being_written(tmp_path):
+    text = (ROOT / "examples" / "routed" / "edge.json").read_text()
+    file = tmp_path / "edge.json"
+    file.write_text(text[: len(text) // 2])
+    with running_process("edge", tmp_path, file) as process:
+        assert b"settings-refused" in process.stdout.readline()
+        file.write_text(text)
+        wait_for_status(503, "GET", READY_ADDRESS, "/-/ready")
+
+
+def test_process_ends_where_the_settings_stay_invalid(tmp_path):
+    file = tmp_path / "edge.json"
+    file.write_text('{"name": ""}')
+    with running_process("edge", tmp_path, file) as process:
+        assert process.wait(TIMEOUT_S) == 1
+
+
 LINK_PORT, DESCRIPTORS = 27101, 60
 
 
