Tests: wait for the table that the test is about

A follower learns of a commit with the leader's next message, and an edge that starts takes its table.

Change: the test waits until the edge holds version 9, then asks what it asked before; no assertion is weaker.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -939,7 +939,11 @@
             )
             await fleet.kill(9)
             fleet.start_edge(9)
-            await instances.wait_until(lambda: fleet.edges[9].is_ready)
+            edge = fleet.edges[9]
+            # A follower may still give it the table before this one.
+            await instances.wait_until(
+                lambda: edge.is_ready and edge.forwarder.table.version == 9
+            )
             await instances.send_heartbeat(2, fleet.engine, seq=2)
             for path, status in (("/added/x", 503), ("/a/x", 200)):
                 async with await anyio.connect_tcp(
