Give an identifier back to the endpoint of a named service

Cause: a control instance without a table names no service. There the other writer's record, with a later start, took the engine's identifier, and held it when the table came, since the engine's start is earlier.

Change: a record of a named service takes the identifier from one of an unnamed service, whatever their starts.

--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -124,6 +124,9 @@
             # Departures of unknown endpoints name no service.
             if record.state != LEFT or record.service:
                 return None
+        if self._is_named(record) and not self._is_named(entry.record):
+            # It had the identifier before the table named the service.
+            return self._add(record, entry.record, now)
         if entry.record.born < record.born:
             return self._add(record, entry.record, now)
         if entry.record.born > record.born or not _supersedes(
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -302,3 +302,17 @@
     known.apply_record(record_of("svc", "i-0", 5), 0)
     gone = messages.EndpointRecord("i-0", 5, state=registry.LEFT)
     assert known.apply_record(gone, 1).record.state == registry.LEFT
+
+
+# Guards against: a record of an unnamed service that came before the table
+# keeps an endpoint's identifier for good.
+def test_identifier_goes_back_to_the_endpoint_of_a_named_service():
+    known = registry.Registry()
+    known.set_services(())
+    sound = record_of("svc", "i-0", 5)
+    known.apply_record(sound, 0)
+    known.apply_record(record_of("exporter", "i-0", 9), 1)
+    known.set_services(["svc"])
+    repeated = sound._replace(sequence=2)
+    assert known.apply_record(repeated, 2).record == repeated
+    assert known.owner_by_address == {"10.0.0.1:80": "i-0"}
