Contain the failures of duties with the function of the other loops

Change: one function; a duty names that a violated invariant is contained too, as before, since the replica must go on.

--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -11,13 +11,13 @@
 import enum
 from typing import Callable
 from typing import Collection
-from typing import Iterator
 from typing import NamedTuple
 from typing import Protocol
 
 import anyio
 
 from primrosehitch import clock
+from primrosehitch import containment
 from primrosehitch import control as control_module
 from primrosehitch import endpoint
 from primrosehitch import errors
@@ -149,7 +149,7 @@
 
     async def _report_usage_periodically(self) -> None:
         async for tick in self.control.timers.subscribe(TICK_PERIOD_MS):
-            with _log_exceptions("usage"):
+            with _contain_duty("usage"):
                 lease = self.current_lease()
                 if lease is None or not self._has_run(WARM_UP_MS, tick.now):
                     continue
@@ -226,7 +226,7 @@
 
     async def _scale_periodically(self) -> None:
         async for tick in self.control.timers.subscribe(TICK_PERIOD_MS):
-            with _log_exceptions("scaling"):
+            with _contain_duty("scaling"):
                 self._observe(tick.now)
                 lease = self.current_lease()
                 if lease is None or not self._has_run(
@@ -346,19 +346,9 @@
         return result is CallResult.UNAVAILABLE
 
 
-@contextlib.contextmanager
-def _log_exceptions(task: str) -> Iterator[None]:
-    """Log an exception of one duty instead of raising it.
-
-    The other duty and the replica must keep running.
-
-    Args:
-        task: the duty's name in the log.
-    """
-    try:
-        yield
-    except Exception as exc:
-        events.emit(events.TASK_FAILED, task=task, error=repr(exc))
+def _contain_duty(duty: str) -> contextlib.AbstractContextManager[None]:
+    """Contain any failure of one duty: the other and the replica go on."""
+    return containment.contain(duty, ends_on_invariant=False)
 
 
 __all__ = ["Lease", "Duties", "Platform", "CallResult"]
