Turn connections away before the last descriptor

Confirmed by asking while all descriptors are taken: an edge closed 8 of 10 checks and reset 2, a control instance 9 and 1. The test had asked before the edge noticed that its links were closed, and excused other network errors.

Change: a new descriptor has the lowest free number, which tells how many are open. Callers may reach three quarters of RLIMIT_NOFILE; a request on a connection beyond is answered 503 too-many-connections with Retry-After, not run, and the connection closes. Links may reach seven eighths, so callers do not cut peers; one beyond is closed and said so (1010) once a second.

Two mutants added, not run.

--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -71,6 +71,8 @@
 DRAIN_END_MARGIN_MS = 480
 DRAIN_POLL_S = 0.05
 DRAIN_RETRY_AFTER_S = 0.05
+# Descriptors are free again once requests have ended.
+EXCESS_RETRY_AFTER_S = 1.0
 # Limits on the last two steps of a drain: responding to the requests that
 # it ends, and sending the final usage totals.
 STOP_TIMEOUT_S = 0.15
@@ -185,6 +187,10 @@
         self, request: httpserver.Request, responder: httpserver.Responder
     ) -> None:
         refusal = self._drain_refusal(request)
+        if refusal is None and responder.connection.is_excess:
+            refusal = forwarder_module.Refused(
+                503, "too-many-connections", EXCESS_RETRY_AFTER_S
+            )
         if refusal is not None:
             call = self.forwarder.dialect.read_call(request)
             self.forwarder.refuse(call, responder, refusal)
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -348,6 +348,12 @@
     " descriptor left; it is tried again.",
     "Raise the limit on descriptors, or look who opens connections.",
 )
+CONNECTION_REFUSED = Event(
+    1010,
+    "connection-refused",
+    "A peer's connection was closed since too few descriptors are left.",
+    "Raise the limit on descriptors, or look who opens connections.",
+)
 
 CATALOGUE = tuple(
     value for value in list(globals().values()) if isinstance(value, Event)
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -37,6 +37,8 @@
 # How long input is read and discarded after a final response, so that the
 # caller receives the response before the connection closes.
 LINGERING_CLOSE_MS = 1000
+# How long a connection beyond the callers' share may be idle.
+EXCESS_IDLE_MS = 1000
 TIMEOUT_CHECK_INTERVAL_MS = 500
 BODY_HASH_BYTES = 16
 # Bytes of chunk framing that a byte of a request body may cost.
@@ -188,6 +190,8 @@
         busy: whether a request is being handled.
         discarding_input: whether a final response was sent and further
             input is ignored.
+        is_excess: whether callers may not have so many connections; it
+            closes after one request.
         handler_scope: cancels the handler of the current request.
         last_activity_ms: when the connection was last active, for the
             idle, body and lingering-close timeouts.
@@ -205,6 +209,7 @@
         self.busy = False
         self.closed = False
         self.discarding_input = False
+        self.is_excess = False
         self.handler_scope: anyio.CancelScope | None = None
         self.last_activity_ms = clock.now_ms()
         self.reset_request()
@@ -225,6 +230,11 @@
         """Register the connection with the server."""
         self.transport = transport
         set_socket_options(transport, TCP_USER_TIMEOUT_MS)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            self.is_excess = listening.exceeds_share(
+                sock.fileno(), listening.CALLER_DESCRIPTOR_SHARE
+            )
         self.server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -376,7 +386,7 @@
 
     async def _serve(self, request: Request, is_persistent: bool) -> None:
         """Run the handler of one request, then close or serve the next."""
-        responder = Responder(self, is_persistent)
+        responder = Responder(self, is_persistent and not self.is_excess)
         try:
             with anyio.CancelScope() as handler_scope:
                 self.handler_scope = handler_scope
@@ -484,12 +494,18 @@
         elif self.started_ms >= 0 and not self.in_body:
             if now - self.started_ms > limits.header_timeout_ms:
                 self.refuse(408, "timed out reading the request headers")
-        elif now - self.last_activity_ms > limits.idle_timeout_ms:
+        elif now - self.last_activity_ms > self._idle_timeout_ms():
             if self.in_body:
                 self.refuse(408, "timed out reading the request body")
             else:
                 self.close()
 
+    def _idle_timeout_ms(self) -> int:
+        limit_ms = self.server.limits.idle_timeout_ms
+        if self.is_excess and not self.in_body:
+            return min(limit_ms, EXCESS_IDLE_MS)
+        return limit_ms
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being received, queued or handled."""
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -28,6 +28,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream
 from anyio.streams.memory import MemoryObjectSendStream
 
+from primrosehitch import clock
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import instance as instance_module
@@ -53,6 +54,7 @@
 # second. Giving up early and dialing again reaches the machine sooner after
 # it restarts.
 CONNECT_TIMEOUT_S = 0.3
+EXCESS_REPORT_PERIOD_MS = 1000
 
 
 FrameQueue = tuple[
@@ -227,6 +229,7 @@
         self.dial_scopes: dict[str, anyio.CancelScope] = {}
         self.on_loss: Callable[[str], None] = _ignore_loss
         self.task_group: anyio.abc.TaskGroup | None = None
+        self.next_excess_report_ms = 0
 
     def add(self, peer: LinkPeer) -> None:
         """Add a peer and keep a link to it from now on."""
@@ -473,6 +476,9 @@
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         async with stream:
+            if _exceeds_descriptors(stream):
+                self._report_excess_connection()
+                return
             try:
                 await self._receive_messages(stream)
             except (
@@ -485,6 +491,14 @@
             ):
                 return
 
+    def _report_excess_connection(self) -> None:
+        now = clock.now_ms()
+        if now >= self.next_excess_report_ms:
+            self.next_excess_report_ms = now + EXCESS_REPORT_PERIOD_MS
+            events.emit(
+                events.CONNECTION_REFUSED, address=str(self.listen_address)
+            )
+
     async def _receive_messages(self, stream: anyio.abc.SocketStream) -> None:
         reader = MessageReader(stream)
         with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
@@ -536,6 +550,14 @@
         return hello.sender
 
 
+def _exceeds_descriptors(stream: anyio.abc.SocketStream) -> bool:
+    """Return whether an accepted connection exceeds the peers' share."""
+    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    return listening.exceeds_share(
+        raw_socket.fileno(), listening.PEER_DESCRIPTOR_SHARE
+    )
+
+
 def _ignore_loss(peer: str) -> None:
     """Do nothing; the default of ``Links.on_loss``."""
 
--- a/primrosehitch/listening.py
+++ b/primrosehitch/listening.py
@@ -3,9 +3,12 @@
 Another process can hold an address for a moment: one that is about to end,
 or the local end of a connection that it opened. Descriptors run out while
 callers open more connections than a process may have. Neither ends a server.
+Connections are turned away before the last descriptor is taken: uvloop
+closes a caller's connection unanswered when there is none left.
 """
 
 import errno
+import resource
 from typing import Any
 from typing import Awaitable
 from typing import Callable
@@ -22,6 +25,10 @@
 BIND_TIMEOUT_S = 10.0
 BIND_RETRY_S = 0.1
 ACCEPT_RETRY_S = 0.1
+# The shares of the process's descriptors that connections of callers, and of
+# peers, may reach. Connections to endpoints and files keep the rest.
+CALLER_DESCRIPTOR_SHARE = 0.75
+PEER_DESCRIPTOR_SHARE = 0.875
 
 Listener = TypeVar("Listener")
 
@@ -61,6 +68,20 @@
         await anyio.sleep(BIND_RETRY_S)
 
 
+def exceeds_share(descriptor: int, share: float) -> bool:
+    """Return whether a new connection exceeds a share of the descriptors.
+
+    A new descriptor has the lowest free number, so that its number says how
+    many are open at least.
+
+    Args:
+        descriptor: the connection's descriptor, just opened.
+        share: the share of RLIMIT_NOFILE, 0 to 1.
+    """
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limit != resource.RLIM_INFINITY and descriptor >= share * limit
+
+
 async def serve(
     listener: anyio.abc.Listener[anyio.abc.SocketStream],
     handler: Callable[[anyio.abc.SocketStream], Awaitable[Any]],
@@ -82,4 +103,11 @@
         await anyio.sleep(ACCEPT_RETRY_S)
 
 
-__all__ = ["ListenError", "bind", "serve"]
+__all__ = [
+    "CALLER_DESCRIPTOR_SHARE",
+    "ListenError",
+    "PEER_DESCRIPTOR_SHARE",
+    "bind",
+    "exceeds_share",
+    "serve",
+]
--- a/tests/test_routed_processes.py
+++ b/tests/test_routed_processes.py
@@ -145,6 +145,7 @@
     with running_process(name, tmp_path) as process:
         address = CONTROL_ADDRESS if name == "control" else READY_ADDRESS
         path = "/-/Config.Get" if name == "control" else "/-/ready"
+        url = f"http://{address}{path}"
         wait_for_status(503, "GET", address, path)
         limits = (DESCRIPTORS, DESCRIPTORS)
         resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
@@ -158,5 +159,56 @@
                     )
             time.sleep(1)
             assert process.poll() is None
-        wait_for_status(503, "GET", address, path)
+            # No network error is excused.
+            for _ in range(10):
+                assert httpcore.request("GET", url).status == 503
+        assert httpcore.request("GET", url).status == 503
+        assert process.poll() is None
+
+
+def open_descriptors(process):
+    time.sleep(0.01)
+    return len(os.listdir(f"/proc/{process.pid}/fd"))
+
+
+def retry_after_s(sock):
+    """Send a request; return the Retry-After of the 503 that answers it."""
+    sock.sendall(b"GET /a/x HTTP/1.1\r\nHost: a.example\r\n\r\n")
+    answer = b""
+    # The connection closes after the answer.
+    while received := sock.recv(4096):
+        answer += received
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 503"), answer
+    assert b"too-many-connections" in body
+    fields = dict(
+        line.lower().split(b": ") for line in head.split(b"\r\n")[1:]
+    )
+    assert fields[b"connection"] == b"close"
+    return float(fields[b"retry-after"])
+
+
+# Guards against: the connections of callers take the last descriptors, and
+# further ones are closed without an answer; peers are cut off.
+def test_callers_beyond_their_share_are_told_when_to_return(tmp_path):
+    host, port = FRONT_ADDRESS.split(":")
+    with running_process("edge", tmp_path) as process:
+        wait_for_status(503, "GET", READY_ADDRESS, "/-/ready")
+        limits = (DESCRIPTORS, DESCRIPTORS)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+        with contextlib.ExitStack() as stack:
+            for _ in range(2 * DESCRIPTORS):
+                stack.enter_context(
+                    socket.create_connection((host, port), TIMEOUT_S)
+                )
+                if open_descriptors(process) > 0.75 * DESCRIPTORS:
+                    break
+            for _ in range(3):
+                caller = stack.enter_context(
+                    socket.create_connection((host, port), TIMEOUT_S)
+                )
+                assert 0 < retry_after_s(caller) < TIMEOUT_S
+            link = socket.create_connection(("127.0.0.3", LINK_PORT), 1)
+            stack.enter_context(link)
+            assert link.recv(4096), "the peer's connection was closed"
         assert process.poll() is None
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -424,6 +424,20 @@
         "            is_in_use = False",
         "tests/test_listening.py",
     ),
+    Mutant(
+        "callers beyond their share of the descriptors are refused",
+        "edge.py",
+        "refusal is None and responder.connection.is_excess",
+        "refusal is None and False",
+        "tests/test_routed_processes.py",
+    ),
+    Mutant(
+        "peers do not take the last descriptors",
+        "listening.py",
+        "PEER_DESCRIPTOR_SHARE = 0.875",
+        "PEER_DESCRIPTOR_SHARE = 2.0",
+        "tests/test_routed_processes.py",
+    ),
     Mutant(
         "connections are accepted after a lack of descriptors",
         "listening.py",
