Wait for space on the disk at the start of a control instance

Cause: the constructor writes the replica's identity. The error of a full disk went up to main, which ends the process; a running instance stops its replica and opens it again. Ruled out: a restart with an identity, which writes nothing before the replica runs.

Signals are watched before that, so that it can be stopped. EFBIG counts as a full disk, and so does a data folder that cannot be made for lack of space.

Measured: two new tests with real processes fail before (both end at once) and pass. One mutant added, not run.

--- a/primrosehitch/medium.py
+++ b/primrosehitch/medium.py
@@ -13,6 +13,9 @@
 
 from primrosehitch import errors
 
+# A full disk, a used-up quota and a file at its limit of size.
+NO_SPACE_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
+
 
 class Medium(Protocol):
     """Interface of a storage medium with named files."""
@@ -95,11 +98,15 @@
 
     Attributes:
         descriptors: open file descriptors by file name.
+
+    Raises:
+        LogFullError: the disk is full and the folder is missing.
     """
 
     def __init__(self, folder: pathlib.Path):
         self.folder = folder
-        folder.mkdir(parents=True, exist_ok=True)
+        with self._translate_disk_full(""):
+            folder.mkdir(parents=True, exist_ok=True)
         self.descriptors: dict[str, int] = {}
 
     def read(self, name: str) -> bytes | None:
@@ -189,7 +196,7 @@
         try:
             yield
         except OSError as exc:
-            if exc.errno not in (errno.ENOSPC, errno.EDQUOT):
+            if exc.errno not in NO_SPACE_ERRORS:
                 raise
             path = str(self.folder / name)
             raise errors.LogFullError(
--- a/primrosehitch/platform/process.py
+++ b/primrosehitch/platform/process.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 import anyio
+import anyio.abc
 
 from primrosehitch import clock
 from primrosehitch import control as control_module
@@ -125,19 +126,45 @@
         await anyio.sleep(SETTINGS_RETRY_S)
 
 
+async def _make_instance_with_space(
+    settings: instance_module.InstanceSettings, stop: anyio.Event
+) -> Instance | None:
+    """Return the instance once its disk has space for its first files.
+
+    Returns:
+        None if ``stop`` was set before.
+    """
+    while not stop.is_set():
+        try:
+            return make_instance(settings)
+        except errors.LogFullError as exc:
+            events.emit(events.REPLICA_FAILED, error=str(exc))
+        with anyio.move_on_after(control_module.REOPEN_DELAY_S):
+            await stop.wait()
+    return None
+
+
 async def _run(path: pathlib.Path, sink: logsink.LogSink) -> None:
-    instance = make_instance(await _load_settings(path))
+    settings = await _load_settings(path)
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
-        group.start_soon(_watch_signals, path, stop)
+        await group.start(_watch_signals, path, stop)
         group.start_soon(_flush_log, sink)
-        await instance.run(stop)
+        instance = await _make_instance_with_space(settings, stop)
+        if instance is not None:
+            await instance.run(stop)
         group.cancel_scope.cancel()
 
 
-async def _watch_signals(path: pathlib.Path, stop: anyio.Event) -> None:
+async def _watch_signals(
+    path: pathlib.Path,
+    stop: anyio.Event,
+    *,
+    task_status: anyio.abc.TaskStatus[None],
+) -> None:
     try:
         with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+            task_status.started()
             async for signal_number in signals:
                 if signal_number != signal.SIGHUP:
                     stop.set()
--- a/tests/test_routed_processes.py
+++ b/tests/test_routed_processes.py
@@ -135,6 +135,40 @@
         assert process.wait(TIMEOUT_S) == 1
 
 
+def log_events(process, name):
+    """Yield the log lines of a process with a name, as they are written."""
+    for line in process.stdout:
+        event = json.loads(line)
+        if event["message_type"] == name:
+            yield event
+
+
+# Guards against: a control instance that starts on a full disk ends. No
+# file may grow; that reads like a full disk.
+def test_control_instance_waits_for_a_disk_with_space(tmp_path):
+    with running_process("control", tmp_path) as process:
+        _, most = resource.getrlimit(resource.RLIMIT_FSIZE)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, most))
+        failures = log_events(process, "replica-failed")
+        assert "no space left" in next(failures)["error"]
+        assert "no space left" in next(failures)["error"]
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (most, most))
+        path = "/-/Config.Get"
+        wait_for_status(503, "GET", CONTROL_ADDRESS, path)
+        table = json.dumps(routed.table_document(3)).encode()
+        path = "/-/Config.Put"
+        wait_for_status(200, "POST", CONTROL_ADDRESS, path, table)
+
+
+def test_instance_that_waits_for_its_disk_can_be_stopped(tmp_path):
+    with running_process("control", tmp_path) as process:
+        _, most = resource.getrlimit(resource.RLIMIT_FSIZE)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, most))
+        next(log_events(process, "replica-failed"))
+        process.terminate()
+        assert process.wait(TIMEOUT_S) == 0
+
+
 LINK_PORT, DESCRIPTORS = 27101, 60
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -424,6 +424,13 @@
         "            is_in_use = False",
         "tests/test_listening.py",
     ),
+    Mutant(
+        "a start waits for space on the disk",
+        "platform/process.py",
+        "        except errors.LogFullError as exc:",
+        "        except errors.LogDamagedError as exc:",
+        "tests/test_routed_processes.py",
+    ),
     Mutant(
         "callers beyond their share of the descriptors are refused",
         "edge.py",
