Take a link down before its loss is reported

Ruled out: load as the cause; told of the loss, is_connected is always still true.

Change: the failure of the pump marks the link as down first.

--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -396,7 +396,10 @@
                 anyio.EndOfStream,
             ) as failures:
                 text = "".join(repr(e) for e in failures.exceptions)
-                raise errors.LinkError(text, "link.pump", peer.name) from None
+                error = errors.LinkError(text, "link.pump", peer.name)
+                # The link is down before its loss is reported below.
+                self._mark_disconnected(peer, error)
+                raise error from None
             finally:
                 self._discard_queued_frames(peer.name)
                 self.on_loss(peer.name)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -203,7 +203,10 @@
     async def body():
         links_a, _ = create_links("a", 25911, "b", 25912)
         links_b, _ = create_links("b", 25912, "a", 25911)
-        links_a.on_loss = lost.append
+        # Who is told of a broken connection finds the link down.
+        links_a.on_loss = lambda peer: lost.append(
+            (peer, links_a.is_connected(peer))
+        )
         async with anyio.create_task_group() as group:
             group.start_soon(links_a.run)
             async with anyio.create_task_group() as group_b:
@@ -213,9 +216,10 @@
                 )
                 while links_a.send("b", messages.Refresh(1)):
                     assert lost == []
-                assert lost == ["b"]
+                assert lost == [("b", True)]
                 group_b.cancel_scope.cancel()
-            await instances.wait_until(lambda: lost == ["b", "b"], 2)
+            await instances.wait_until(lambda: len(lost) > 1, 2)
+            assert lost == [("b", True), ("b", False)]
             assert not links_a.is_connected("b")
             group.cancel_scope.cancel()
 
