--- a/tests/test_routed_processes.py
+++ b/tests/test_routed_processes.py
@@ -134,6 +134,13 @@
         assert process.wait(TIMEOUT_S) == 1
 
 
+def limit_soft(process, kind, limit):
+    """Set a process's soft limit; None sets it to the hard limit."""
+    _, hard = resource.prlimit(process.pid, kind)
+    soft = hard if limit is None else limit
+    resource.prlimit(process.pid, kind, (soft, hard))
+
+
 def log_events(process, name):
     """Yield the log lines of a process with a name, as they are written."""
     for line in process.stdout:
@@ -146,12 +153,11 @@
 # file may grow; that reads like a full disk.
 def test_control_instance_waits_for_a_disk_with_space(tmp_path):
     with running_process("control", tmp_path) as process:
-        _, most = resource.getrlimit(resource.RLIMIT_FSIZE)
-        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, most))
+        limit_soft(process, resource.RLIMIT_FSIZE, 0)
         failures = log_events(process, "replica-failed")
         assert "no space left" in next(failures)["error"]
         assert "no space left" in next(failures)["error"]
-        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (most, most))
+        limit_soft(process, resource.RLIMIT_FSIZE, None)
         path = "/-/Config.Get"
         wait_for_status(503, "GET", CONTROL_ADDRESS, path)
         table = json.dumps(routed.table_document(3)).encode()
@@ -161,8 +167,7 @@
 
 def test_instance_that_waits_for_its_disk_can_be_stopped(tmp_path):
     with running_process("control", tmp_path) as process:
-        _, most = resource.getrlimit(resource.RLIMIT_FSIZE)
-        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, most))
+        limit_soft(process, resource.RLIMIT_FSIZE, 0)
         next(log_events(process, "replica-failed"))
         process.terminate()
         assert process.wait(TIMEOUT_S) == 0
@@ -180,8 +185,7 @@
         path = "/-/Config.Get" if name == "control" else "/-/ready"
         url = f"http://{address}{path}"
         wait_for_status(503, "GET", address, path)
-        limits = (DESCRIPTORS, DESCRIPTORS)
-        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+        limit_soft(process, resource.RLIMIT_NOFILE, DESCRIPTORS)
         with contextlib.ExitStack() as stack:
             for _ in range(2 * DESCRIPTORS):
                 with contextlib.suppress(OSError):
@@ -227,8 +231,7 @@
     host, port = FRONT_ADDRESS.split(":")
     with running_process("edge", tmp_path) as process:
         wait_for_status(503, "GET", READY_ADDRESS, "/-/ready")
-        limits = (DESCRIPTORS, DESCRIPTORS)
-        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+        limit_soft(process, resource.RLIMIT_NOFILE, DESCRIPTORS)
         with contextlib.ExitStack() as stack:
             for _ in range(2 * DESCRIPTORS):
                 stack.enter_context(
