Report a link as down in one place

Since a link is taken down where its tasks fail, the second place that did so could find it up no more: before that, it never was. No behaviour changes; test_links and test_drain pass.

--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -361,16 +361,12 @@
                     anyio.BrokenResourceError,
                     anyio.ClosedResourceError,
                     anyio.EndOfStream,
-                ) as exc:
-                    self._mark_disconnected(peer, exc)
+                ):
+                    # A link that was up has been reported as down; until
+                    # then failures to connect are expected.
+                    pass
                 await anyio.sleep(RECONNECT_DELAY_S)
 
-    def _mark_disconnected(self, peer: LinkPeer, exc: Exception) -> None:
-        if self.is_connected(peer.name):
-            text = str(exc) or type(exc).__name__
-            events.emit(events.LINK_DOWN, peer=peer.name, error=text)
-            self.connected[peer.name] = False
-
     async def _connect_and_send(self, peer: LinkPeer) -> None:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(*peer.address)
@@ -398,7 +394,8 @@
                 text = "".join(repr(e) for e in failures.exceptions)
                 error = errors.LinkError(text, "link.pump", peer.name)
                 # The link is down before its loss is reported below.
-                self._mark_disconnected(peer, error)
+                events.emit(events.LINK_DOWN, peer=peer.name, error=str(error))
+                self.connected[peer.name] = False
                 raise error from None
             finally:
                 self._discard_queued_frames(peer.name)
