Log how old an edge's view of the route table is

A refusal (1412) named the version that it rests on, but not when and by which control instance that version was last confirmed; no line said that an edge had lost its last control instance, or that a follower is behind its leader. The hypotheses on refused routes could not be told apart.

1412 has age_ms and control; 1306 and 1307 mark loss and return of contact; 1205 a follower that hears its leader and does not apply; a gauge has the age.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -161,6 +161,7 @@
         self.is_leaving = False
         self.table = messages.Table()
         self.confirmed_version = 0
+        self.is_behind = False
         self.replicator = self._open_replicator()
         self.proposer = proposals.Proposer(self.name, self)
         for seed in settings.seeds:
@@ -478,11 +479,27 @@
         """Send a heartbeat to all other control instances."""
         async for tick in self.timers.subscribe(PRESENCE_PERIOD_MS):
             self.true_time.update_from_reports(clock.wall_ms(), tick.now)
+            self._report_lag()
             presence = self._make_presence()
             for name in self._control_instances():
                 self._add_link(name)
                 self.links.send(name, presence)
 
+    def _report_lag(self) -> None:
+        """Log when this replica falls behind its leader."""
+        raft = self.replicator.raft
+        lag_ms = 0 if self.replicator.is_leader() else raft.lag_ms()
+        is_behind = lag_ms > LEADER_CONTACT_TIMEOUT_MS
+        if is_behind and not self.is_behind:
+            events.emit(
+                events.REPLICA_BEHIND,
+                leader=self.leader(),
+                behind_ms=lag_ms,
+                applied=raft.applied_index,
+                awaited=raft.awaited_commit,
+            )
+        self.is_behind = is_behind
+
     def _control_instances(self) -> set[str]:
         """Return the other instances: seeds, peers and replicas."""
         instances = {str(seed) for seed in self.settings.seeds}
--- /dev/null
+++ b/primrosehitch/controlcontact.py
@@ -0,0 +1,58 @@
+"""How old an edge's view of the route table is, and whose view it is.
+
+Does no I/O; the caller passes the current time in ms.
+"""
+
+# Age of an edge's view that is reported as a loss of contact: longer than
+# the switch from one control instance to another takes.
+LOST_AFTER_MS = 1500
+
+
+class ControlContact:
+    """An edge's contact with control instances that reach a quorum.
+
+    Args:
+        now: the current time in ms.
+
+    Attributes:
+        control: the control instance that confirmed the view last, empty
+            if none has yet.
+        confirmed_ms: when it did, negative if none has yet.
+        is_lost: whether the loss of contact has been reported.
+    """
+
+    def __init__(self, now: int):
+        self.control = ""
+        self.confirmed_ms = -1
+        self.started_ms = now
+        self.is_lost = False
+
+    def confirm(self, control: str, now: int) -> int | None:
+        """Record that a control instance confirms the edge's view.
+
+        Returns:
+            How long contact had been lost in ms, if that was reported.
+        """
+        lost_for_ms = now - self._reference_ms() if self.is_lost else None
+        self.is_lost = False
+        self.control = control
+        self.confirmed_ms = now
+        return lost_for_ms
+
+    def age_ms(self, now: int) -> int:
+        """Return the age of the view, negative if none was confirmed."""
+        return -1 if self.confirmed_ms < 0 else now - self.confirmed_ms
+
+    def detect_loss(self, now: int) -> bool:
+        """Return whether contact counts as lost from now on."""
+        if self.is_lost or now - self._reference_ms() <= LOST_AFTER_MS:
+            return False
+        self.is_lost = True
+        return True
+
+    def _reference_ms(self) -> int:
+        """Return when the view was confirmed, or the start before that."""
+        return max(self.started_ms, self.confirmed_ms)
+
+
+__all__ = ["ControlContact", "LOST_AFTER_MS"]
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -19,6 +19,7 @@
 from primrosehitch import budget as budget_module
 from primrosehitch import clock
 from primrosehitch import containment
+from primrosehitch import controlcontact
 from primrosehitch import dialect as dialect_module
 from primrosehitch import errors
 from primrosehitch import events
@@ -140,6 +141,7 @@
         )
         self.quarantine = quarantine_module.Quarantine()
         self.origins = streamorigins.StreamOrigins()
+        self.contact = controlcontact.ControlContact(now)
         self.forwarder = forwarder_module.Forwarder(
             dialect,
             self.balancer,
@@ -153,6 +155,7 @@
             helpers_module.HelperDirectory(
                 str(settings.front), settings.domain, self.rng
             ),
+            self.contact,
         )
         self.front = httpserver.Server(
             self._serve_front, routes.ClientLimits()
@@ -330,6 +333,7 @@
         self._connect_to_control(self.current_control)
         async for tick in self.timers.subscribe(SUBSCRIBE_PERIOD_MS):
             self._check_control(tick.now)
+            self._report_contact(tick.now)
             self.quarantine.judge(tick.now)
             table = self.forwarder.table
             self._send(
@@ -377,6 +381,18 @@
         if candidate != self.current_control:
             self._switch_control(candidate, "no status with a quorum in time")
 
+    def _report_contact(self, now: int) -> None:
+        """Log a loss of contact and publish the age of the view."""
+        age_ms = self.contact.age_ms(now)
+        metrics.CONFIG_AGE_SECONDS.set(-1 if age_ms < 0 else age_ms / 1000)
+        if self.contact.detect_loss(now):
+            events.emit(
+                events.CONTROL_LOST,
+                control=self.contact.control,
+                age_ms=age_ms,
+                known=" ".join(c.name for c in self.known_controls),
+            )
+
     def _switch_control(self, name: str, reason: str) -> None:
         events.emit(
             events.CONTROL_CHANGED,
@@ -436,6 +452,7 @@
             return
         if status.fresh:
             self.last_fresh_ms = now
+            self._confirm_contact(sender, now)
             self.true_time.set_from_control(status.true_ms, now)
         self.edge_counts.add(status.edges, now)
         edge_count = max(1, int(self.edge_counts.peak(now)))
@@ -447,6 +464,15 @@
             self._send(self.meter.all_totals())
             self.origins.send_again()
 
+    def _confirm_contact(self, control: str, now: int) -> None:
+        lost_for_ms = self.contact.confirm(control, now)
+        if lost_for_ms is not None:
+            events.emit(
+                events.CONTROL_REGAINED,
+                control=control,
+                after_ms=lost_for_ms,
+            )
+
     def _update_known_controls(self, status: messages.ControlStatus) -> None:
         """Replace the known control instances; the seeds always stay."""
         seeds = [str(seed) for seed in self.settings.seeds]
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -115,6 +115,13 @@
     " loss of one more replica can be tolerated.",
     NO_ACTION,
 )
+REPLICA_BEHIND = Event(
+    1205,
+    "replica-behind",
+    "This replica hears its leader, but has not applied what the leader has"
+    " committed for a while; what it tells edges may be out of date.",
+    "If it persists, check the replica's disk and its link to the leader.",
+)
 VERSION_IN_FORCE = Event(
     1301,
     "version-in-force",
@@ -141,6 +148,20 @@
     " instance.",
     NO_ACTION,
 )
+CONTROL_LOST = Event(
+    1306,
+    "control-lost",
+    "No control instance with a quorum has confirmed this edge's route table"
+    " for a while; `known` lists the control instances that it knows.",
+    "Check which of them run; if none does, check the seeds in the edge's"
+    " settings.",
+)
+CONTROL_REGAINED = Event(
+    1307,
+    "control-regained",
+    "A control instance with a quorum confirms this edge's route table again.",
+    NO_ACTION,
+)
 KEY_WITHDRAWN = Event(
     1302,
     "key-withdrawn",
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -12,6 +12,7 @@
 from primrosehitch import balancer as balancer_module
 from primrosehitch import budget as budget_module
 from primrosehitch import clock
+from primrosehitch import controlcontact
 from primrosehitch import dialect as dialect_module
 from primrosehitch import events
 from primrosehitch import helpers as helpers_module
@@ -51,6 +52,7 @@
         origins: which software version began each stream.
         rng: picks a service of a route by weight.
         helpers: edges that forward requests for this one.
+        contact: when the route table was last confirmed.
 
     Attributes:
         table: the route table in force, None until the first one arrives.
@@ -75,6 +77,7 @@
         origins: streamorigins.StreamOrigins,
         rng: random.Random,
         helpers: helpers_module.HelperDirectory,
+        contact: controlcontact.ControlContact,
     ):
         self.dialect = dialect
         self.balancer = balancer
@@ -92,6 +95,7 @@
         self.active: set[ForwardedRequest] = set()
         self.ended = False
         self.helpers = helpers
+        self.contact = contact
         self.waiting = waiting.WaitingLine()
         self.edge_token = helpers_module.make_token()
 
@@ -199,6 +203,8 @@
             reason=refused.reason,
             part=refused.part,
             version=self.table.version if self.table else 0,
+            age_ms=self.contact.age_ms(clock.now_ms()),
+            control=self.contact.control,
         )
 
     def connection_pool(self, address: str) -> httpclient.ConnectionPool:
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -19,6 +19,11 @@
 CONFIG_VERSION = prometheus_client.Gauge(
     "primrosehitch_version", "Configuration version in force on this instance."
 )
+CONFIG_AGE_SECONDS = prometheus_client.Gauge(
+    "primrosehitch_version_age_seconds",
+    "Time since a control instance with a quorum confirmed this edge's"
+    " version; -1 before the first one.",
+)
 IS_LEADER = prometheus_client.Gauge(
     "primrosehitch_leads",
     "1 if this instance's replica is the leader, else 0.",
@@ -60,6 +65,7 @@
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
 
 __all__ = [
+    "CONFIG_AGE_SECONDS",
     "CONFIG_VERSION",
     "CONTENT_TYPE",
     "ENDPOINTS",
--- a/primrosehitch/raft.py
+++ b/primrosehitch/raft.py
@@ -98,6 +98,11 @@
             the last contact or the last candidacy.
         lease_valid_from_ms: acknowledgements of messages sent earlier do
             not extend the lease.
+        following_since_ms: when this follower last got another leader.
+        current_at_ms: the latest time by which this follower has applied
+            all that its leader had committed, negative if none.
+        awaited_commit: a commit index that the leader announced and when
+            it did, until it is applied here; or None.
         step_down_reason: why this replica stopped to lead, for the log;
             empty before and while it leads.
     """
@@ -121,6 +126,9 @@
         # Before a restart this voter may have acknowledged a leader, whose
         # lease can still be valid.
         self.last_contact_ms = now
+        self.following_since_ms = now
+        self.current_at_ms = -1
+        self.awaited_commit: tuple[int, int] | None = None
         self.timeout_started_ms = now
         self.last_tick_ms = now
         self.last_heartbeat_ms = now
@@ -291,8 +299,39 @@
             self.log.entries_from(self.applied_index + 1, max(0, count))
         )
         self.applied_index += len(entries)
+        self._check_awaited_commit()
         return entries
 
+    def _await_commit(self, commit: int, now: int) -> None:
+        """Note what the leader has committed by now."""
+        awaited = self.awaited_commit
+        if awaited is None or self.applied_index >= awaited[0]:
+            self.awaited_commit = (commit, now)
+            self._check_awaited_commit()
+
+    def _check_awaited_commit(self) -> None:
+        if self.awaited_commit is None:
+            return
+        commit, announced_ms = self.awaited_commit
+        # A leader knows all that is committed only once it has committed an
+        # entry of its own term.
+        if (
+            self.applied_index >= commit
+            and self.log.term_at(commit) == self.term
+        ):
+            self.current_at_ms = announced_ms
+            self.awaited_commit = None
+
+    def lag_ms(self) -> int:
+        """Return for how long this follower has been behind its leader.
+
+        Returns:
+            The time in ms for which the leader has been heard since this
+            follower had applied all that the leader had committed.
+        """
+        current_ms = max(self.current_at_ms, self.following_since_ms)
+        return max(0, self.last_contact_ms - current_ms)
+
     def take_installed_snapshot(self) -> messages.SnapshotMeta | None:
         """Return a newly installed snapshot once, or None."""
         installed, self.installed_snapshot = self.installed_snapshot, None
@@ -501,6 +540,8 @@
         elif self.role != FOLLOWER or leader:
             self._record_contact(now)
             self._reset_timeout()
+        if leader and leader != self.leader:
+            self.following_since_ms = now
         self.role = FOLLOWER
         self.leader = leader
         self.transferring_leadership = False
@@ -658,6 +699,7 @@
             self.commit_index = max(
                 self.commit_index, min(message.commit, match)
             )
+        self._await_commit(message.commit, now)
 
     def _accept_entries(self, message: messages.Append) -> bool:
         """Append the leader's entries and truncate conflicting ones.
--- a/primrosehitch/tracing.py
+++ b/primrosehitch/tracing.py
@@ -25,6 +25,9 @@
         events.LINK_DOWN.number,
         events.LEADER_CHANGED.number,
         events.CONTROL_CHANGED.number,
+        events.CONTROL_LOST.number,
+        events.CONTROL_REGAINED.number,
+        events.REPLICA_BEHIND.number,
         events.DRAINING.number,
         events.STARTED.number,
     )
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -14,6 +14,7 @@
 from primrosehitch import balancer
 from primrosehitch import budget
 from primrosehitch import clock
+from primrosehitch import controlcontact
 from primrosehitch import forwarder
 from primrosehitch import helpers
 from primrosehitch import httpserver
@@ -83,6 +84,7 @@
             streamorigins.StreamOrigins(),
             random.Random(1),
             helpers.HelperDirectory("", "za", random.Random(1)),
+            controlcontact.ControlContact(now),
         )
         self.forwarder.table = table
         self.server = httpserver.Server(self.forwarder.serve, table.limits)
