--- a/primrosehitch_lab/fault_fleet.py
+++ b/primrosehitch_lab/fault_fleet.py
@@ -142,33 +142,47 @@
     Args:
         folder: where settings, data and logs go.
         net: third number of the loopback addresses, one a soak.
+
+    Attributes:
+        processes: all instances that are in service, by name.
+        controls: names of the control instances that are in service.
+        domains: the failure domain of each instance, by name.
     """
 
     def __init__(self, folder: pathlib.Path, net: int):
         folder.mkdir(parents=True, exist_ok=True)
         self.folder = folder
+        self.net = net
+        self.controls = list(CONTROLS)
         names = (*CONTROLS, *EDGES)
         self.processes = {
             name: Process(name, f"127.0.{net}.{number}", folder)
             for number, name in enumerate(names, 1)
         }
-        for number, name in enumerate(names):
-            self._write(self.processes[name], DOMAINS[number % 3], True)
+        # Also those that were replaced: addresses are not used twice.
+        self.known = list(self.processes.values())
+        self.domains = {
+            name: DOMAINS[number % 3] for number, name in enumerate(names)
+        }
+        for process in self.processes.values():
+            self._write(process, True)
 
     def address(self, name: str, port: int) -> str:
         """Return where an instance listens."""
         return f"{self.processes[name].host}:{port}"
 
-    def _write(self, process: Process, domain: str, bootstrap: bool) -> None:
+    def _write(self, process: Process, bootstrap: bool) -> None:
         document: dict[str, Any] = {
             "name": process.name,
-            "domain": domain,
+            "domain": self.domains[process.name],
             "host": process.host,
             "ports": [LINK_PORT, CONTROL_PORT],
-            "seeds": [self.address(name, CONTROL_PORT) for name in CONTROLS],
+            "seeds": [
+                self.address(name, CONTROL_PORT) for name in self.controls
+            ],
             "bounds": {"grace_s": GRACE_S, "machines_lost": 1},
         }
-        if process.name in CONTROLS:
+        if process.name in self.controls:
             document["listen"] = {
                 "control": self.address(process.name, CONTROL_PORT)
             }
@@ -179,17 +193,44 @@
                 "front": self.address(process.name, FRONT_PORT),
                 "ready": self.address(process.name, READY_PORT),
             }
-        process.settings_file.write_text(json.dumps(document))
+        written = process.settings_file.with_suffix(".new")
+        written.write_text(json.dumps(document))
+        written.replace(process.settings_file)
 
     def begin(self) -> None:
         """Start all processes."""
         for process in self.processes.values():
             process.begin()
 
-    def no_bootstrap(self) -> None:
-        """From now on control instances with an empty disk join."""
-        for number, name in enumerate(CONTROLS):
-            self._write(self.processes[name], DOMAINS[number % 3], False)
+    def write_settings(self) -> None:
+        """Write all settings files anew, with the seeds of now.
+
+        From then on control instances with an empty disk join.
+        """
+        for process in self.processes.values():
+            self._write(process, False)
+
+    def replace_control(self, name: str) -> Process:
+        """Remove a control instance for good, and start its successor.
+
+        The successor has an empty disk and another address in the same
+        failure domain. The settings files stay as they are.
+
+        Returns:
+            The successor's process.
+        """
+        self.processes.pop(name).kill()
+        number = max(int(p.host.rpartition(".")[2]) for p in self.known)
+        successor = f"control-{number + 1}"
+        host = f"127.0.{self.net}.{number + 1}"
+        process = Process(successor, host, self.folder)
+        self.known.append(process)
+        self.processes[successor] = process
+        self.domains[successor] = self.domains[name]
+        self.controls[self.controls.index(name)] = successor
+        self._write(process, False)
+        process.begin()
+        return process
 
     async def control_call(
         self, method: str, path: str, document: Any = None
@@ -200,7 +241,7 @@
             (status, body), or None where none answered well.
         """
         body = b"" if document is None else json.dumps(document).encode()
-        names = list(CONTROLS)
+        names = list(self.controls)
         random.shuffle(names)
         for name in names:
             url = self.address(name, CONTROL_PORT)
--- a/primrosehitch_lab/fault_operator.py
+++ b/primrosehitch_lab/fault_operator.py
@@ -66,7 +66,7 @@
     async def read_tables(self) -> None:
         while True:
             await anyio.sleep(PROBE_S)
-            name = self.rng.choice(fault_fleet.CONTROLS)
+            name = self.rng.choice(self.fleet.controls)
             url = self.fleet.address(name, fault_fleet.CONTROL_PORT)
             sent = self.now()
             got = await fault_calls.call(
--- a/primrosehitch_lab/fault_schedule.py
+++ b/primrosehitch_lab/fault_schedule.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import Awaitable
 from typing import Callable
+from typing import Sequence
 
 import anyio
 
@@ -105,13 +106,13 @@
         return _Open(self, kind, target, planned)
 
     def _take(
-        self, rng: random.Random, names: tuple[str, ...]
+        self, rng: random.Random, names: Sequence[str]
     ) -> fault_fleet.Process | None:
         """Return a process that no other fault has in hand."""
         free = [n for n in names if n not in self.busy]
         return self.fleet.processes[rng.choice(free)] if free else None
 
-    async def _kill(self, rng: random.Random, names: tuple[str, ...]) -> None:
+    async def _kill(self, rng: random.Random, names: Sequence[str]) -> None:
         process = self._take(rng, names)
         if process is not None:
             with self.fault("kill", process.name, False):
@@ -119,7 +120,7 @@
                 await anyio.sleep(rng.uniform(0, 1.5))
                 process.begin()
 
-    async def _pause(self, rng: random.Random, names: tuple[str, ...]) -> None:
+    async def _pause(self, rng: random.Random, names: Sequence[str]) -> None:
         process = self._take(rng, names)
         if process is not None:
             with self.fault("pause", process.name, False):
@@ -127,7 +128,7 @@
                 await anyio.sleep(rng.uniform(0.1, 3))
                 process.signal(signal.SIGCONT)
 
-    async def _roll(self, rng: random.Random, names: tuple[str, ...]) -> None:
+    async def _roll(self, rng: random.Random, names: Sequence[str]) -> None:
         for name in names:
             if name in self.busy:
                 continue
@@ -148,23 +149,23 @@
         await self._kill(rng, fault_fleet.EDGES)
 
     async def _kill_control(self, rng: random.Random) -> None:
-        await self._kill(rng, fault_fleet.CONTROLS)
+        await self._kill(rng, self.fleet.controls)
 
     async def _pause_edge(self, rng: random.Random) -> None:
         await self._pause(rng, fault_fleet.EDGES)
 
     async def _pause_control(self, rng: random.Random) -> None:
-        await self._pause(rng, fault_fleet.CONTROLS)
+        await self._pause(rng, self.fleet.controls)
 
     async def _roll_edges(self, rng: random.Random) -> None:
         await self._roll(rng, fault_fleet.EDGES)
 
     async def _roll_controls(self, rng: random.Random) -> None:
-        await self._roll(rng, fault_fleet.CONTROLS)
+        await self._roll(rng, self.fleet.controls)
 
     async def _wipe_control(self, rng: random.Random) -> None:
         """Lose one disk, once; more than one at a time is not borne."""
-        process = self._take(rng, fault_fleet.CONTROLS)
+        process = self._take(rng, self.fleet.controls)
         if process is None or self.wiped:
             return
         self.wiped = True
--- a/primrosehitch_lab/fault_soak.py
+++ b/primrosehitch_lab/fault_soak.py
@@ -126,7 +126,7 @@
                 group.start_soon(self.signals.reload_settings)
                 group.start_soon(self.callers.watch_ready)
                 await self._until_served(START_S)
-                self.fleet.no_bootstrap()
+                self.fleet.write_settings()
                 await self._load()
                 await self._end()
                 group.cancel_scope.cancel()
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -44,6 +44,7 @@
         group: the task group that the instances run in.
 
     Attributes:
+        seeds: numbers of the seeds of instances that start from now on.
         engine: the engine that all edges of a serving fleet serve from.
     """
 
@@ -56,6 +57,7 @@
         self.scopes = {}
         self.stops = {}
         self.stopped = set()
+        self.seeds = SEEDS
         self.engine = None
 
     def make_settings(self, number, bootstrap, edge):
@@ -63,7 +65,7 @@
             name=f"n{number}",
             domain=f"z{number % 3}",
             link=address(number, LINK_PORT),
-            seeds=tuple(address(n, LINK_PORT) for n in SEEDS),
+            seeds=tuple(address(n, LINK_PORT) for n in self.seeds),
             control=None if edge else address(number, CONTROL_PORT),
             front=address(number, FRONT_PORT) if edge else None,
             ready=address(number, READY_PORT) if edge else None,
@@ -110,32 +112,47 @@
         self.edges.pop(number, None)
         await anyio.sleep(0.1)
 
+    def suspend(self, *numbers):
+        """Drop all messages to and from control instances.
+
+        That is how other processes see a paused one.
+        """
+        names = {str(address(n, LINK_PORT)) for n in numbers}
+        for n, control in self.controls.items():
+            if n in numbers:
+                control._HANDLERS = {}
+            else:
+                self._drop_messages(control, names)
+
     def isolate(self, number):
         """Drop all messages between a control instance and the others.
 
         Edges and endpoints still reach all of them.
         """
         names = {n: str(address(n, LINK_PORT)) for n in self.controls}
+        for n, control in self.controls.items():
+            if n == number:
+                self._drop_messages(control, set(names.values()))
+            else:
+                self._drop_messages(control, {names[number]})
+
+    def _drop_messages(self, control, dropped_senders):
+        """Drop what a control instance receives from some senders."""
 
-        def filtered(handler, dropped_senders):
+        def filtered(handler):
             def handle(control, sender, message):
                 if sender not in dropped_senders:
                     handler(control, sender, message)
 
             return handle
 
-        for n, control in self.controls.items():
-            if n == number:
-                dropped = set(names.values())
-            else:
-                dropped = {names[number]}
-            control._HANDLERS = {
-                kind: filtered(handler, dropped)
-                for kind, handler in type(control)._HANDLERS.items()
-            }
+        control._HANDLERS = {
+            kind: filtered(handler)
+            for kind, handler in type(control)._HANDLERS.items()
+        }
 
     def heal(self):
-        """End all isolations."""
+        """End all isolations and suspensions."""
         for control in self.controls.values():
             del control._HANDLERS
 
