Keep the control instances that an edge's current one does not see

Cause: an edge replaced what it knew of control instances by what its current one saw at that moment. One that is cut off, has just woken or has just started sees itself only. When it was gone, the edge knew the first seeds, which did not exist any more, and served its old table from then on.

--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -9,7 +9,6 @@
 import math
 import random
 from typing import Callable
-from typing import NamedTuple
 
 import anyio
 import anyio.abc
@@ -20,6 +19,7 @@
 from primrosehitch import clock
 from primrosehitch import containment
 from primrosehitch import controlcontact
+from primrosehitch import controldirectory
 from primrosehitch import dialect as dialect_module
 from primrosehitch import errors
 from primrosehitch import events
@@ -89,18 +89,6 @@
 TableDecoder = Callable[[bytes], routes.RouteTable]
 
 
-class KnownControl(NamedTuple):
-    """A control instance that this edge knows of.
-
-    Attributes:
-        name: its link address as text, which is also its name.
-        domain: its failure domain; empty if not known yet.
-    """
-
-    name: str
-    domain: str
-
-
 class Edge:
     """One edge instance.
 
@@ -170,11 +158,10 @@
         )
         self.links.on_loss = self._on_link_loss
         self.edge_counts = scaling.SlidingPeak(EDGE_COUNT_WINDOW_MS)
-        self.known_controls = [
-            KnownControl(str(seed), "") for seed in settings.seeds
-        ]
-        self.rng.shuffle(self.known_controls)
-        self.current_control = self.known_controls[0].name
+        self.controls = controldirectory.ControlDirectory(
+            map(str, settings.seeds), self.rng
+        )
+        self.current_control = self.controls.by_last_seen()[0]
         self.last_fresh_ms = now
         self.control_incarnation = 0
         self.last_domain_switch_ms = now - MIN_DOMAIN_SWITCH_INTERVAL_MS
@@ -371,7 +358,7 @@
         """Switch to the next control instance after a timeout."""
         if now - self.last_fresh_ms <= CONTROL_TIMEOUT_MS:
             return
-        names = [c.name for c in self.known_controls]
+        names = sorted(self.controls.known)
         position = (
             names.index(self.current_control)
             if self.current_control in names
@@ -390,7 +377,7 @@
                 events.CONTROL_LOST,
                 control=self.contact.control,
                 age_ms=age_ms,
-                known=" ".join(c.name for c in self.known_controls),
+                known=" ".join(self.controls.by_last_seen()),
             )
 
     def _switch_control(self, name: str, reason: str) -> None:
@@ -458,7 +445,7 @@
         edge_count = max(1, int(self.edge_counts.peak(now)))
         self.budget.set_edge_count(edge_count)
         self.balancer.edge_count = edge_count
-        self._update_known_controls(status)
+        self._apply_view(status, now)
         if status.incarnation != self.control_incarnation:
             self.control_incarnation = status.incarnation
             self._send(self.meter.all_totals())
@@ -473,24 +460,14 @@
                 after_ms=lost_for_ms,
             )
 
-    def _update_known_controls(self, status: messages.ControlStatus) -> None:
-        """Replace the known control instances; the seeds always stay."""
-        seeds = [str(seed) for seed in self.settings.seeds]
+    def _apply_view(self, status: messages.ControlStatus, now: int) -> None:
+        """Add the control instances that one of them hears."""
         domains = dict(zip(status.peers, status.domains))
-        for seed in seeds:
-            domains.setdefault(seed, "")
-        self.known_controls = [KnownControl(n, d) for n, d in domains.items()]
-        same_domain = [
-            c.name
-            for c in self.known_controls
-            if c.domain == self.settings.domain
-        ]
-        current_domain = domains.get(self.current_control, "")
-        if (
-            same_domain
-            and current_domain != self.settings.domain
-            and status.fresh
-        ):
+        self.controls.apply_view(domains, now)
+        own_domain = self.settings.domain
+        same_domain = [n for n, d in domains.items() if d == own_domain]
+        current_domain = self.controls.domain_of(self.current_control)
+        if same_domain and current_domain != own_domain and status.fresh:
             self._return_to_own_domain(same_domain)
 
     def _return_to_own_domain(self, candidates: list[str]) -> None:
