Dial several control instances at once when one is lost

An edge that had lost its control instance tried the others one after the other, 0.7 s each, dead seeds included.

Now it dials four at once, those seen last first, four more every 200 ms, and asks one after the other of those that answer; it starts when the link ends, or after two statuses without a quorum, not only after 0.7 s of silence. It returns to its own failure domain once that link is up. A control instance answers a subscription that came before its own link was up, and counts the edges that use it rather than those that did lately.

controlselector.py decides and does no I/O.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -61,6 +61,8 @@
 # some ten KB.
 RECENT_PARTS_TTL_MS = 15_000
 MAX_RECENT_PARTS = 2000
+# An edge that did not subscribe for this long is not counted any more.
+ACTIVE_EDGE_TIMEOUT_MS = 700
 # An edge that did not subscribe for this long gets no more messages.
 SUBSCRIPTION_TIMEOUT_MS = 2000
 # For this long after its start a control instance may lack endpoints, so
@@ -145,6 +147,7 @@
         # Edges and instances that joined or may have missed messages, until
         # they are sent what they may lack.
         self.lacking_updates: set[str] = set()
+        self.links.on_up = self._on_link_up
         self.links.on_loss = self._note_loss
         # The digests of a peer's and the own registry by peer, if they
         # differed at the peer's last presence.
@@ -518,7 +521,7 @@
             sequence=self.presence_sequence,
             wall_ms=clock.wall_ms(),
             peers=tuple(self.peers.link_names()),
-            edges=len(self.subscribers),
+            edges=self._active_edges(clock.now_ms()),
             leaving=self.is_leaving,
             registry=self.registry.digest(),
             helpers=helpers_module.select_helpers(
@@ -638,19 +641,7 @@
         if sender in self.lacking_updates:
             self._send_missed(sender, self.registry.inactive_records())
         self.true_time.add_report(sender, subscription.wall_ms, now)
-        is_fresh = self._has_quorum_contact(now)
-        controls = self.peers.domains_by_link(now)
-        controls[self.name] = self.settings.domain
-        status = messages.ControlStatus(
-            version=self.table.version,
-            fresh=is_fresh,
-            true_ms=self.true_time.wall_ms_at(now),
-            edges=len(self.subscribers) + self.peers.edge_count(now),
-            peers=tuple(controls),
-            registry=self.registry.digest(),
-            domains=tuple(controls.values()),
-            incarnation=self.incarnation,
-        )
+        status = self._make_status(now)
         self.links.send(sender, status)
         if subscription.version < self.table.version:
             self.links.send(sender, self.table)
@@ -661,6 +652,35 @@
                 sender, messages.EndpointUpdate(records, is_complete)
             )
 
+    def _make_status(self, now: int) -> messages.ControlStatus:
+        controls = self.peers.domains_by_link(now)
+        controls[self.name] = self.settings.domain
+        return messages.ControlStatus(
+            version=self.table.version,
+            fresh=self._has_quorum_contact(now),
+            true_ms=self.true_time.wall_ms_at(now),
+            edges=self._active_edges(now) + self.peers.edge_count(now),
+            peers=tuple(controls),
+            registry=self.registry.digest(),
+            domains=tuple(controls.values()),
+            incarnation=self.incarnation,
+        )
+
+    def _active_edges(self, now: int) -> int:
+        """Return the number of edges that use this instance.
+
+        An edge that has moved on stays subscribed for a while.
+        """
+        return sum(
+            now - subscriber.last_seen_ms <= ACTIVE_EDGE_TIMEOUT_MS
+            for subscriber in self.subscribers.values()
+        )
+
+    def _on_link_up(self, peer: str) -> None:
+        """Answer a subscription that came before the link was up."""
+        if peer in self.subscribers:
+            self.links.send(peer, self._make_status(clock.now_ms()))
+
     def _has_quorum_contact(self, now: int) -> bool:
         """Return whether this replica is in contact with a quorum.
 
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -3,7 +3,7 @@
 An edge gets the route table and the endpoint records from one control
 instance at a time, preferably one in its own failure domain. It switches
 to another one when that instance stops sending status messages or loses
-contact with a quorum.
+contact with a quorum (see ``controlselector.py``).
 """
 
 import math
@@ -20,6 +20,7 @@
 from primrosehitch import containment
 from primrosehitch import controlcontact
 from primrosehitch import controldirectory
+from primrosehitch import controlselector
 from primrosehitch import dialect as dialect_module
 from primrosehitch import errors
 from primrosehitch import events
@@ -55,13 +56,6 @@
 # While an edge is cut off from a service, it tries an endpoint this often.
 PROBE_PERIOD_MS = 500
 MAX_INBOX_MESSAGES = 4096
-# Time without a status of a control instance that has a quorum, after
-# which the edge switches to another one. Well below the time in which a
-# configuration change must reach the edges.
-CONTROL_TIMEOUT_MS = 700
-# Minimum time between switches back to a control instance of the edge's
-# own failure domain; an unreliable path would cause flapping otherwise.
-MIN_DOMAIN_SWITCH_INTERVAL_MS = 10_000
 # Fractions of the time between SIGTERM and SIGKILL: until when every
 # request is accepted, since callers still arrive; and from when idle
 # connections are closed.
@@ -156,18 +150,24 @@
         ] = gathering.RecentUpdates(
             RESEND_CRASHES_MS, quarantine_module.MAX_CRASHES
         )
+        self.links.on_up = self._on_link_up
         self.links.on_loss = self._on_link_loss
         self.edge_counts = scaling.SlidingPeak(EDGE_COUNT_WINDOW_MS)
         self.controls = controldirectory.ControlDirectory(
             map(str, settings.seeds), self.rng
         )
-        self.current_control = self.controls.by_last_seen()[0]
-        self.last_fresh_ms = now
+        self.selector = controlselector.ControlSelector(
+            self.controls, settings.domain, self.rng, now
+        )
         self.control_incarnation = 0
-        self.last_domain_switch_ms = now - MIN_DOMAIN_SWITCH_INTERVAL_MS
         # Negative while the edge is not draining.
         self.drain_started_ms = -1
 
+    @property
+    def current_control(self) -> str:
+        """The control instance in use, empty before the first one."""
+        return self.selector.current
+
     @property
     def is_ready(self) -> bool:
         """Whether the edge has a route table and is not draining."""
@@ -317,20 +317,11 @@
         It is queued together with the load report and the usage counts,
         so that the link sends all of them in one write.
         """
-        self._connect_to_control(self.current_control)
         async for tick in self.timers.subscribe(SUBSCRIBE_PERIOD_MS):
-            self._check_control(tick.now)
+            self._select_control()
             self._report_contact(tick.now)
             self.quarantine.judge(tick.now)
-            table = self.forwarder.table
-            self._send(
-                messages.Subscribe(
-                    table.version if table else 0,
-                    self.registry.digest(),
-                    clock.wall_ms(),
-                    self._offered_help(),
-                )
-            )
+            self._subscribe()
             self._send_load_report()
             self._send_tallies()
 
@@ -346,27 +337,42 @@
         )
         return (helper,)
 
-    def _connect_to_control(self, name: str) -> None:
-        """Open a link to a control instance and make it the current one."""
-        self.current_control = name
-        self.last_fresh_ms = clock.now_ms()
-        self.links.add(
-            links_module.LinkPeer(name, settings_module.parse_address(name))
+    def _subscribe(self) -> None:
+        table = self.forwarder.table
+        self._send(
+            messages.Subscribe(
+                table.version if table else 0,
+                self.registry.digest(),
+                clock.wall_ms(),
+                self._offered_help(),
+            )
         )
 
-    def _check_control(self, now: int) -> None:
-        """Switch to the next control instance after a timeout."""
-        if now - self.last_fresh_ms <= CONTROL_TIMEOUT_MS:
-            return
-        names = sorted(self.controls.known)
-        position = (
-            names.index(self.current_control)
-            if self.current_control in names
-            else -1
-        )
-        candidate = names[(position + 1) % len(names)]
-        if candidate != self.current_control:
-            self._switch_control(candidate, "no status with a quorum in time")
+    def _select_control(self) -> None:
+        """Use another control instance if that is due; keep links to some."""
+        choice = self.selector.choose(clock.now_ms(), self.links.is_connected)
+        if choice is not None:
+            self._use_control(choice)
+        for name in self.links.peers.keys() - self.selector.dialed:
+            self.links.remove(name)
+        for name in self.selector.dialed - self.links.peers.keys():
+            address = settings_module.parse_address(name)
+            self.links.add(links_module.LinkPeer(name, address))
+
+    def _use_control(self, choice: controlselector.Choice) -> None:
+        if choice.name != self.current_control:
+            events.emit(
+                events.CONTROL_CHANGED,
+                before=self.current_control,
+                now=choice.name,
+                why=choice.why,
+            )
+        self.selector.use(choice.name, clock.now_ms())
+        self._subscribe()
+        self._report_again()
+
+    def _on_link_up(self, peer: str) -> None:
+        self._select_control()
 
     def _report_contact(self, now: int) -> None:
         """Log a loss of contact and publish the age of the view."""
@@ -380,16 +386,6 @@
                 known=" ".join(self.controls.by_last_seen()),
             )
 
-    def _switch_control(self, name: str, reason: str) -> None:
-        events.emit(
-            events.CONTROL_CHANGED,
-            before=self.current_control,
-            now=name,
-            why=reason,
-        )
-        self.links.remove(self.current_control)
-        self._connect_to_control(name)
-
     async def _dispatch_messages(
         self, source: MemoryObjectReceiveStream[links_module.Received]
     ) -> None:
@@ -435,21 +431,24 @@
         became the current one, because it may lack earlier counts.
         """
         now = clock.now_ms()
+        domains = dict(zip(status.peers, status.domains))
+        self.controls.apply_view(domains, now)
+        self.selector.record_status(sender, status.fresh, now)
         if sender != self.current_control:
             return
         if status.fresh:
-            self.last_fresh_ms = now
+            self.selector.consider_return(domains, now)
             self._confirm_contact(sender, now)
             self.true_time.set_from_control(status.true_ms, now)
         self.edge_counts.add(status.edges, now)
         edge_count = max(1, int(self.edge_counts.peak(now)))
         self.budget.set_edge_count(edge_count)
         self.balancer.edge_count = edge_count
-        self._apply_view(status, now)
         if status.incarnation != self.control_incarnation:
             self.control_incarnation = status.incarnation
             self._send(self.meter.all_totals())
             self.origins.send_again()
+        self._select_control()
 
     def _confirm_contact(self, control: str, now: int) -> None:
         lost_for_ms = self.contact.confirm(control, now)
@@ -460,30 +459,6 @@
                 after_ms=lost_for_ms,
             )
 
-    def _apply_view(self, status: messages.ControlStatus, now: int) -> None:
-        """Add the control instances that one of them hears."""
-        domains = dict(zip(status.peers, status.domains))
-        self.controls.apply_view(domains, now)
-        own_domain = self.settings.domain
-        same_domain = [n for n, d in domains.items() if d == own_domain]
-        current_domain = self.controls.domain_of(self.current_control)
-        if same_domain and current_domain != own_domain and status.fresh:
-            self._return_to_own_domain(same_domain)
-
-    def _return_to_own_domain(self, candidates: list[str]) -> None:
-        """Switch to a control instance of the edge's failure domain.
-
-        Args:
-            candidates: names of control instances in that domain.
-        """
-        now = clock.now_ms()
-        if now - self.last_domain_switch_ms < MIN_DOMAIN_SWITCH_INTERVAL_MS:
-            return
-        self.last_domain_switch_ms = now
-        self._switch_control(
-            self.rng.choice(candidates), "return to own failure domain"
-        )
-
     def _on_table(self, message: messages.Table) -> None:
         """Apply a table that is newer than the current one."""
         current = self.forwarder.table
@@ -616,11 +591,16 @@
                 await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
 
     def _on_link_loss(self, peer: str) -> None:
+        self.selector.record_loss(peer)
+        if peer == self.current_control:
+            self._report_again()
+            self._select_control()
+
+    def _report_again(self) -> None:
         """Report crashes and origins again, as messages may be lost.
 
-        They go to the current control instance, also if the link to an
-        earlier one has ended. What else is found needs no repetition:
-        answers and limits are found again with the next answer.
+        What else is found needs no repetition: answers and limits are
+        found again with the next answer.
         """
         self.origins.send_again()
         for finding in self.sent_crashes.values(clock.now_ms()):
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -202,6 +202,7 @@
             secret becomes a peer.
 
     Attributes:
+        on_up: called with a peer's name when a link to it is up.
         on_loss: called with a peer's name when messages for it may be
             lost, because its connection ended or its queue is full.
     """
@@ -227,7 +228,8 @@
         self.connected: dict[str, bool] = {}
         self.queues: dict[str, FrameQueue] = {}
         self.dial_scopes: dict[str, anyio.CancelScope] = {}
-        self.on_loss: Callable[[str], None] = _ignore_loss
+        self.on_up: Callable[[str], None] = _ignore
+        self.on_loss: Callable[[str], None] = _ignore
         self.task_group: anyio.abc.TaskGroup | None = None
         self.next_excess_report_ms = 0
 
@@ -376,6 +378,7 @@
                 await self._authenticate_to_peer(stream, reader, peer.name)
             events.emit(events.LINK_UP, peer=peer.name)
             self.connected[peer.name] = True
+            self.on_up(peer.name)
             try:
                 async with anyio.create_task_group() as group:
                     group.start_soon(
@@ -393,14 +396,20 @@
             ) as failures:
                 text = "".join(repr(e) for e in failures.exceptions)
                 error = errors.LinkError(text, "link.pump", peer.name)
-                # The link is down before its loss is reported below.
                 events.emit(events.LINK_DOWN, peer=peer.name, error=str(error))
-                self.connected[peer.name] = False
+                # It is down before the connection is closed, which takes
+                # a moment, and before its loss is reported.
+                self._mark_down(peer.name)
                 raise error from None
             finally:
+                self._mark_down(peer.name)
                 self._discard_queued_frames(peer.name)
                 self.on_loss(peer.name)
 
+    def _mark_down(self, peer: str) -> None:
+        if peer in self.connected:
+            self.connected[peer] = False
+
     async def _send_pings(self, peer: str) -> None:
         while True:
             self.send(peer, messages.Ping())
@@ -558,8 +567,8 @@
     )
 
 
-def _ignore_loss(peer: str) -> None:
-    """Do nothing; the default of ``Links.on_loss``."""
+def _ignore(peer: str) -> None:
+    """Do nothing; the default of ``Links.on_up`` and ``Links.on_loss``."""
 
 
 def make_links(
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -11,6 +11,7 @@
 import httpcore
 import routed
 
+from primrosehitch import controlselector
 from primrosehitch import edge as edge_module
 from primrosehitch import instance
 from primrosehitch import settings
@@ -176,6 +177,12 @@
         return self.controls[leader].replicator.raft.voters
 
 
+def use_control(edge, name):
+    """Move an edge to a control instance."""
+    edge._use_control(controlselector.Choice(name, "test"))
+    edge._select_control()
+
+
 @contextlib.asynccontextmanager
 async def running_fleet(folder, controls=SEEDS, edges=()):
     """Run a fleet; kill all its instances at the end."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -10,6 +10,7 @@
 import routed
 
 from primrosehitch import control as control_module
+from primrosehitch import controlselector
 from primrosehitch import edge as edge_module
 from primrosehitch import links
 from primrosehitch import messages
@@ -393,7 +394,7 @@
     tmp_path, monkeypatch
 ):
     monkeypatch.setattr(registry, "HEARTBEAT_TIMEOUT_MS", 700)
-    monkeypatch.setattr(edge_module, "MIN_DOMAIN_SWITCH_INTERVAL_MS", 200)
+    monkeypatch.setattr(controlselector, "MIN_RETURN_INTERVAL_MS", 200)
     own = str(instances.address(3, instances.LINK_PORT))
 
     async def body():
@@ -463,9 +464,9 @@
     control = fleet.controls[number]
     switched_at = routed.clock.now_ms()
     # A return to the own failure domain is not due for a while.
-    edge.last_domain_switch_ms = switched_at
+    edge.selector.last_return_ms = switched_at
     if edge.current_control != control.name:
-        edge._switch_control(control.name, "test")
+        instances.use_control(edge, control.name)
     await instances.wait_until(
         lambda: (
             edge.links.name in control.subscribers
@@ -861,7 +862,7 @@
                 bad_status = messages.ControlStatus(peers=("x",), edges="y")
                 kind = bad if running is fleet.controls[2] else bad_status
                 if running is fleet.edges[9]:
-                    running.current_control = sender
+                    instances.use_control(running, sender)
                 await running.links.inbox.send(links.Received(sender, kind))
             await anyio.sleep(PASSING_ON_S)
             assert await instances.put_table(2, routed.table_document(7)) == (
--- a/tests/test_control_replacement.py
+++ b/tests/test_control_replacement.py
@@ -251,15 +251,17 @@
             lagging = next(n for n in fleet.controls if n != leader)
             control = fleet.controls[lagging]
             # A return to the own failure domain is not due for a while.
-            edge.last_domain_switch_ms = routed.clock.now_ms()
+            edge.selector.last_return_ms = routed.clock.now_ms()
             if edge.current_control != control.name:
-                edge._switch_control(control.name, "test")
+                instances.use_control(edge, control.name)
+            # The edge has been at others before, which tell it for a while.
             await instances.wait_until(
                 lambda: (
-                    edge.current_control == control.name
-                    and edge.links.name in control.subscribers
+                    [c for c in fleet.controls.values() if c.subscribers]
+                    == [control]
                 )
             )
+            assert edge.current_control == control.name
             lose_entries(control)
             await instances.put_table(leader, routed.table_document(8))
             await expect_version(edge, 8)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -9,7 +9,7 @@
 import instances
 import pytest
 
-from primrosehitch import edge
+from primrosehitch import controlselector
 from primrosehitch import errors
 from primrosehitch import links as links_module
 from primrosehitch import messages
@@ -193,7 +193,7 @@
         return elapsed_s
 
     # The link must be up before an edge abandons a silent control instance.
-    assert anyio.run(body) < edge.CONTROL_TIMEOUT_MS / 1000
+    assert anyio.run(body) < controlselector.CONTROL_TIMEOUT_MS / 1000
 
 
 def test_possible_loss_of_messages_is_reported():
