Use the seeds of a settings file that changes without a signal

An edge that was paused while all control instances were replaced woke with three dead seeds. The platform had written the new ones into its settings file; the edge read that at its next start only, and kept version 1 for as long as it ran. SIGHUP checked the file and changed nothing either.

Every instance looks for a changed file twice a second, by its inode and time, and uses its seeds at once; control instances too, so that one that missed all replacements finds its way back. The other settings still count from the next start. A torn or missing file changes nothing (1006).

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -167,10 +167,19 @@
         self.is_behind = False
         self.replicator = self._open_replicator()
         self.proposer = proposals.Proposer(self.name, self)
-        for seed in settings.seeds:
-            self._add_link(str(seed))
+        self.seeds: frozenset[str] = frozenset()
+        self.set_seeds(settings.seeds)
         self._on_applied()
 
+    def set_seeds(self, seeds: Iterable[settings_module.Address]) -> None:
+        """Use other seeds from now on to find control instances."""
+        earlier = self.seeds
+        self.seeds = frozenset(map(str, seeds))
+        for name in earlier - self._control_instances():
+            self.links.remove(name)
+        for name in self.seeds:
+            self._add_link(name)
+
     def _open_replicator(self) -> replicator_module.Replicator:
         """Open the log in the data folder and start a replicator on it.
 
@@ -505,7 +514,7 @@
 
     def _control_instances(self) -> set[str]:
         """Return the other instances: seeds, peers and replicas."""
-        instances = {str(seed) for seed in self.settings.seeds}
+        instances = set(self.seeds)
         instances |= set(self.peers.link_names()) | self._replica_instances()
         instances.discard(self.name)
         return instances
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -9,6 +9,7 @@
 import math
 import random
 from typing import Callable
+from typing import Iterable
 
 import anyio
 import anyio.abc
@@ -337,6 +338,11 @@
         )
         return (helper,)
 
+    def set_seeds(self, seeds: Iterable[settings_module.Address]) -> None:
+        """Use other seeds from now on; what is known besides stays."""
+        self.controls.set_seeds(map(str, seeds))
+        self._select_control()
+
     def _subscribe(self) -> None:
         table = self.forwarder.table
         self._send(
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -52,8 +52,8 @@
 SETTINGS_READ = Event(
     1005,
     "settings-read",
-    "A changed settings file was read and is valid; it takes effect at the"
-    " next start.",
+    "A changed settings file was read and is valid. Its seeds are used from"
+    " now on; the rest takes effect at the next start.",
     NO_ACTION,
 )
 SETTINGS_REFUSED = Event(
--- a/primrosehitch/platform/process.py
+++ b/primrosehitch/platform/process.py
@@ -1,8 +1,8 @@
 """Runs one edge or one control instance on the platform.
 
 The environment variable ``PRIMROSEHITCH_NODE_FILE`` has the path of the
-settings file. SIGTERM and SIGINT stop the instance; SIGHUP checks the
-settings file without applying it.
+settings file. SIGTERM and SIGINT stop the instance. The seeds of a changed
+settings file are used at once, with or without SIGHUP.
 """
 
 import os
@@ -27,6 +27,7 @@
 from primrosehitch import logsink
 from primrosehitch import metrics
 from primrosehitch import routes
+from primrosehitch import settingswatch
 from primrosehitch.platform import api
 from primrosehitch.platform import calls
 from primrosehitch.platform import dialect
@@ -52,6 +53,9 @@
     async def run(self, stop: anyio.Event) -> None:
         """Serve until ``stop`` is set, then drain and return."""
 
+    def set_seeds(self, seeds: settingswatch.Seeds) -> None:
+        """Use other seeds from now on."""
+
 
 class ControlProcess:
     """A control instance with its HTTP API and the leader's duties.
@@ -85,6 +89,10 @@
             await self.control.run(stop, self._finish_calls)
             group.cancel_scope.cancel()
 
+    def set_seeds(self, seeds: settingswatch.Seeds) -> None:
+        """Use other seeds from now on."""
+        self.control.set_seeds(seeds)
+
     async def _finish_calls(self) -> None:
         """Finish the calls under way, and refuse the ones that follow."""
         self.api.stopping = True
@@ -152,20 +160,23 @@
     loop restores their default actions, and one that arrives then would end
     the process with a failure; it also delays a restart.
     """
+    watch = settingswatch.SettingsWatch(path)
     settings = await _load_settings(path)
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
-        await group.start(_watch_signals, path, stop)
+        await group.start(_watch_signals, watch, stop)
         group.start_soon(_flush_log, sink)
         instance = await _make_instance_with_space(settings, stop)
         if instance is not None:
+            watch.apply_seeds = instance.set_seeds
+            group.start_soon(watch.run)
             await instance.run(stop)
         sink.flush()
         os._exit(0)
 
 
 async def _watch_signals(
-    path: pathlib.Path,
+    watch: settingswatch.SettingsWatch,
     stop: anyio.Event,
     *,
     task_status: anyio.abc.TaskStatus[None],
@@ -176,17 +187,7 @@
             if signal_number != signal.SIGHUP:
                 stop.set()
                 continue
-            _check_changed_settings(path)
-
-
-def _check_changed_settings(path: pathlib.Path) -> None:
-    """Check the settings file; changes apply from the next start."""
-    try:
-        instance_module.load(path)
-    except (errors.PrimrosehitchError, ValueError) as exc:
-        events.emit(events.SETTINGS_REFUSED, error=str(exc))
-        return
-    events.emit(events.SETTINGS_READ, path=path.name)
+            watch.read()
 
 
 async def _flush_log(sink: logsink.LogSink) -> None:
