Deny no request by a table that nobody confirms

An edge without a control instance answered 401 and 404 by its old table, for routes and keys that a newer one has; callers do not try those again. That something does not exist is a claim about the newest table.

An edge makes it for 1.2 s after the last confirmation by a control instance with a quorum; after that it answers 503, not run, with a time to come back (table-unconfirmed). It serves what it knows as before. A control instance sends a status along with each table, so that one that just came is confirmed.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -254,6 +254,8 @@
         metrics.CONFIG_VERSION.set(table.version)
         events.emit(events.VERSION_IN_FORCE, version=table.version)
         self.links.multicast(self.subscribers, table)
+        status = self._make_status(clock.now_ms())
+        self.links.multicast(self.subscribers, status)
 
     def _replica_instances(self) -> set[str]:
         """Return the names of the instances with a voter or learner."""
--- a/primrosehitch/controlcontact.py
+++ b/primrosehitch/controlcontact.py
@@ -1,11 +1,19 @@
 """How old an edge's view of the route table is, and whose view it is.
 
+An edge that is out of contact goes on serving what it knows. That a route or
+a key does not exist is a claim about the newest table, which it cannot make.
+
 Does no I/O; the caller passes the current time in ms.
 """
 
 # Age of an edge's view that is reported as a loss of contact: longer than
 # the switch from one control instance to another takes.
 LOST_AFTER_MS = 1500
+# For this long after a confirmation the edge knows which routes and keys
+# exist. A control instance may itself be behind by the time that a follower
+# counts as in contact, and both together must stay below the time in which
+# a configuration change must reach the edges.
+KNOWS_TABLE_MS = 1200
 
 
 class ControlContact:
@@ -43,6 +51,10 @@
         """Return the age of the view, negative if none was confirmed."""
         return -1 if self.confirmed_ms < 0 else now - self.confirmed_ms
 
+    def knows_table(self, now: int) -> bool:
+        """Return whether what the table lacks does not exist."""
+        return 0 <= self.age_ms(now) <= KNOWS_TABLE_MS
+
     def detect_loss(self, now: int) -> bool:
         """Return whether contact counts as lost from now on."""
         if self.is_lost or now - self._reference_ms() <= LOST_AFTER_MS:
@@ -55,4 +67,4 @@
         return max(self.started_ms, self.confirmed_ms)
 
 
-__all__ = ["ControlContact", "LOST_AFTER_MS"]
+__all__ = ["ControlContact", "KNOWS_TABLE_MS", "LOST_AFTER_MS"]
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -31,7 +31,8 @@
 from primrosehitch.forwarding import Refused
 from primrosehitch.forwarding import send_local_reply
 
-# Retry-After of an edge that has no route table yet, in seconds.
+# Retry-After of an edge that has no route table yet, or one that no control
+# instance has confirmed lately, in seconds.
 NO_TABLE_RETRY_AFTER_S = 0.5
 # An edge that has just started receives its route table within this time,
 # unless no control instance can be reached.
@@ -179,14 +180,20 @@
         host = request.header(b"host")
         route = table.match(host, request.path)
         if route is None:
-            return Refused(404, "no-route")
+            return self._deny(404, "no-route")
         if route.public or not table.needs_key:
             return routes.RoutingDecision(route, None)
         customer = table.customer_for_key(call.key) if call.key else None
         if customer is None:
-            return Refused(401, "unknown-key")
+            return self._deny(401, "unknown-key")
         return routes.RoutingDecision(route, customer)
 
+    def _deny(self, status: int, reason: str) -> Refused:
+        """Return a refusal by the table, unless that may be out of date."""
+        if self.contact.knows_table(clock.now_ms()):
+            return Refused(status, reason)
+        return Refused(503, "table-unconfirmed", NO_TABLE_RETRY_AFTER_S)
+
     def refuse(
         self,
         call: dialect_module.CallInfo,
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -64,6 +64,13 @@
     )
 
 
+class ConfirmedContact(controlcontact.ControlContact):
+    """Contact that a control instance confirms all the time."""
+
+    def knows_table(self, now):
+        return True
+
+
 class EdgeDataPath:
     """The request path of an edge: an HTTP server and a forwarder."""
 
@@ -84,7 +91,7 @@
             streamorigins.StreamOrigins(),
             random.Random(1),
             helpers.HelperDirectory("", "za", random.Random(1)),
-            controlcontact.ControlContact(now),
+            ConfirmedContact(now),
         )
         self.forwarder.table = table
         self.server = httpserver.Server(self.forwarder.serve, table.limits)
