Call a control instance fresh only with what a quorum has committed

Now a follower is fresh for 0.7 s after it had applied all that its leader had committed, where the leader's commit is of its own term; a leader while it can serve a linearizable read that is applied.

Two tests of raft go with it.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -46,8 +46,7 @@
 PRESENCE_PERIOD_MS = 250
 REFRESH_PERIOD_MS = 500
 EXPIRE_PERIOD_MS = 1000
-# A follower counts as in contact with its leader for this long after the
-# leader's last message.
+# A follower's state counts as the leader's for this long after it last was.
 LEADER_CONTACT_TIMEOUT_MS = 700
 # Loads change within the time that the prefill of a long prompt takes.
 LOAD_REPORT_PERIOD_MS = 250
@@ -693,18 +692,20 @@
             self.links.send(peer, self._make_status(clock.now_ms()))
 
     def _has_quorum_contact(self, now: int) -> bool:
-        """Return whether this replica is in contact with a quorum.
+        """Return whether this replica's state is that of a quorum.
 
-        A leader is while it holds its lease, a follower while its leader
-        sends messages.
+        Hearing from the leader is not enough for a follower, as it may lack
+        entries, nor is its lease for a leader, which does not know all that
+        is committed before an entry of its own term is.
         """
         raft = self.replicator.raft
         if self.replicator.is_leader():
-            return now < raft.lease_expiry_ms()
-        heard_recently = now - raft.last_contact_ms < LEADER_CONTACT_TIMEOUT_MS
+            index = self.replicator.read_index()
+            return index is not None and raft.applied_index >= index
         return (
             bool(self.leader())
-            and heard_recently
+            and raft.current_at_ms >= 0
+            and now - raft.current_at_ms < LEADER_CONTACT_TIMEOUT_MS
             and not self.replicator.failure
         )
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -374,3 +374,66 @@
     for _ in range(20):
         cluster.run(STEP_MS)
         assert raft._can_grant_vote("a/1", request, cluster.now)
+
+
+class LossyCluster(Cluster):
+    """A cluster in which one replica gets no entries, only heartbeats."""
+
+    starved = ""
+
+    def step(self):
+        self.in_transit = [
+            (sender, item)
+            for sender, item in self.in_transit
+            if not (
+                item.target.startswith(f"{self.starved}/")
+                and isinstance(item.message, messages.Append)
+                and item.message.entries
+            )
+        ]
+        super().step()
+
+
+# Guards against: a follower that hears its leader but lacks entries passes
+# for one that is up to date.
+def test_follower_is_current_only_with_all_that_is_committed():
+    cluster = LossyCluster(["a", "b", "c"])
+    cluster.run(5000)
+    leader = cluster.leader()
+    starved = next(n for n in cluster.replicas if n != leader)
+    raft = cluster.replicas[starved].raft
+    assert cluster.now - raft.current_at_ms <= 500
+    assert raft.lag_ms() <= 500
+    cluster.starved = starved
+    starved_at = cluster.now
+    cluster.replicas[leader].propose("", b"", lambda *_: None, cluster.now)
+    cluster.run(2000)
+    assert raft.leader == f"{leader}/1"
+    assert cluster.now - raft.last_contact_ms <= 500
+    assert raft.current_at_ms <= starved_at + 200
+    assert raft.lag_ms() > 1000
+    cluster.starved = ""
+    cluster.run(2000)
+    assert cluster.now - raft.current_at_ms <= 500
+    assert raft.lag_ms() <= 500
+
+
+# Guards against: a follower takes the commit index of a leader that has not
+# committed an entry of its own term for all that is committed.
+def test_commit_of_an_earlier_term_makes_no_follower_current():
+    cluster = Cluster(["a", "b", "c"])
+    cluster.run(5000)
+    leader = cluster.leader()
+    name = next(n for n in cluster.replicas if n != leader)
+    raft = cluster.replicas[name].raft
+    before = raft.current_at_ms
+    append = messages.Append(
+        raft.term + 1,
+        raft.log.last_index,
+        raft.log.term_at(raft.log.last_index),
+        raft.commit_index,
+        cluster.now,
+        (),
+    )
+    raft.receive(f"{leader}/1", append, cluster.now + 100)
+    assert raft.current_at_ms == before
