Close the link to an edge that no longer subscribes

A control instance dialed each edge that had ever subscribed to it, every 0.4 s, for as long as it ran: gone machines and edges of other instances alike.

The link ends with the subscription, 2 s after the edge was last heard. An edge that subscribes on an older connection gets a link again.

Both new tests fail before and pass after.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -588,6 +588,8 @@
                 ):
                     del self.subscribers[name]
                     self.lacking_updates.discard(name)
+                    if name not in self._control_instances():
+                        self.links.remove(name)
             for name in self.peers.expire(tick.now):
                 self.lacking_updates.discard(name)
                 if name not in self._control_instances():
@@ -647,6 +649,8 @@
         now = clock.now_ms()
         if sender not in self.subscribers:
             self.lacking_updates.add(sender)
+            # It may come back on the connection that it had before.
+            self._add_link(sender)
         self.subscribers[sender] = Subscriber(now, subscription.helpers)
         if sender in self.lacking_updates:
             self._send_missed(sender, self.registry.inactive_records())
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1048,3 +1048,45 @@
             )
 
     instances.run_test(body)
+
+
+# Guards against: a control instance dials each edge that it ever had, for as
+# long as it runs.
+def test_control_instance_keeps_no_link_to_an_edge_that_is_gone(tmp_path):
+    async def body():
+        async with instances.serving_fleet(tmp_path) as fleet:
+            name = str(instances.address(9, instances.LINK_PORT))
+            await fleet.kill(9)
+            await instances.wait_until(
+                lambda: (
+                    not any(
+                        name in control.links.peers
+                        for control in fleet.controls.values()
+                    )
+                ),
+                5,
+            )
+
+    instances.run_test(body)
+
+
+# Guards against: an edge that comes back on the connection that it had is
+# not answered, as the link to it was given up.
+def test_edge_that_was_silent_is_answered_again(tmp_path):
+    async def body():
+        async with instances.serving_fleet(tmp_path) as fleet:
+            edge = fleet.edges[9]
+            name = edge.links.name
+            control = next(
+                c
+                for c in fleet.controls.values()
+                if c.name == edge.current_control
+            )
+            control.subscribers.clear()
+            control.links.remove(name)
+            control._on_subscribe(name, messages.Subscribe())
+            await instances.wait_until(
+                lambda: control.links.is_connected(name), 1
+            )
+
+    instances.run_test(body)
