Let control instances find an edge that knows none of them

An edge that was paused while all control instances were replaced, and whose settings file stays as it was, knows only addresses that do not exist any more. Nobody else could help it: its successors had never heard of it.

The leader dials those that nobody serves, eight at a time, and sends its status; the edge learns the live instances from it and dials them itself. The message is new at the end of the schema; older builds skip it.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -17,6 +17,7 @@
 from primrosehitch import balancer
 from primrosehitch import clock
 from primrosehitch import containment
+from primrosehitch import edgedirectory
 from primrosehitch import endpointlimits
 from primrosehitch import errors
 from primrosehitch import events
@@ -64,6 +65,12 @@
 ACTIVE_EDGE_TIMEOUT_MS = 700
 # An edge that did not subscribe for this long gets no more messages.
 SUBSCRIPTION_TIMEOUT_MS = 2000
+# Control instances tell each other this often which edges they serve.
+KNOWN_EDGES_PERIOD_MS = 1000
+# The leader introduces itself to so many edges at once that nobody serves,
+# and to others after this time.
+MAX_INTRODUCTIONS = 8
+INTRODUCTION_PERIOD_MS = 1000
 # For this long after its start a control instance may lack endpoints, so
 # an edge must not drop the ones that its update leaves out.
 REGISTRY_WARM_UP_MS = 15_000
@@ -130,6 +137,9 @@
         self.control_loads = loads_module.LoadAggregator()
         self.peers = peers_module.Peers(self.name)
         self.subscribers: dict[str, Subscriber] = {}
+        self.edges = edgedirectory.EdgeDirectory()
+        # Edges that nobody serves and that this instance dials.
+        self.introduced: frozenset[str] = frozenset()
         self.edge_parts = balancer.make_part_updates()
         self.all_parts = balancer.make_part_updates()
         self.recent_parts: gathering.RecentUpdates[
@@ -432,6 +442,8 @@
             group.start_soon(self._broadcast_loads)
             group.start_soon(self._record_quarantines)
             group.start_soon(self._issue_permits)
+            group.start_soon(self._broadcast_known_edges)
+            group.start_soon(self._introduce)
             for gatherer, make_message, targets in (
                 (
                     self.edge_tallies,
@@ -652,6 +664,7 @@
             # It may come back on the connection that it had before.
             self._add_link(sender)
         self.subscribers[sender] = Subscriber(now, subscription.helpers)
+        self.edges.record_heard(sender, now)
         if sender in self.lacking_updates:
             self._send_missed(sender, self.registry.inactive_records())
         self.true_time.add_report(sender, subscription.wall_ms, now)
@@ -691,10 +704,49 @@
         )
 
     def _on_link_up(self, peer: str) -> None:
-        """Answer a subscription that came before the link was up."""
-        if peer in self.subscribers:
+        """Introduce this instance to an edge that nobody serves.
+
+        The status also answers a subscription that came before the link
+        was up.
+        """
+        if peer in self.subscribers or peer in self.introduced:
             self.links.send(peer, self._make_status(clock.now_ms()))
 
+    async def _broadcast_known_edges(self) -> None:
+        """Tell the other instances which edges this one serves."""
+        async for tick in self.timers.subscribe(KNOWN_EDGES_PERIOD_MS):
+            served = self.edges.items(tick.now, KNOWN_EDGES_PERIOD_MS)
+            own = tuple(e for e in served if e.name in self.subscribers)
+            if own:
+                self.links.multicast(
+                    self.peers.link_names(), messages.KnownEdges(own)
+                )
+
+    def _on_known_edges(
+        self, sender: str, message: messages.KnownEdges
+    ) -> None:
+        self.edges.apply(message.edges, clock.now_ms())
+
+    async def _introduce(self) -> None:
+        """Dial edges that nobody serves, while leading.
+
+        An edge that was paused or cut off may know no control instance
+        that still exists. The status that it gets names the live ones.
+        """
+        async for tick in self.timers.subscribe(INTRODUCTION_PERIOD_MS):
+            earlier, self.introduced = self.introduced, frozenset()
+            self.edges.forget(tick.now)
+            if self.replicator.is_leader() and self._has_quorum_contact(
+                tick.now
+            ):
+                self.introduced = self.edges.unserved(
+                    tick.now, MAX_INTRODUCTIONS, self.rng
+                )
+            for name in earlier - self.introduced - self.subscribers.keys():
+                self.links.remove(name)
+            for name in self.introduced:
+                self._add_link(name)
+
     def _has_quorum_contact(self, now: int) -> bool:
         """Return whether this replica's state is that of a quorum.
 
@@ -898,8 +950,11 @@
             messages.EndpointLimits(tuple(self.limits.in_force())),
         )
         if receiver in self.peers.presences:
-            origins = self.origins.items(clock.now_ms())
-            missed += (messages.StreamOrigins(origins),)
+            now = clock.now_ms()
+            missed += (
+                messages.StreamOrigins(self.origins.items(now)),
+                messages.KnownEdges(self.edges.items(now)),
+            )
         if all(self.links.send(receiver, message) for message in missed):
             self.lacking_updates.discard(receiver)
 
@@ -996,6 +1051,7 @@
     _HANDLERS: dict[type, Callable] = {
         messages.Presence: _on_presence,
         messages.Subscribe: _on_subscribe,
+        messages.KnownEdges: _on_known_edges,
         messages.EndpointUpdate: _on_endpoints,
         messages.TallyBatch: _on_tallies,
         messages.LoadReport: _on_load,
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -2058,6 +2058,43 @@
     )
 
 
+class KnownEdge(NamedTuple):
+    """Message ``KnownEdge`` of the schema."""
+
+    name: str = ""
+    silent_ms: int = 0
+
+
+def _write_known_edge(b: Any, m: KnownEdge) -> None:
+    b.name = m.name
+    b.silentMs = m.silent_ms
+
+
+def _read_known_edge(r: Any) -> KnownEdge:
+    return KnownEdge(
+        r.name,
+        r.silentMs,
+    )
+
+
+class KnownEdges(NamedTuple):
+    """Message ``KnownEdges`` of the schema."""
+
+    edges: tuple["KnownEdge", ...] = ()
+
+
+def _write_known_edges(b: Any, m: KnownEdges) -> None:
+    items = b.init("edges", len(m.edges))
+    for i, item in enumerate(m.edges):
+        _write_known_edge(items[i], item)
+
+
+def _read_known_edges(r: Any) -> KnownEdges:
+    return KnownEdges(
+        tuple(_read_known_edge(x) for x in r.edges),
+    )
+
+
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -2255,6 +2292,8 @@
         _read_helper_request,
     ),
     HelperReply: (_capnp.HelperReply, _write_helper_reply, _read_helper_reply),
+    KnownEdge: (_capnp.KnownEdge, _write_known_edge, _read_known_edge),
+    KnownEdges: (_capnp.KnownEdges, _write_known_edges, _read_known_edges),
 }
 
 KINDS: dict[int, type] = {
@@ -2338,6 +2377,8 @@
     78: HelperEdge,
     79: HelperRequest,
     80: HelperReply,
+    81: KnownEdge,
+    82: KnownEdges,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -2422,6 +2463,8 @@
     "HelperRequest",
     "Identity",
     "KINDS",
+    "KnownEdge",
+    "KnownEdges",
     "LoadReport",
     "Membership",
     "NUMBERS",
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -664,3 +664,15 @@
 struct HelperReply {
   helpers @0 :List(HelperEdge);
 }
+
+# An edge that control instances remember, and for how long none heard it.
+struct KnownEdge {
+  name @0 :Text;
+  silentMs @1 :UInt64;
+}
+
+# Control instances tell each other which edges they serve, and those that
+# join which ones they remember.
+struct KnownEdges {
+  edges @0 :List(KnownEdge);
+}
