--- a/primrosehitch/replica.py
+++ b/primrosehitch/replica.py
@@ -259,9 +259,9 @@
     runs under another replica identifier. A voter that is not live gives way
     to a learner that has caught up, and is removed first: as one voter more
     it would raise the quorum, and the next loss could cost the quorum for
-    good. Without a learner an unresponsive voter is removed only while there are more than ``target_voters`` voters and
-    all the others are live, so that missing replicas alone never reduce
-    the quorum below that number.
+    good. Without a learner an unresponsive voter is removed only while there
+    are more than ``target_voters`` voters and all the others are live, so
+    that missing replicas alone never reduce the quorum below that number.
 
     Args:
         raft: the leader's consensus state.
