Ask control instances without a quorum less often

Each round in which all were asked in vain now makes the pause longer, from 0.5 to 2 s; the one in use tells of a new quorum within its next status. 1305 is not written between 1306 and 1307, which bound that time.

test_instances_without_a_quorum_are_not_asked_all_the_time: 15 s without a quorum, then served within two statuses.

--- a/primrosehitch/controlselector.py
+++ b/primrosehitch/controlselector.py
@@ -24,8 +24,10 @@
 MAX_UNCONFIRMED = 2
 # An instance whose link is up answers within this time.
 ANSWER_TIMEOUT_MS = 400
-# An instance without a quorum is asked again after this time.
+# An instance without a quorum is asked again after this time, and each time
+# that all were asked in vain so much later, up to the second time.
 ASK_AGAIN_MS = 500
+MAX_ASK_AGAIN_MS = 2000
 # So many more instances are dialed at once, each time this period is over.
 SEARCH_WIDTH = 4
 SEARCH_PERIOD_MS = 200
@@ -77,6 +79,7 @@
         self.is_searching = False
         self.widened_ms = now - SEARCH_PERIOD_MS
         self.asked_ms: dict[str, int] = {}
+        self.asked_count = 0
         self.confirmed_ms = now
         self.unconfirmed = 0
         self.has_lost_link = True
@@ -87,6 +90,7 @@
         self.dialed.add(name)
         self.returning_to = ""
         self.asked_ms[name] = now
+        self.asked_count += 1
         self.confirmed_ms = now
         self.unconfirmed = 0
         self.has_lost_link = False
@@ -131,7 +135,7 @@
             for name in self.dialed
             if name != self.current
             and is_connected(name)
-            and now - self.asked_ms.get(name, -ASK_AGAIN_MS) >= ASK_AGAIN_MS
+            and self._may_ask(name, now)
         ]
         if candidates:
             self.rng.shuffle(candidates)
@@ -141,6 +145,12 @@
             return Choice(self.current, why)
         return None
 
+    def _may_ask(self, name: str, now: int) -> bool:
+        """Return whether an instance was not asked a short time ago."""
+        rounds = self.asked_count // len(self.dialed)
+        pause_ms = min(MAX_ASK_AGAIN_MS, ASK_AGAIN_MS * (1 + rounds))
+        return now - self.asked_ms.get(name, now - pause_ms) >= pause_ms
+
     def _reason_to_leave(self, now: int) -> str:
         """Return why another instance is needed, empty if none is."""
         if not self.current:
@@ -179,6 +189,7 @@
         if self.returning_to:
             self.dialed.add(self.returning_to)
         self.asked_ms = {self.current: self.asked_ms[self.current]}
+        self.asked_count = 0
 
     def consider_return(self, listed: Mapping[str, str], now: int) -> None:
         """Begin a return to the edge's own failure domain if that is due.
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -366,7 +366,8 @@
             self.links.add(links_module.LinkPeer(name, address))
 
     def _use_control(self, choice: controlselector.Choice) -> None:
-        if choice.name != self.current_control:
+        # 1306 and 1307 bound the time in which one after the other is asked.
+        if choice.name != self.current_control and not self.contact.is_lost:
             events.emit(
                 events.CONTROL_CHANGED,
                 before=self.current_control,
--- a/primrosehitch_lab/fault_schedule.py
+++ b/primrosehitch_lab/fault_schedule.py
@@ -21,6 +21,11 @@
 # serves within the second if the others drain.
 HEARD_AGAIN_S = 3.0
 USED_AGAIN_S = 3.0
+# A control instance that lost its disk, or a new one, counts again this long
+# after its start; settings files name it after the second time.
+CATCH_UP_S = 4.0
+SEED_LAG_S = 3.0
+POLL_S = 0.05
 Step = Callable[[random.Random], Awaitable[None]]
 
 
@@ -49,7 +54,8 @@
         self.now = now
         self.rng = rng
         self.busy: set[str] = set()
-        self.wiped = False
+        # Held while a disk is lost and not replaced yet.
+        self.disk_loss = anyio.Lock()
 
     async def run(self) -> None:
         """Do one thing after the other, and several at once."""
@@ -61,6 +67,7 @@
             self._roll_controls,
             self._pause_control,
             self._wipe_control,
+            self._replace_control,
             self._harm_path,
             self._crash_engine,
             self._drain_engine,
@@ -164,16 +171,44 @@
         await self._roll(rng, self.fleet.controls)
 
     async def _wipe_control(self, rng: random.Random) -> None:
-        """Lose one disk, once; more than one at a time is not borne."""
-        process = self._take(rng, self.fleet.controls)
-        if process is None or self.wiped:
-            return
-        self.wiped = True
-        with self.fault("wipe", process.name, False):
-            process.kill()
-            if process.data_folder.exists():
-                shutil.rmtree(process.data_folder)
-            process.begin()
+        """Lose one disk; more than one at a time is not borne."""
+        async with self.disk_loss:
+            process = self._take(rng, self.fleet.controls)
+            if process is None:
+                return
+            with self.fault("wipe", process.name, False):
+                process.kill()
+                if process.data_folder.exists():
+                    shutil.rmtree(process.data_folder)
+                process.begin()
+            await anyio.sleep(CATCH_UP_S)
+
+    async def _replace_control(self, rng: random.Random) -> None:
+        await self._replace_one(rng.choice(self.fleet.controls))
+
+    async def replace_all_controls(self) -> None:
+        """Replace each control instance that there is, one after the other.
+
+        The settings files get the new seeds some time later, without a
+        signal.
+        """
+        for name in list(self.fleet.controls):
+            await self._replace_one(name)
+
+    async def _replace_one(self, name: str) -> None:
+        """Replace a control instance, unless it is gone or under a fault."""
+        async with self.disk_loss:
+            while name in self.busy:
+                await anyio.sleep(POLL_S)
+            if name not in self.fleet.controls:
+                return
+            with self.fault("replace", name, False):
+                successor = self.fleet.replace_control(name)
+                # No other fault hits the successor before it has caught up.
+                with self.fault("join", successor.name, False):
+                    await anyio.sleep(SEED_LAG_S)
+                    self.fleet.write_settings()
+            await anyio.sleep(CATCH_UP_S - SEED_LAG_S)
 
     async def _harm_path(self, rng: random.Random) -> None:
         slot = self._free_slot(rng)
--- a/primrosehitch_lab/fault_soak.py
+++ b/primrosehitch_lab/fault_soak.py
@@ -42,6 +42,8 @@
 CRASH_EVERY = 5
 # One in so many seeds has engines that write garbage into their streams.
 GARBLE_EVERY = 2
+# One in so many seeds replaces all control instances.
+REPLACE_EVERY = 4
 FIRST_NET = 40
 NETS = 200
 
@@ -72,6 +74,7 @@
         self.names_limit = seed % LIMIT_EVERY == 0
         self.repeats_crash = seed % CRASH_EVERY == 0
         self.garbles_streams = seed % GARBLE_EVERY == 1
+        self.replaces_controls = seed % REPLACE_EVERY == 2
         self.fleet = fault_fleet.FaultFleet(folder, net)
         self.ledger = fault_ledger.Ledger()
         self.slots = [
@@ -150,6 +153,8 @@
                 group.start_soon(self.needs.garble_streams)
             async with anyio.create_task_group() as steps:
                 steps.start_soon(self.schedule.run)
+                if self.replaces_controls:
+                    steps.start_soon(self.schedule.replace_all_controls)
                 if self.silences_engine:
                     steps.start_soon(self.schedule.silence_engine)
             group.cancel_scope.cancel()
--- a/tests/test_controlselector.py
+++ b/tests/test_controlselector.py
@@ -148,7 +148,14 @@
 def test_instances_without_a_quorum_are_not_asked_all_the_time():
     deployment = Deployment(range(1, 4), range(1, 4), quorum=())
     deployment.run(5000)
-    assert len(deployment.used) <= 3 * 5000 / controlselector.ASK_AGAIN_MS
+    asked = len(deployment.used)
+    assert asked <= 3 * 5000 / controlselector.ASK_AGAIN_MS
+    deployment.run(10_000)
+    later = len(deployment.used) - asked
+    assert later <= 3 * (1 + 10_000 / controlselector.MAX_ASK_AGAIN_MS)
+    deployment.quorum = set(deployment.live)
+    deployment.run(2 * TICK_MS)
+    assert deployment.is_served()
 
 
 def test_returns_to_its_own_domain_and_not_too_often():
