Let no learner vote while a voter may be dead

While it is open whether a voter is alive (silent for 0.6 to 1.5 s) no learner is promoted beside it; a dead one then gives way.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -135,7 +135,7 @@
         self.tallies = metering.TallyAggregator()
         self.edge_loads = loads_module.LoadAggregator()
         self.control_loads = loads_module.LoadAggregator()
-        self.peers = peers_module.Peers(self.name)
+        self.peers = peers_module.Peers(self.name, now)
         self.subscribers: dict[str, Subscriber] = {}
         self.edges = edgedirectory.EdgeDirectory()
         # Edges that nobody serves and that this instance dials.
@@ -210,9 +210,11 @@
             initial_replica_id=_bootstrap_replica_id(self.name)
             if bootstraps
             else "",
-            unresponsive_replicas=lambda: self.peers.silent_replicas(
-                self.replicator.raft.voters + self.replicator.raft.learners,
-                clock.now_ms(),
+            unresponsive_replicas=lambda members: self.peers.silent_replicas(
+                members, clock.now_ms()
+            ),
+            doubtful_replicas=lambda members: self.peers.doubtful_replicas(
+                members, clock.now_ms()
             ),
         )
         replicator.on_applied = self._on_applied
--- a/primrosehitch/peers.py
+++ b/primrosehitch/peers.py
@@ -12,6 +12,8 @@
 
 # A control instance sends its presence several times a second.
 ALIVE_TIMEOUT_MS = 1500
+# From this silence on it is open whether an instance is alive.
+DOUBT_AFTER_MS = 600
 # Longer than an election or a restart takes, and shorter than the time after
 # which a second machine may be lost, also with what a removal takes.
 REPLICA_TIMEOUT_MS = 3000
@@ -30,15 +32,17 @@
 
     Args:
         own_link: link name of this instance.
+        now: the current time in ms.
 
     Attributes:
         presences: newest presence by link name.
         replica_last_heard: time in ms of the last presence of a replica,
-            or of the first question about it, by replica.
+            by replica.
     """
 
-    def __init__(self, own_link: str):
+    def __init__(self, own_link: str, now: int):
         self.own_link = own_link
+        self.started_ms = now
         self.presences: dict[str, ReceivedPresence] = {}
         self.replica_last_heard: dict[str, int] = {}
 
@@ -95,15 +99,29 @@
     def silent_replicas(self, replicas: tuple[str, ...], now: int) -> set[str]:
         """Return the replicas that have been silent for a long time.
 
-        The silence of a replica that was never heard counts from the first
-        call that names it.
+        The silence of a replica that was never heard counts from the start
+        of this instance.
         """
-        silent = set()
-        for replica in replicas:
-            last_heard_at = self.replica_last_heard.setdefault(replica, now)
-            if now - last_heard_at > REPLICA_TIMEOUT_MS:
-                silent.add(replica)
-        return silent
+        return {
+            replica
+            for replica in replicas
+            if now - self._replica_heard_ms(replica) > REPLICA_TIMEOUT_MS
+        }
+
+    def doubtful_replicas(
+        self, replicas: tuple[str, ...], now: int
+    ) -> set[str]:
+        """Return the replicas of which it is open whether they are alive."""
+        return {
+            replica
+            for replica in replicas
+            if DOUBT_AFTER_MS
+            < now - self._replica_heard_ms(replica)
+            <= ALIVE_TIMEOUT_MS
+        }
+
+    def _replica_heard_ms(self, replica: str) -> int:
+        return self.replica_last_heard.get(replica, self.started_ms)
 
     def expire(self, now: int) -> list[str]:
         """Remove the instances that have been silent for a long time.
--- a/primrosehitch/replica.py
+++ b/primrosehitch/replica.py
@@ -251,6 +251,7 @@
     live_replicas: dict[str, str],
     unresponsive: Collection[str] = (),
     target_voters: int = 0,
+    doubtful: Collection[str] = (),
 ) -> messages.Membership | None:
     """Return the next membership change of one replica, or None.
 
@@ -269,6 +270,8 @@
             heard from lately.
         unresponsive: replicas that were not heard from for a long time.
         target_voters: number of voters that are always kept; 0 keeps all.
+        doubtful: replicas of which it is open whether they are alive. While
+            a voter is, no learner becomes one more voter.
     """
     voters, learners = raft.voters, raft.learners
     for replica in live_replicas.values():
@@ -284,6 +287,10 @@
             lost = _replaceable_voter(raft, live_replicas, target_voters)
             if lost:
                 return messages.Membership(exclude(voters, lost), learners)
+            if len(voters) >= target_voters and any(
+                voter in doubtful for voter in voters
+            ):
+                continue
             return messages.Membership(
                 voters + (replica,), exclude(learners, replica)
             )
--- a/primrosehitch/replicator.py
+++ b/primrosehitch/replicator.py
@@ -30,6 +30,12 @@
 MAX_BATCH_ITEMS = 256
 
 SendFunction = Callable[[str, tuple], bool]
+SelectFunction = Callable[[tuple[str, ...]], Collection[str]]
+
+
+def _select_none(replicas: tuple[str, ...]) -> Collection[str]:
+    """Select no replica: nothing is known of their silence."""
+    return ()
 
 
 class PeerMessage(NamedTuple):
@@ -94,8 +100,10 @@
         target_voters: number of voters that the settings ask for.
         initial_replica_id: the replica's identifier if the data folder
             has none yet; empty to draw one at random.
-        unresponsive_replicas: returns the replicas that were not heard
-            from for a long time.
+        unresponsive_replicas: returns those of some replicas that were not
+            heard from for a long time.
+        doubtful_replicas: returns those of some replicas of which it is open
+            whether they are alive.
 
     Attributes:
         on_change: called when the published version or the leader changes
@@ -117,13 +125,15 @@
         live_replicas: Callable[[], dict[str, str]],
         target_voters: int,
         initial_replica_id: str = "",
-        unresponsive_replicas: Callable[[], Collection[str]] = tuple,
+        unresponsive_replicas: SelectFunction = _select_none,
+        doubtful_replicas: SelectFunction = _select_none,
     ):
         self.instance = instance
         self.log = log
         self.send = send
         self.live_replicas = live_replicas
         self.unresponsive_replicas = unresponsive_replicas
+        self.doubtful_replicas = doubtful_replicas
         self.target_voters = target_voters
         self.identity = self._load_identity(rng, initial_replica_id)
         self.replica = replica_module.Replica(
@@ -311,11 +321,13 @@
         self.membership_checked_ms = now
         live_replicas = self.live_replicas()
         live_replicas[self.instance] = self.identity.replica
+        members = self.raft.voters + self.raft.learners
         change = replica_module.next_membership_change(
             self.raft,
             live_replicas,
-            self.unresponsive_replicas(),
+            self.unresponsive_replicas(members),
             self.target_voters,
+            self.doubtful_replicas(members),
         )
         if change is not None:
             self.raft.change_membership(change, now)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -886,6 +886,78 @@
         "        return False",
         "tests/test_waiting.py",
     ),
+    Mutant(
+        "an edge keeps instances that a narrow view does not list",
+        "controldirectory.py",
+        "        for name, domain in domains.items():\n",
+        "        self.known = {}\n"
+        "        for name, domain in domains.items():\n",
+        "tests/test_controldirectory.py",
+    ),
+    Mutant(
+        "an edge dials several control instances at once",
+        "controlselector.py",
+        "        self.dialed.update(further[:SEARCH_WIDTH])",
+        "        self.dialed.update(further[:1])",
+        "tests/test_controlselector.py",
+    ),
+    Mutant(
+        "an edge dials the instances seen last first",
+        "controldirectory.py",
+        "key=lambda name: -self.known[name].seen_ms",
+        "key=lambda name: self.known[name].seen_ms",
+        "tests/test_controldirectory.py tests/test_controlselector.py",
+    ),
+    Mutant(
+        "an edge out of contact denies nothing",
+        "controlcontact.py",
+        "        return 0 <= self.age_ms(now) <= KNOWS_TABLE_MS",
+        "        return True",
+        "tests/test_controlcontact.py",
+    ),
+    Mutant(
+        "a follower without the leader's commit is not current",
+        "raft.py",
+        "            self.applied_index >= commit\n            and",
+        "            True\n            and",
+        "tests/test_raft.py",
+    ),
+    Mutant(
+        "a commit of an earlier term makes no follower current",
+        "raft.py",
+        "            and self.log.term_at(commit) == self.term\n        ):",
+        "        ):",
+        "tests/test_raft.py",
+    ),
+    Mutant(
+        "a dead voter gives way to its successor",
+        "replica.py",
+        "            if lost:\n",
+        "            if False:\n",
+        "tests/test_raft.py",
+    ),
+    Mutant(
+        "the leader introduces itself to edges that nobody serves",
+        "control.py",
+        "        if peer in self.subscribers or peer in self.introduced:",
+        "        if peer in self.subscribers:",
+        "tests/test_control_replacement.py",
+    ),
+    Mutant(
+        "a control instance closes links to edges that are gone",
+        "control.py",
+        "                    if name not in self._control_instances():\n"
+        "                        self.links.remove(name)\n",
+        "",
+        "tests/test_control.py",
+    ),
+    Mutant(
+        "seeds of a changed settings file are applied",
+        "settingswatch.py",
+        "            if self._read_signature() != self.signature:",
+        "            if False:",
+        "tests/test_settingswatch.py",
+    ),
 ]
 
 
