--- a/primrosehitch/replicator.py
+++ b/primrosehitch/replicator.py
@@ -346,6 +346,9 @@
         membership = (self.raft.voters, self.raft.learners)
         if membership != self.reported_membership:
             self.reported_membership = membership
+            # A change may be the first of two; between them a loss costs
+            # the quorum.
+            self.membership_checked_ms = 0
             events.emit(
                 events.MEMBERSHIP_CHANGED,
                 voters=list(membership[0]),
