Let the fault soak see edges that answer 503 by an old table

An edge out of contact answers 503 where it answered 404, and the soak passed 503 over. It now reads the version in force from the edge's metrics then, so that one that stays behind is a finding.

--- a/primrosehitch_lab/fault_operator.py
+++ b/primrosehitch_lab/fault_operator.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import re
 from typing import Callable
 
 import anyio
@@ -17,6 +18,7 @@
 # A table keeps this many marks of versions before its own, so that a
 # newer one that is in force already does not hide an older one.
 MARKS = 20
+_VERSION = re.compile(rb"^primrosehitch_version (\S+)", re.MULTILINE)
 
 
 class Operator:
@@ -86,10 +88,22 @@
                 continue
             sent = self.now()
             status = await self.callers.ask(edge, f"/mark/{newest}/x")
+            known = status != 404
+            if status == 503:
+                # It may lack endpoints, or refuse since it is out of touch.
+                version = await self._version_at(edge)
+                known = version is not None and version >= newest
+                status = version
             same = start == self.fleet.processes[edge].start
-            if status is None or not same or status == 503:
-                continue
-            self.ledger.note_probe(edge, start, newest, status != 404, sent)
+            if status is not None and same:
+                self.ledger.note_probe(edge, start, newest, known, sent)
+
+    async def _version_at(self, edge: str) -> int | None:
+        """Return the version in force at an edge, None if it is not told."""
+        url = self.fleet.address(edge, fault_fleet.READY_PORT)
+        got = await fault_calls.call("GET", url, "/metrics", limit_s=0.5)
+        found = got and _VERSION.search(got[1])
+        return int(float(found[1])) if found else None
 
 
 __all__ = ["Operator"]
--- a/primrosehitch_lab/fault_schedule.py
+++ b/primrosehitch_lab/fault_schedule.py
@@ -55,6 +55,7 @@
         self.rng = rng
         self.busy: set[str] = set()
         self.wiped = False
+        self.has_replaced = False
         # Held while a disk is lost and not replaced yet.
         self.disk_loss = anyio.Lock()
 
@@ -136,10 +137,10 @@
                 process.signal(signal.SIGCONT)
 
     async def _roll(self, rng: random.Random, names: Sequence[str]) -> None:
-        for name in names:
-            if name in self.busy:
+        for name in list(names):
+            process = self.fleet.processes.get(name)
+            if name in self.busy or process is None:
                 continue
-            process = self.fleet.processes[name]
             with self.fault("roll", name, name in fault_fleet.EDGES):
                 listens = await process.listens()
                 status = await process.stop()
@@ -173,6 +174,8 @@
     async def _wipe_control(self, rng: random.Random) -> None:
         """Lose one disk, once; more than one at a time is not borne."""
         async with self.disk_loss:
+            while self.has_replaced and not self._controls_have_caught_up():
+                await anyio.sleep(POLL_S)
             process = self._take(rng, self.fleet.controls)
             if process is None or self.wiped:
                 return
@@ -200,6 +203,7 @@
         would be one too many.
         """
         async with self.disk_loss:
+            self.has_replaced = True
             while not self._controls_have_caught_up():
                 await anyio.sleep(POLL_S)
             with self.fault("replace", name, False):
