--- a/primrosehitch/replicator.py
+++ b/primrosehitch/replicator.py
@@ -108,7 +108,7 @@
     Attributes:
         on_change: called when the published version or the leader changes
             and when the replica fails.
-        on_applied: called when entries were applied.
+        on_applied: called when entries or a snapshot were applied.
         failure: the error that stopped the replica; empty while it works.
 
     Raises:
@@ -142,6 +142,7 @@
         self.on_change: Callable[[], None] = lambda: None
         self.on_applied: Callable[[], None] = lambda: None
         self.failure = ""
+        self.reported_applied = self.raft.applied_index
         self.reported_leader = ""
         self.reported_membership: tuple = ((), ())
         self.was_fully_replicated = False
@@ -259,12 +260,12 @@
             if self.log.has_unsynced_changes:
                 await anyio.to_thread.run_sync(self.replica.sync)
             version = self.replica.published.version
-            applied = self.raft.applied_index
             for envelope in self.replica.apply_committed():
                 self._send(envelope)
             if self.replica.published.version != version:
                 self.on_change()
-            if self.raft.applied_index != applied:
+            if self.raft.applied_index != self.reported_applied:
+                self.reported_applied = self.raft.applied_index
                 self.on_applied()
             self._emit_changes()
 
