--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -515,7 +515,8 @@
     def _report_lag(self) -> None:
         """Log when this replica falls behind its leader."""
         raft = self.replicator.raft
-        lag_ms = 0 if self.replicator.is_leader() else raft.lag_ms()
+        is_follower = self.leader() and not self.replicator.is_leader()
+        lag_ms = raft.lag_ms() if is_follower else 0
         is_behind = lag_ms > LEADER_CONTACT_TIMEOUT_MS
         if is_behind and not self.is_behind:
             events.emit(
@@ -711,8 +712,12 @@
         The status also answers a subscription that came before the link
         was up.
         """
+        now = clock.now_ms()
         if peer in self.subscribers or peer in self.introduced:
-            self.links.send(peer, self._make_status(clock.now_ms()))
+            self.links.send(peer, self._make_status(now))
+        if peer in self.introduced:
+            # It lives. An older release may serve it without telling so.
+            self.edges.record_heard(peer, now)
 
     async def _broadcast_known_edges(self) -> None:
         """Tell the other instances which edges this one serves."""
