--- a/primrosehitch/raft.py
+++ b/primrosehitch/raft.py
@@ -310,7 +310,8 @@
             self._check_awaited_commit()
 
     def _check_awaited_commit(self) -> None:
-        if self.awaited_commit is None:
+        # The state machine has not taken an installed snapshot yet.
+        if self.awaited_commit is None or self.installed_snapshot is not None:
             return
         commit, announced_ms = self.awaited_commit
         # A leader knows all that is committed only once it has committed an
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -397,6 +397,23 @@
     assert raft.current_at_ms == now
 
 
+# Guards against: a follower passes for up to date while its state machine
+# has not taken the snapshot that was installed.
+def test_follower_is_current_only_once_its_snapshot_is_restored():
+    replica = replica_module.Replica(
+        "b/1", log_module.open_memory_log(), random.Random(1), 1000
+    )
+    meta = messages.SnapshotMeta(5, 1, ("a/1",), ("b/1",), b"")
+    data = messages.encode(meta)
+    chunk = messages.SnapshotChunk(1, 5, 1, 0, len(data), data, 1)
+    append = messages.Append(1, 5, 1, 5, 1, ())
+    replica.receive("a/1", chunk, 2000)
+    replica.receive("a/1", append, 2000)
+    assert replica.raft.current_at_ms < 0
+    replica.flush()
+    assert replica.raft.current_at_ms == 2000
+
+
 class LossyCluster(Cluster):
     """A cluster in which one replica gets no entries, only heartbeats."""
 
