Return to no control instance whose name is no address

An edge would have dialed, and by that ended, for a name of its own failure domain in a status that is no address. The directory passes such names over already; the return did not ask it. Found while reading the change.

The new test dials the name before, and does not after.

--- a/primrosehitch/controlselector.py
+++ b/primrosehitch/controlselector.py
@@ -199,7 +199,11 @@
                 in use hears, while that has a quorum.
             now: the current time in ms.
         """
-        same_domain = [n for n, d in listed.items() if d == self.domain]
+        same_domain = [
+            name
+            for name, domain in listed.items()
+            if domain == self.domain and name in self.directory.known
+        ]
         if (
             not same_domain
             or self.directory.domain_of(self.current) == self.domain
--- a/tests/test_controlselector.py
+++ b/tests/test_controlselector.py
@@ -79,6 +79,7 @@
             ):
                 has_quorum = current in self.quorum
                 self.selector.record_status(current, has_quorum, self.now)
+                self.directory.apply_view(self.listed, self.now)
                 if has_quorum:
                     self.selector.consider_return(self.listed, self.now)
                 self.choose()
@@ -178,3 +179,15 @@
     deployment.run(5000)
     assert deployment.used == [name(1)]
     assert deployment.selector.dialed == {name(1)}
+
+
+# Guards against: a name that is no address, told by a control instance, ends
+# the edge that dials it.
+def test_returns_to_no_name_that_is_no_address():
+    deployment = Deployment([1], [1])
+    deployment.listed = {name(1): "zb", "no address": "za"}
+    dialed = set()
+    for _ in range(30):
+        deployment.run(100)
+        dialed |= deployment.selector.dialed
+    assert dialed == {name(1)}
