Keep signals handled while a daemon drains

A second SIGTERM ended primrosehitchd at once, -15, and cut the streams that it was draining: the receiver of signals was closed when the drain began.

The receiver stays open until the drain has ended. The new test, four streams and five signals: exit -15 before, 0 and no stream cut after.

--- a/primrosehitch/daemon.py
+++ b/primrosehitch/daemon.py
@@ -41,6 +41,7 @@
 from primrosehitch import web
 
 INBOX_CAPACITY_MESSAGES = 4096
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 FLUSH_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.05
 
@@ -207,8 +208,11 @@
                 group.start_soon(controller.run, self.timers)
                 self.gossip.apply_replicated_state()
             events.emit(events.STARTED, instance=self.settings.name)
-            await self._wait_for_signal()
-            await self._drain(server)
+            # Signals stay handled: another one must not cut the drain short.
+            with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+                async for _ in signals:
+                    break
+                await self._drain(server)
             group.cancel_scope.cancel()
         events.emit(events.STOPPED, instance=self.settings.name)
 
@@ -221,13 +225,6 @@
         if not server.should_exit:
             scope.cancel()
 
-    async def _wait_for_signal(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for _ in signals:
-                return
-
     async def _drain(self, server: server_module.Server) -> None:
         """Drain this instance before it stops.
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -382,6 +382,28 @@
     assert len(counts) > 20
 
 
+# Guards against: a second signal ends a daemon at once that drains, and cuts
+# the streams that it serves.
+def test_second_signal_does_not_cut_a_drain_short(fleet):
+    counts, failures = [], []
+    streams = [
+        threading.Thread(target=run_one, args=(fleet, "g1", counts, failures))
+        for _ in range(4)
+    ]
+    for thread in streams:
+        thread.start()
+    time.sleep(0.2)
+    process = fleet.processes["g1"]
+    fleet.signal("g1", signal.SIGTERM)
+    for _ in range(4):
+        time.sleep(0.1)
+        fleet.signal("g1", signal.SIGTERM)
+    for thread in streams:
+        thread.join()
+    assert process.wait(timeout=30) == 0
+    assert not failures, failures[:3]
+
+
 def run_one(fleet, name, counts, failures):
     """Stream one chat and record a request that was cut.
 
