--- a/tests/test_partfindings.py
+++ b/tests/test_partfindings.py
@@ -48,3 +48,16 @@
     assert command.until_ms == WALL_MS + 600_000
     recorded = {command.part: command.until_ms}
     assert not list(relay.commands(recorded, 1, WALL_MS))
+
+
+# Guards against: a control instance that has not heard of a sound answer yet
+# quarantines the part again at the leader, and its record stays.
+def test_record_that_a_peer_repeats_does_not_undo_a_sound_answer():
+    recorded = {"bad": WALL_MS + 60_000}
+    leader, peer = make_relay(), make_relay()
+    leader.apply(SOUND, True, 0)
+    for finding in peer.findings_to_join(recorded, 1, WALL_MS):
+        leader.apply(finding, False, 1)
+    peer.apply(SOUND, False, 2)
+    (command,) = leader.commands(recorded, 2, WALL_MS)
+    assert command == messages.PartVerdict("bad", 0, WALL_MS)
