Count each edge once, however many control instances hear it

A stream was not continued: the edge had no retry left. Edges ask all control instances in turn while there is no leader, each counted them, and nine edges shared the budget of three; the peak counts for ten minutes.

test_edges_that_move_between_control_instances_count_once: 9 before, 3 after.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -140,6 +140,8 @@
         self.edges = edgedirectory.EdgeDirectory()
         # Edges that nobody serves and that this instance dials.
         self.introduced: frozenset[str] = frozenset()
+        # The instances that name their edges; older releases do not.
+        self.naming_peers: set[str] = set()
         self.edge_parts = balancer.make_part_updates()
         self.all_parts = balancer.make_part_updates()
         self.recent_parts: gathering.RecentUpdates[
@@ -607,6 +609,7 @@
                         self.links.remove(name)
             for name in self.peers.expire(tick.now):
                 self.lacking_updates.discard(name)
+                self.naming_peers.discard(name)
                 if name not in self._control_instances():
                     self.links.remove(name)
 
@@ -689,7 +692,7 @@
             version=self.table.version,
             fresh=self._has_quorum_contact(now),
             true_ms=self.true_time.wall_ms_at(now),
-            edges=self._active_edges(now) + self.peers.edge_count(now),
+            edges=self._count_edges(now),
             peers=tuple(controls),
             registry=self.registry.digest(),
             domains=tuple(controls.values()),
@@ -706,6 +709,16 @@
             for subscriber in self.subscribers.values()
         )
 
+    def _count_edges(self, now: int) -> int:
+        """Return the number of edges that any control instance serves.
+
+        Edges that move between instances count once, by their names. Of an
+        instance that does not name its edges only the number is known.
+        """
+        return self.edges.count_served(now) + self.peers.edge_count(
+            now, self.naming_peers
+        )
+
     def _on_link_up(self, peer: str) -> None:
         """Introduce this instance to an edge that nobody serves.
 
@@ -732,6 +745,7 @@
     def _on_known_edges(
         self, sender: str, message: messages.KnownEdges
     ) -> None:
+        self.naming_peers.add(sender)
         self.edges.apply(message.edges, clock.now_ms())
 
     async def _introduce(self) -> None:
--- a/primrosehitch/edgedirectory.py
+++ b/primrosehitch/edgedirectory.py
@@ -52,6 +52,13 @@
             if now - heard_ms <= max_silent_ms
         )
 
+    def count_served(self, now: int) -> int:
+        """Return the number of edges, each once, that were heard lately."""
+        return sum(
+            now - heard_ms <= UNSERVED_AFTER_MS
+            for heard_ms in self.heard_ms.values()
+        )
+
     def unserved(
         self, now: int, limit: int, rng: random.Random
     ) -> frozenset[str]:
--- a/primrosehitch/peers.py
+++ b/primrosehitch/peers.py
@@ -6,6 +6,7 @@
 for a long time.
 """
 
+from typing import Collection
 from typing import NamedTuple
 
 from primrosehitch import messages
@@ -92,9 +93,18 @@
             if not presence.leaving
         }
 
-    def edge_count(self, now: int) -> int:
-        """Return the number of edges subscribed to the alive instances."""
-        return sum(presence.edges for presence in self.alive_presences(now))
+    def edge_count(self, now: int, excluded: Collection[str] = ()) -> int:
+        """Return the number of edges subscribed to the alive instances.
+
+        Args:
+            now: the current time in ms.
+            excluded: link names of instances whose edges do not count.
+        """
+        return sum(
+            presence.edges
+            for presence in self.alive_presences(now)
+            if presence.link not in excluded
+        )
 
     def silent_replicas(self, replicas: tuple[str, ...], now: int) -> set[str]:
         """Return the replicas that have been silent for a long time.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1090,3 +1090,16 @@
             )
 
     instances.run_test(body)
+
+
+# Guards against: edges that ask all control instances before there is a
+# leader are counted at each, and share the retry budget with their doubles.
+def test_edges_that_move_between_control_instances_count_once(tmp_path):
+    async def body():
+        async with instances.serving_fleet(tmp_path, (7, 8, 9)) as fleet:
+            await anyio.sleep(1.5)
+            now = routed.clock.now_ms()
+            peaks = [e.edge_counts.peak(now) for e in fleet.edges.values()]
+            assert max(peaks) == 3
+
+    instances.run_test(body)
--- a/tests/test_edgedirectory.py
+++ b/tests/test_edgedirectory.py
@@ -58,3 +58,14 @@
     assert "e:99" not in directory.heard_ms
     directory.forget(50_001 + REMEMBERED_MS)
     assert not directory.heard_ms
+
+
+# Guards against: edges that move between control instances count several
+# times, and retry budgets are divided among too many.
+def test_edge_that_two_instances_hear_counts_once():
+    directory = edgedirectory.EdgeDirectory()
+    directory.record_heard("e:1", 1000)
+    directory.apply([messages.KnownEdge("e:1", 10)], 1000)
+    directory.apply([messages.KnownEdge("e:2", 10)], 1000)
+    assert directory.count_served(1000) == 2
+    assert directory.count_served(1001 + UNSERVED_AFTER_MS) == 0
