--- a/primrosehitch/daemon.py
+++ b/primrosehitch/daemon.py
@@ -209,9 +209,8 @@
                 self.gossip.apply_replicated_state()
             events.emit(events.STARTED, instance=self.settings.name)
             # Signals stay handled: another one must not cut the drain short.
-            with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
-                async for _ in signals:
-                    break
+            with anyio.open_signal_receiver(*STOP_SIGNALS) as self.signals:
+                await self._wait_for_signal()
                 await self._drain(server)
             group.cancel_scope.cancel()
         events.emit(events.STOPPED, instance=self.settings.name)
@@ -225,6 +224,10 @@
         if not server.should_exit:
             scope.cancel()
 
+    async def _wait_for_signal(self) -> None:
+        async for _ in self.signals:
+            return
+
     async def _drain(self, server: server_module.Server) -> None:
         """Drain this instance before it stops.
 
