Confirm a table by any quorum's status, and none that is older

A status with a quorum of any instance now confirms a table that is at least as new; before, one whose table was lost on the way confirmed the older one, too.

--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -441,11 +441,14 @@
         domains = dict(zip(status.peers, status.domains))
         self.controls.apply_view(domains, now)
         self.selector.record_status(sender, status.fresh, now)
+        table = self.forwarder.table
+        # The table of a status may still be on its way, or be lost.
+        if status.fresh and status.version <= (table.version if table else 0):
+            self._confirm_contact(sender, now)
         if sender != self.current_control:
             return
         if status.fresh:
             self.selector.consider_return(domains, now)
-            self._confirm_contact(sender, now)
             self.true_time.set_from_control(status.true_ms, now)
         self.edge_counts.add(status.edges, now)
         edge_count = max(1, int(self.edge_counts.peak(now)))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -986,6 +986,12 @@
                 lambda: edge.is_ready and edge.forwarder.table.version == 8
             )
             await instances.send_heartbeat(3, fleet.engine, seq=2)
+            # Without a quorum the edge cannot know that no key is valid; it
+            # admits nobody all the same.
+            assert set(await status_by_key()) <= {401, 503}
+            await instances.wait_until(
+                lambda: edge.contact.knows_table(routed.clock.now_ms())
+            )
             assert await status_by_key() == [401, 401, 401]
             assert len(fleet.engine.seen) == 1
             table = routed.table_document(9)
--- a/tests/test_control_replacement.py
+++ b/tests/test_control_replacement.py
@@ -14,9 +14,11 @@
 import pytest
 import routed
 
+from primrosehitch import edge as edge_module
 from primrosehitch import messages
 from primrosehitch import raft
 from primrosehitch import settings
+from primrosehitch.platform import tables
 from primrosehitch_lab import fault_calls
 from primrosehitch_lab import fault_fleet
 
@@ -236,6 +238,22 @@
     instances.run_test(body)
 
 
+# Guards against: a status whose table was lost confirms the table before it.
+def test_status_confirms_no_table_older_than_its_own(tmp_path):
+    fleet = instances.Fleet(tmp_path, None)
+    made = fleet.make_settings(9, False, True)
+    edge = edge_module.Edge(made, None, tables.decode_accepted)
+    now = routed.clock.now_ms()
+    fresh = messages.ControlStatus(version=7, fresh=True)
+    edge._on_status("127.0.0.2:26001", fresh)
+    assert not edge.contact.knows_table(now)
+    body = instances.encode(routed.table_document(7))
+    edge._on_table(messages.Table(7, body))
+    # Any control instance with a quorum confirms it, also one not in use.
+    edge._on_status("127.0.0.2:26001", fresh)
+    assert edge.contact.knows_table(routed.clock.now_ms())
+
+
 # Guards against: a follower that hears its leader, but lacks entries of the
 # log, confirms an old table to its edges.
 def test_edge_leaves_a_follower_that_lags_behind(tmp_path, monkeypatch):
