--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -377,12 +377,17 @@
         assert raft._can_grant_vote("a/1", request, cluster.now)
 
 
+def settle(cluster):
+    """Run until there is a leader; return its name and a follower's."""
+    cluster.run(5000)
+    leader = cluster.leader()
+    return leader, next(n for n in cluster.replicas if n != leader)
+
+
 # Guards against: a follower passes for up to date before it has applied.
 def test_follower_is_current_only_once_it_has_applied():
     cluster = Cluster(["a", "b", "c"])
-    cluster.run(5000)
-    leader = cluster.leader()
-    name = next(n for n in cluster.replicas if n != leader)
+    leader, name = settle(cluster)
     replica = cluster.replicas[name]
     raft = replica.raft
     index = raft.log.last_index + 1
@@ -436,9 +441,7 @@
 # for one that is up to date.
 def test_follower_is_current_only_with_all_that_is_committed():
     cluster = LossyCluster(["a", "b", "c"])
-    cluster.run(5000)
-    leader = cluster.leader()
-    starved = next(n for n in cluster.replicas if n != leader)
+    leader, starved = settle(cluster)
     raft = cluster.replicas[starved].raft
     assert cluster.now - raft.current_at_ms <= 500
     assert raft.lag_ms() <= 500
@@ -460,9 +463,7 @@
 # committed an entry of its own term for all that is committed.
 def test_commit_of_an_earlier_term_makes_no_follower_current():
     cluster = Cluster(["a", "b", "c"])
-    cluster.run(5000)
-    leader = cluster.leader()
-    name = next(n for n in cluster.replicas if n != leader)
+    leader, name = settle(cluster)
     raft = cluster.replicas[name].raft
     before = raft.current_at_ms
     append = messages.Append(
