Say in each presence whether a control instance names its edges

Cause: an instance counted a peer's edges by their number until the peer's first list of names had come. Presences and lists are different messages, and the first list waits until the peer has heard of this instance. At a start on a busy machine, edges that asked several instances were counted at each. Ruled out: an edge under two names (its link name is its address). For the same reason, edges of a peer that went back to an older release were not counted for up to 30 s.

A presence now says whether its sender names its edges (a field at the end of the schema; false from older releases), and an edge that subscribes is named at once instead of within a second.

test_edges_count_once_before_lists_of_them_arrive: 6 before, 3 after, each time.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -140,8 +140,6 @@
         self.edges = edgedirectory.EdgeDirectory()
         # Edges that nobody serves and that this instance dials.
         self.introduced: frozenset[str] = frozenset()
-        # The instances that name their edges; older releases do not.
-        self.naming_peers: set[str] = set()
         self.edge_parts = balancer.make_part_updates()
         self.all_parts = balancer.make_part_updates()
         self.recent_parts: gathering.RecentUpdates[
@@ -554,6 +552,7 @@
             helpers=helpers_module.select_helpers(
                 self._own_helpers(), self.settings.domain, self.rng
             ),
+            names_edges=True,
         )
 
     def _own_helpers(self) -> list[messages.HelperEdge]:
@@ -609,7 +608,6 @@
                         self.links.remove(name)
             for name in self.peers.expire(tick.now):
                 self.lacking_updates.discard(name)
-                self.naming_peers.discard(name)
                 if name not in self._control_instances():
                     self.links.remove(name)
 
@@ -669,6 +667,7 @@
             self.lacking_updates.add(sender)
             # It may come back on the connection that it had before.
             self._add_link(sender)
+            self._send_known_edges((messages.KnownEdge(sender),))
         self.subscribers[sender] = Subscriber(now, subscription.helpers)
         self.edges.record_heard(sender, now)
         if sender in self.lacking_updates:
@@ -715,8 +714,8 @@
         Edges that move between instances count once, by their names. Of an
         instance that does not name its edges only the number is known.
         """
-        return self.edges.count_served(now) + self.peers.edge_count(
-            now, self.naming_peers
+        return self.edges.count_served(now) + self.peers.count_unnamed_edges(
+            now
         )
 
     def _on_link_up(self, peer: str) -> None:
@@ -738,14 +737,16 @@
             served = self.edges.items(tick.now, KNOWN_EDGES_PERIOD_MS)
             own = tuple(e for e in served if e.name in self.subscribers)
             if own:
-                self.links.multicast(
-                    self.peers.link_names(), messages.KnownEdges(own)
-                )
+                self._send_known_edges(own)
+
+    def _send_known_edges(self, edges: tuple[messages.KnownEdge, ...]) -> None:
+        self.links.multicast(
+            self.peers.link_names(), messages.KnownEdges(edges)
+        )
 
     def _on_known_edges(
         self, sender: str, message: messages.KnownEdges
     ) -> None:
-        self.naming_peers.add(sender)
         self.edges.apply(message.edges, clock.now_ms())
 
     async def _introduce(self) -> None:
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1332,6 +1332,7 @@
     leaving: bool = False
     registry: int = 0
     helpers: tuple["HelperEdge", ...] = ()
+    names_edges: bool = False
 
 
 def _write_presence(b: Any, m: Presence) -> None:
@@ -1351,6 +1352,7 @@
     items = b.init("helpers", len(m.helpers))
     for i, item in enumerate(m.helpers):
         _write_helper_edge(items[i], item)
+    b.namesEdges = m.names_edges
 
 
 def _read_presence(r: Any) -> Presence:
@@ -1369,6 +1371,7 @@
         r.leaving,
         r.registry,
         tuple(_read_helper_edge(x) for x in r.helpers),
+        r.namesEdges,
     )
 
 
--- a/primrosehitch/peers.py
+++ b/primrosehitch/peers.py
@@ -6,7 +6,6 @@
 for a long time.
 """
 
-from typing import Collection
 from typing import NamedTuple
 
 from primrosehitch import messages
@@ -93,17 +92,15 @@
             if not presence.leaving
         }
 
-    def edge_count(self, now: int, excluded: Collection[str] = ()) -> int:
-        """Return the number of edges subscribed to the alive instances.
+    def count_unnamed_edges(self, now: int) -> int:
+        """Return how many edges use alive instances that do not name them.
 
-        Args:
-            now: the current time in ms.
-            excluded: link names of instances whose edges do not count.
+        Those are instances of older releases.
         """
         return sum(
             presence.edges
             for presence in self.alive_presences(now)
-            if presence.link not in excluded
+            if not presence.names_edges
         )
 
     def silent_replicas(self, replicas: tuple[str, ...], now: int) -> set[str]:
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -441,6 +441,8 @@
   registry @12 :UInt64;
   # Some of its edges that can help others.
   helpers @13 :List(HelperEdge);
+  # The sender tells the names of its edges in KnownEdges.
+  namesEdges @14 :Bool;
 }
 
 # The state that a control instance sends to its subscribed edges.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1109,3 +1109,48 @@
             assert max(peaks) == 3
 
     instances.run_test(body)
+
+
+# Guards against: edges are counted at each control instance that they asked
+# until its first list of them arrives.
+def test_edges_count_once_before_lists_of_them_arrive(tmp_path):
+    async def body():
+        async with anyio.create_task_group() as group:
+            fleet = instances.Fleet(tmp_path, group)
+            sender, receiver = (
+                control_module.ControlInstance(
+                    fleet.make_settings(number, True, False), bytes
+                )
+                for number in (2, 3)
+            )
+            for number in (7, 8, 9):
+                name = str(instances.address(number, instances.LINK_PORT))
+                sender._on_subscribe(name, messages.Subscribe())
+                receiver._on_subscribe(name, messages.Subscribe())
+            receiver._on_presence(sender.name, sender._make_presence())
+            now = routed.clock.now_ms()
+            assert receiver._make_status(now).edges == 3
+
+    instances.run_test(body)
+
+
+# Guards against: an edge that a control instance names is not counted by
+# the others until the next list.
+def test_new_edge_is_named_to_the_other_instances_at_once(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(control_module, "KNOWN_EDGES_PERIOD_MS", 60_000)
+
+    async def body():
+        async with instances.serving_fleet(tmp_path) as fleet:
+            fleet.start_edge(8)
+            name = fleet.edges[8].links.name
+            await instances.wait_until(
+                lambda: all(
+                    name in control.edges.heard_ms
+                    for control in fleet.controls.values()
+                ),
+                5,
+            )
+
+    instances.run_test(body)
--- a/tests/test_edge_parts.py
+++ b/tests/test_edge_parts.py
@@ -215,7 +215,7 @@
     peer_table.apply_presence(presence("a:1"), 0)
     assert peer_table.link_names() == ["b:1"]
     assert peer_table.replicas_by_link(100) == {"b:1": "b:1/1"}
-    assert peer_table.edge_count(100) == 3
+    assert peer_table.count_unnamed_edges(100) == 3
     after_alive_timeout = peers.ALIVE_TIMEOUT_MS + 1
     assert peer_table.replicas_by_link(after_alive_timeout) == {}
     assert (
@@ -233,7 +233,20 @@
     peer_table = peers.Peers("a:1", 0)
     peer_table.apply_presence(presence("b:1", sequence=5, edges=2), 0)
     peer_table.apply_presence(presence("b:1", sequence=4, edges=7), 10)
-    assert peer_table.edge_count(10) == 2
+    assert peer_table.count_unnamed_edges(10) == 2
+
+
+# Guards against: edges of a peer that went back to an older release are not
+# counted, and edges of one that names them are counted twice.
+def test_edges_that_a_peer_names_are_not_counted_by_its_number():
+    peer_table = peers.Peers("a:1", 0)
+    peer_table.apply_presence(presence("b:1", edges=2), 0)
+    named = presence("c:1", edges=3, names_edges=True)
+    peer_table.apply_presence(named, 0)
+    assert peer_table.count_unnamed_edges(10) == 2
+    older = presence("c:1", sequence=2, edges=3)
+    peer_table.apply_presence(older, 10)
+    assert peer_table.count_unnamed_edges(10) == 5
 
 
 def test_restarted_peer_with_a_lower_incarnation_is_accepted():
