Order the verdicts on prompt parts by when they were reached

Cause: findings carried no order. A control instance that joins, or regains a link, repeats what it knows as quarantined; at one that had heard of the sound answer meanwhile the repeated, older verdict won, and the record in the replicated state stayed. An instance that missed the sound answer, as its link was down, was never told of it.

A repeated finding now tells how old it is (a field at the end of the schema; older releases skip it and send none, which counts as new, as before). Instances that join are told what was cleared, too.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -976,6 +976,7 @@
             missed += (
                 messages.StreamOrigins(self.origins.items(now)),
                 messages.KnownEdges(self.edges.items(now)),
+                messages.PartFindings(self.finding_relay.sound_findings(now)),
             )
         if all(self.links.send(receiver, message) for message in missed):
             self.lacking_updates.discard(receiver)
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1799,6 +1799,7 @@
     parts: tuple[str, ...] = ()
     sent_ms: int = 0
     broken_ms: int = 0
+    age_ms: int = 0
 
 
 def _write_part_finding(b: Any, m: PartFinding) -> None:
@@ -1808,6 +1809,7 @@
     b.parts = list(m.parts)
     b.sentMs = m.sent_ms
     b.brokenMs = m.broken_ms
+    b.ageMs = m.age_ms
 
 
 def _read_part_finding(r: Any) -> PartFinding:
@@ -1818,6 +1820,7 @@
         tuple(r.parts),
         r.sentMs,
         r.brokenMs,
+        r.ageMs,
     )
 
 
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -587,6 +587,8 @@
   # When the request was sent to it and broke, as true time.
   sentMs @4 :UInt64;
   brokenMs @5 :UInt64;
+  # How long ago it was found, if it is repeated.
+  ageMs @6 :UInt64;
 }
 
 struct PartFindings {
--- a/tests/test_partfindings.py
+++ b/tests/test_partfindings.py
@@ -2,6 +2,7 @@
 
 from primrosehitch import messages
 from primrosehitch import partfindings
+from primrosehitch import quarantine
 
 WALL_MS = 1_700_000_000_000
 QUARANTINED = messages.PartFinding("quarantined", parts=("bad",))
@@ -61,3 +62,31 @@
     peer.apply(SOUND, False, 2)
     (command,) = leader.commands(recorded, 2, WALL_MS)
     assert command == messages.PartVerdict("bad", 0, WALL_MS)
+
+
+# Guards against: an instance that was cut off while a part was cleared keeps
+# its quarantine, and one that was while it came back does not have it.
+def test_instance_that_joins_gets_the_latest_verdicts():
+    peer, joining = make_relay(QUARANTINED), make_relay(QUARANTINED)
+    peer.apply(SOUND, True, 10)
+    for finding in peer.sound_findings(20):
+        joining.apply(finding, False, 25)
+    assert not joining.findings_to_join({}, 30, WALL_MS)
+    peer.apply(QUARANTINED, True, 40)
+    assert not peer.sound_findings(50)
+    for finding in peer.findings_to_join({}, 50, WALL_MS):
+        joining.apply(finding, False, 55)
+    assert joining.findings_to_join({}, 60, WALL_MS)
+
+
+# Guards against: what is kept of parts grows with each new one.
+def test_verdicts_are_bounded(monkeypatch):
+    monkeypatch.setattr(quarantine, "MAX_QUARANTINED", 2)
+    relay = make_relay()
+    for number in range(9):
+        finding = messages.PartFinding("quarantined", parts=(f"p{number}",))
+        relay.apply(finding, True, number)
+    assert set(relay.verdicts) == {"p5", "p6", "p7", "p8"}
+    assert not relay.findings_to_join(
+        {}, 9 + quarantine.QUARANTINE_MS, WALL_MS
+    )
