Report verdicts on prompt parts again after the loss of a link

An edge that found a part sound just before its link broke released it, and nobody else did: callers of the other edges were refused for up to ten minutes. Only crashes were repeated; a sound answer was taken for something that the next answer tells again, but an edge that has released a part no longer reports it. Edges repeat crashes, quarantines and sound answers of the last 2 s now, with their age, so that a repeated one undoes no later one.

--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -74,8 +74,14 @@
 STOP_TIMEOUT_S = 0.15
 FINAL_SEND_S = 0.05
 
-# Crashes reported within this time before a link broke are reported again.
-RESEND_CRASHES_MS = 2000
+# Findings reported within this time before a link broke are reported again.
+RESEND_FINDINGS_MS = 2000
+# Of what else is found, each answer of an endpoint tells again.
+RESENT_FINDINGS = (
+    quarantine_module.CRASH,
+    quarantine_module.QUARANTINED,
+    quarantine_module.SOUND,
+)
 # How long edges that a control instance no longer counts may still run: the
 # ones on the other side of a network partition do. Shared limits are divided
 # among the most edges in this time.
@@ -146,10 +152,11 @@
         self.ready = httpserver.Server(
             self._serve_ready, routes.ClientLimits()
         )
-        self.sent_crashes: gathering.RecentUpdates[
-            quarantine_module.FindingKey, messages.PartFinding
+        # With the time in ms at which each was found.
+        self.sent_findings: gathering.RecentUpdates[
+            quarantine_module.FindingKey, tuple[messages.PartFinding, int]
         ] = gathering.RecentUpdates(
-            RESEND_CRASHES_MS, quarantine_module.MAX_CRASHES
+            RESEND_FINDINGS_MS, quarantine_module.MAX_CRASHES
         )
         self.links.on_up = self._on_link_up
         self.links.on_loss = self._on_link_loss
@@ -593,10 +600,12 @@
         """Send what is found of prompt parts that crash endpoints."""
         while True:
             findings = await self.quarantine.findings.take()
+            now = clock.now_ms()
             for finding in findings:
-                if finding.finding == quarantine_module.CRASH:
+                if finding.finding in RESENT_FINDINGS:
                     key = quarantine_module.finding_key(finding)
-                    self.sent_crashes.put(key, finding, clock.now_ms())
+                    found_ms = now - finding.age_ms
+                    self.sent_findings.put(key, (finding, found_ms), now)
             while not self._send(messages.PartFindings(findings)):
                 await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
 
@@ -607,15 +616,16 @@
             self._select_control()
 
     def _report_again(self) -> None:
-        """Report crashes and origins again, as messages may be lost.
+        """Report findings and origins again, as messages may be lost.
 
-        What else is found needs no repetition: answers and limits are
-        found again with the next answer.
+        Limits need no repetition: they are found again with the next answer.
         """
         self.origins.send_again()
-        for finding in self.sent_crashes.values(clock.now_ms()):
+        now = clock.now_ms()
+        for finding, found_ms in self.sent_findings.values(now):
             key = quarantine_module.finding_key(finding)
-            self.quarantine.findings.put(key, finding)
+            repeated = finding._replace(age_ms=now - found_ms)
+            self.quarantine.findings.put(key, repeated)
 
     async def _send_limits(self) -> None:
         """Send which limits endpoints have named, changed or ended."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -747,6 +747,24 @@
     assert 0 < retries <= instances.BOUNDS.retry_slack
 
 
+@contextlib.asynccontextmanager
+async def losing_findings(edge):
+    """Lose an edge's findings; its link breaks at the end."""
+    send = edge.links.send
+
+    def lose_findings(target, message):
+        is_finding = isinstance(message, messages.PartFindings)
+        return is_finding or send(target, message)
+
+    edge.links.send = lose_findings
+    yield
+    edge.links.send = send
+    name = edge.current_control
+    peer = edge.links.peers[name]
+    edge.links.remove(name)
+    edge.links.add(peer)
+
+
 # Guards against: a crash that one edge reports just before its link breaks
 # counts for nothing at the others.
 def test_crashes_lost_with_an_edges_link_are_reported_again(tmp_path):
@@ -756,26 +774,45 @@
             await instances.wait_until(
                 lambda: reporter.true_time.has_control_time
             )
-            send = reporter.links.send
+            async with losing_findings(reporter):
+                now = routed.clock.now_ms()
+                crashed = quarantine.Incarnation("e1", 1)
+                interval = quarantine.Interval(now, now + 50)
+                reporter.quarantine.report_crash(
+                    crashed, ("bad",), interval, now
+                )
+                await anyio.sleep(0.3)
+                assert not other.quarantine.crashes
+            await instances.wait_until(
+                lambda: crashed in other.quarantine.crashes, 2
+            )
 
-            def lose_findings(target, message):
-                is_finding = isinstance(message, messages.PartFindings)
-                return is_finding or send(target, message)
+    instances.run_test(body)
 
-            reporter.links.send = lose_findings
-            now = routed.clock.now_ms()
-            crashed = quarantine.Incarnation("e1", 1)
-            interval = quarantine.Interval(now, now + 50)
-            reporter.quarantine.report_crash(crashed, ("bad",), interval, now)
-            await anyio.sleep(0.3)
-            assert not other.quarantine.crashes
-            reporter.links.send = send
-            name = reporter.current_control
-            peer = reporter.links.peers[name]
-            reporter.links.remove(name)
-            reporter.links.add(peer)
+
+# Guards against: a sound answer that one edge reports just before its link
+# breaks releases the part there only.
+def test_sound_answers_lost_with_an_edges_link_are_reported_again(tmp_path):
+    async def body():
+        async with instances.serving_fleet(tmp_path, edges=(7, 8)) as fleet:
+            finding = messages.PartFinding("quarantined", parts=("bad",))
+            fleet.edges[8].quarantine.findings.put("bad", finding)
+            kept = [
+                edge.quarantine.released_at
+                for edge in (fleet.edges[7], fleet.edges[8])
+            ]
+            fleet.edges[8].quarantine.apply_finding(
+                finding, routed.clock.now_ms()
+            )
+            await instances.wait_until(lambda: all("bad" in k for k in kept))
+            async with losing_findings(fleet.edges[7]):
+                fleet.edges[7].quarantine.report_sound(
+                    ("bad",), routed.clock.now_ms()
+                )
+                await anyio.sleep(0.3)
+                assert "bad" in kept[1]
             await instances.wait_until(
-                lambda: crashed in other.quarantine.crashes, 2
+                lambda: not any("bad" in k for k in kept), 2
             )
 
     instances.run_test(body)
