Keep the seeds that are read before an instance runs

A control instance that waits for space on its disk has no way to take seeds yet, and may wait for minutes. A settings file that changed meanwhile, with SIGHUP, counted as read, so that its seeds were never applied. Found by reading. The watch keeps the last seeds now and applies them when the instance runs. test_seeds_read_before_the_instance_runs_are_applied shows it; on the code before, the seeds went to a function that did nothing.

--- a/primrosehitch/platform/process.py
+++ b/primrosehitch/platform/process.py
@@ -168,7 +168,7 @@
         group.start_soon(_flush_log, sink)
         instance = await _make_instance_with_space(settings, stop)
         if instance is not None:
-            watch.apply_seeds = instance.set_seeds
+            watch.attach(instance.set_seeds)
             group.start_soon(watch.run)
             await instance.run(stop)
         sink.flush()
--- a/primrosehitch/settingswatch.py
+++ b/primrosehitch/settingswatch.py
@@ -30,16 +30,27 @@
         path: the file; what it holds now counts as known.
 
     Attributes:
-        apply_seeds: called with the seeds of a changed file that is valid.
+        seeds: those of the last change that is valid, None before the first.
         signature: the file's identity when it was last read, None if there
             was no file.
     """
 
     def __init__(self, path: pathlib.Path):
         self.path = path
-        self.apply_seeds: Callable[[Seeds], None] = _ignore
+        self.seeds: Seeds | None = None
+        self.apply_seeds: Callable[[Seeds], None] | None = None
         self.signature = self._read_signature()
 
+    def attach(self, apply_seeds: Callable[[Seeds], None]) -> None:
+        """Apply the seeds of each change from now on, and those read before.
+
+        Args:
+            apply_seeds: called with the seeds of a changed file.
+        """
+        self.apply_seeds = apply_seeds
+        if self.seeds is not None:
+            apply_seeds(self.seeds)
+
     async def run(self) -> None:
         """Look for changes until cancelled."""
         while True:
@@ -60,7 +71,9 @@
             path=self.path.name,
             seeds=" ".join(map(str, settings.seeds)),
         )
-        self.apply_seeds(settings.seeds)
+        self.seeds = settings.seeds
+        if self.apply_seeds is not None:
+            self.apply_seeds(settings.seeds)
 
     def _read_signature(self) -> Signature | None:
         # Not in a worker thread: the kernel holds the inode in memory.
@@ -72,8 +85,4 @@
         return found.st_mtime_ns, found.st_size, found.st_ino
 
 
-def _ignore(seeds: Seeds) -> None:
-    """Do nothing; no instance runs yet."""
-
-
 __all__ = ["CHECK_PERIOD_S", "Seeds", "SettingsWatch"]
--- a/tests/test_settingswatch.py
+++ b/tests/test_settingswatch.py
@@ -23,7 +23,7 @@
 
     async def body():
         watch = settingswatch.SettingsWatch(path)
-        watch.apply_seeds = lambda seeds: seen.append([s.host for s in seeds])
+        watch.attach(lambda seeds: seen.append([s.host for s in seeds]))
         async with anyio.create_task_group() as group:
             group.start_soon(watch.run)
             for change in changes:
@@ -82,3 +82,16 @@
             assert gone not in control.links.peers
 
     instances.run_test(body)
+
+
+# Guards against: seeds that a signal announces while an instance waits for
+# space on its disk are lost.
+def test_seeds_read_before_the_instance_runs_are_applied(tmp_path):
+    path = tmp_path / "edge.json"
+    write(path)
+    watch = settingswatch.SettingsWatch(path)
+    seen = []
+    write(path, seeds=["127.0.0.8:1"])
+    watch.read()
+    watch.attach(lambda seeds: seen.extend(s.host for s in seeds))
+    assert seen == ["127.0.0.8"]
