Take the vote of a replica that stops beside its successor

In a planned replacement the new control instance joins first. The old one, stopped with SIGTERM, counted as a voter for the 3 s of silence after which a replica is gone: of four voters three must live, so one more loss in that time, which the platform allows, cost the quorum for good.

An instance that stops says so at once, and its replica is removed while more voters remain than the settings ask for and all the others live. One that comes back joins again; of three voters none is given up.

test_replica_that_leaves_after_its_successor_joined_does_not_vote and test_stopped_instance_beside_enough_others_votes_no_more fail before and pass.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -210,8 +210,9 @@
             initial_replica_id=_bootstrap_replica_id(self.name)
             if bootstraps
             else "",
-            unresponsive_replicas=lambda members: self.peers.silent_replicas(
-                members, clock.now_ms()
+            unresponsive_replicas=lambda members: (
+                self.peers.silent_replicas(members, clock.now_ms())
+                | self.peers.leaving_replicas().intersection(members)
             ),
             doubtful_replicas=lambda members: self.peers.doubtful_replicas(
                 members, clock.now_ms()
@@ -486,17 +487,18 @@
             group.start_soon(self._expire_stale)
             events.emit(events.STARTED, instance=self.settings.name)
             await stop.wait()
-            await self._transfer_leadership()
+            await self._leave()
             if finish_calls is not None:
                 await finish_calls()
                 await anyio.sleep(FINAL_SEND_S)
             group.cancel_scope.cancel()
         events.emit(events.STOPPED, instance=self.settings.name)
 
-    async def _transfer_leadership(self) -> None:
-        """Hand the leadership to another replica, within one second."""
+    async def _leave(self) -> None:
+        """Tell the others, and hand over the lead within one second."""
         events.emit(events.DRAINING, instance=self.settings.name)
         self.is_leaving = True
+        self._send_presence()
         with anyio.move_on_after(1.0):
             while self.replicator.is_leader() and self.peers.link_names():
                 self.replicator.offer(replicator_module.TransferLeadership())
@@ -507,10 +509,13 @@
         async for tick in self.timers.subscribe(PRESENCE_PERIOD_MS):
             self.true_time.update_from_reports(clock.wall_ms(), tick.now)
             self._report_lag()
-            presence = self._make_presence()
-            for name in self._control_instances():
-                self._add_link(name)
-                self.links.send(name, presence)
+            self._send_presence()
+
+    def _send_presence(self) -> None:
+        presence = self._make_presence()
+        for name in self._control_instances():
+            self._add_link(name)
+            self.links.send(name, presence)
 
     def _report_lag(self) -> None:
         """Log when this replica falls behind its leader."""
--- a/primrosehitch/peers.py
+++ b/primrosehitch/peers.py
@@ -115,6 +115,14 @@
             if now - self._replica_heard_ms(replica) > REPLICA_TIMEOUT_MS
         }
 
+    def leaving_replicas(self) -> set[str]:
+        """Return the replicas whose instances say that they stop."""
+        return {
+            item.presence.replica
+            for item in self.presences.values()
+            if item.presence.leaving
+        }
+
     def doubtful_replicas(
         self, replicas: tuple[str, ...], now: int
     ) -> set[str]:
--- a/primrosehitch/replica.py
+++ b/primrosehitch/replica.py
@@ -260,15 +260,17 @@
     runs under another replica identifier. A voter that is not live gives way
     to a learner that has caught up, and is removed first: as one voter more
     it would raise the quorum, and the next loss could cost the quorum for
-    good. Without a learner an unresponsive voter is removed only while there
-    are more than ``target_voters`` voters and all the others are live, so
-    that missing replicas alone never reduce the quorum below that number.
+    good. Without a learner a voter that is unresponsive or leaving is removed
+    only while there are more than ``target_voters`` voters and all the others
+    are live, so that missing replicas alone never reduce the quorum below
+    that number.
 
     Args:
         raft: the leader's consensus state.
         live_replicas: the replica identifier of each instance that was
             heard from lately.
-        unresponsive: replicas that were not heard from for a long time.
+        unresponsive: replicas that were not heard from for a long time, and
+            those whose instances say that they stop.
         target_voters: number of voters that are always kept; 0 keeps all.
         doubtful: replicas of which it is open whether they are alive. While
             a voter is, no learner becomes one more voter.
--- a/primrosehitch/replicator.py
+++ b/primrosehitch/replicator.py
@@ -101,7 +101,7 @@
         initial_replica_id: the replica's identifier if the data folder
             has none yet; empty to draw one at random.
         unresponsive_replicas: returns those of some replicas that were not
-            heard from for a long time.
+            heard from for a long time, or say that they stop.
         doubtful_replicas: returns those of some replicas of which it is open
             whether they are alive.
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -18,6 +18,8 @@
 from primrosehitch import registry
 from primrosehitch_lab import platform_engine
 
+# Below the silence after which a replica counts as gone.
+STOPPED_VOTER_S = 1.5
 # After this long the last heartbeat is no longer being passed on.
 PASSING_ON_S = 2 * control_module.REFRESH_PERIOD_MS / 1000
 
@@ -42,6 +44,22 @@
     instances.run_test(body)
 
 
+# Guards against: an instance that is stopped beside its successor is one
+# voter too many until its silence tells.
+def test_stopped_instance_beside_enough_others_votes_no_more(tmp_path):
+    async def body():
+        async with instances.running_fleet(tmp_path, (2, 3, 4, 5)) as fleet:
+            await instances.wait_until(
+                lambda: len(fleet.leaders()) == 1 and len(fleet.voters()) == 4
+            )
+            fleet.stops[5].set()
+            await instances.wait_until(
+                lambda: len(fleet.voters()) == 3, STOPPED_VOTER_S
+            )
+
+    instances.run_test(body)
+
+
 def test_highest_table_version_is_kept(tmp_path):
     """An older table or another body of the same version changes nothing."""
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -487,6 +487,7 @@
         self.peers = peers_module.Peers("", 0)
         self.sequence = 0
         self.most_voters = 0
+        self.leaving = set()
         super().__init__(names)
 
     def maintain(self, replica):
@@ -494,7 +495,10 @@
         for name, other in self.replicas.items():
             if name not in self.partitioned:
                 presence = messages.Presence(
-                    link=name, replica=other.name, sequence=self.sequence
+                    link=name,
+                    replica=other.name,
+                    sequence=self.sequence,
+                    leaving=name in self.leaving,
                 )
                 self.peers.apply_presence(presence, self.now)
         raft = replica.raft
@@ -505,7 +509,8 @@
         change = replica_module.next_membership_change(
             raft,
             self.peers.replicas_by_link(self.now),
-            self.peers.silent_replicas(members, self.now),
+            self.peers.silent_replicas(members, self.now)
+            | self.peers.leaving_replicas(),
             self.TARGET_VOTERS,
             self.peers.doubtful_replicas(members, self.now),
         )
@@ -538,6 +543,41 @@
     assert cluster.most_voters == 3
 
 
+# Guards against: a replica that was stopped after its successor had joined
+# counts as a voter for seconds, and the next loss costs the quorum for good.
+def test_replica_that_leaves_after_its_successor_joined_does_not_vote():
+    cluster = ReplacedCluster(["a", "b", "c"])
+    cluster.run(5000)
+    cluster.add("d")
+    cluster.run(CATCH_UP_MS)
+    kept = cluster.leader()
+    first, second = [n for n in "abcd" if n != kept][:2]
+    cluster.leaving.add(first)
+    cluster.run(500)
+    cluster.partitioned |= {first, second}
+    cluster.run(5000)
+    leader = cluster.leader()
+    assert leader
+    assert len(cluster.replicas[leader].raft.voters) == 3
+    # One that comes back, as after a restart, votes again.
+    cluster.leaving.clear()
+    cluster.partitioned.clear()
+    cluster.run(5000)
+    voters = cluster.replicas[cluster.leader()].raft.voters
+    assert set(voters) == {"a/1", "b/1", "c/1", "d/1"}
+
+
+# Guards against: replicas that are restarted one after the other are given up.
+def test_replica_that_leaves_stays_a_voter_without_a_successor():
+    cluster = ReplacedCluster(["a", "b", "c"])
+    cluster.run(5000)
+    leader = cluster.leader()
+    cluster.leaving.add(next(n for n in "abc" if n != leader))
+    cluster.run(5000)
+    voters = cluster.replicas[leader].raft.voters
+    assert set(voters) == {"a/1", "b/1", "c/1"}
+
+
 # Guards against: a voter that is away for a moment is given up without need.
 def test_voter_that_is_away_stays_a_voter_without_a_successor():
     cluster = ReplacedCluster(["a", "b", "c"])
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -959,6 +959,15 @@
         "tests/test_control.py::"
         "test_new_edge_is_named_to_the_other_instances_at_once",
     ),
+    Mutant(
+        "a replica that is stopped beside enough others votes no more",
+        "control.py",
+        "                | self.peers.leaving_replicas()"
+        ".intersection(members)\n",
+        "",
+        "tests/test_control.py::"
+        "test_stopped_instance_beside_enough_others_votes_no_more",
+    ),
     Mutant(
         "a repeated verdict does not undo a later one",
         "partfindings.py",
