Collect garbage before each test module, not during a test

Tests that bound times failed once beside other work; the process that runs all tests holds the heap of all modules, and a collection of generation 2 then stops everything in it for over 100 ms. Each module now collects before its first test and leaves what is alive out of later collections.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -212,6 +212,18 @@
 gc.callbacks.append(COLLECTIONS.record)
 
 
+@pytest.fixture(autouse=True, scope="module")
+def short_collections():
+    """Collect once before each module's tests, rather than during one.
+
+    What earlier modules left behind is not looked at again meanwhile; a
+    collection of the whole heap takes hundreds of ms on a busy machine.
+    """
+    gc.unfreeze()
+    gc.collect()
+    gc.freeze()
+
+
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_makereport(item, call):
     """Show the long garbage collections of a test that failed."""
