--- a/primrosehitch_lab/fault_proxy.py
+++ b/primrosehitch_lab/fault_proxy.py
@@ -86,7 +86,9 @@
                 pass
             finally:
                 self.scopes.discard(scope)
-        if scope.cancelled_caught or self.mode is Mode.REFUSE:
+        resets = scope.cancelled_caught or self.mode is Mode.REFUSE
+        # The socket is closed as soon as its client has reset it.
+        if resets and raw.fileno() >= 0:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(near)
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,8 +1,12 @@
 """The fault soak: its promises can fail, and a short seeded run."""
 
+import socket
+
+import anyio
 import pytest
 
 from primrosehitch_lab import fault_ledger
+from primrosehitch_lab import fault_proxy
 from primrosehitch_lab import fault_soak
 
 SEED = 1
@@ -169,3 +173,34 @@
     )
     assert findings == []
     assert counters.served > 50
+
+
+# Guards against: the soak ends by an error of its own when it resets a
+# connection that its client has just closed.
+def test_connection_that_its_client_closed_can_be_reset():
+    async def body():
+        async with (
+            await anyio.create_tcp_listener(local_host="127.0.0.1") as engine,
+            anyio.create_task_group() as group,
+        ):
+            port = engine.extra(anyio.abc.SocketAttribute.local_port)
+            group.start_soon(engine.serve, lambda far: anyio.sleep_forever())
+            proxy = fault_proxy.FaultProxy()
+            proxy.target = f"127.0.0.1:{port}"
+            await group.start(proxy.run)
+            proxy.set_mode(fault_proxy.Mode.SILENT)
+            client = await anyio.connect_tcp("127.0.0.1", proxy.port)
+            await client.send(b"request")
+            await anyio.sleep(0.1)
+            raw = client.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, fault_proxy.RESET
+            )
+            await anyio.aclose_forcefully(client)
+            await anyio.sleep(0.1)
+            proxy.reset_all()
+            await anyio.sleep(0.1)
+            assert not proxy.scopes
+            group.cancel_scope.cancel()
+
+    anyio.run(body)
