--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -47,6 +47,8 @@
 # Guards against: an instance that is stopped beside its successor is one
 # voter too many until its silence tells.
 def test_stopped_instance_beside_enough_others_votes_no_more(tmp_path):
+    """Until it is started again."""
+
     async def body():
         async with instances.running_fleet(tmp_path, (2, 3, 4, 5)) as fleet:
             await instances.wait_until(
@@ -56,6 +58,15 @@
             await instances.wait_until(
                 lambda: len(fleet.voters()) == 3, STOPPED_VOTER_S
             )
+            await instances.wait_until(lambda: 5 in fleet.stopped)
+            fleet.controls.pop(5)
+            fleet.start_control(5, bootstrap=False)
+            await instances.wait_until(
+                lambda: len(fleet.leaders()) == 1 and len(fleet.voters()) == 4
+            )
+            assert (
+                await instances.put_table(5, routed.table_document(7)) == 200
+            )
 
     instances.run_test(body)
 
