--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -152,11 +152,13 @@
     first = callers.book(fleet.http["g1"], fleet.key, "kept")
     assert first.status == 201
     fleet.kill("s1")
+
+    def is_known(gateway):
+        answer = callers.book(fleet.http[gateway], fleet.key, "new")
+        return answer.status == 503 and answer.error["reason"] == "no-endpoint"
+
     fleet.wait_for(
-        lambda: (
-            callers.book(fleet.http["g4"], fleet.key, "new").status == 503
-            and callers.book(fleet.http["g2"], fleet.key, "new").status == 503
-        ),
+        lambda: is_known("g4") and is_known("g2"),
         "the loss of the only endpoint to be known",
         20,
     )
