Send edges of older builds a table without customers as they read it

Cause: control instances pass a table on as the operator sent it. An edge before, such as that upgrades start from, reads an empty list of customers as "no key needed".

Whether the users' two failures were of such a mix is not known.

Change: edges get the table with one customer that has no key, which every build reads as "nobody"; operators still read back what they sent.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -108,15 +108,19 @@
     Args:
         settings: the instance's settings; ``data_folder`` must be set.
         decode_table: decodes the body of a route table.
+        encode_without_customers: encodes a route table that admits nobody
+            so that edges of all builds read it so.
     """
 
     def __init__(
         self,
         settings: instance_module.InstanceSettings,
         decode_table: Callable[[bytes], routes.RouteTable],
+        encode_without_customers: Callable[[bytes], bytes],
     ):
         now = clock.now_ms()
         self.decode_table = decode_table
+        self.encode_without_customers = encode_without_customers
         self.settings = settings
         self.name = str(settings.link)
         self.rng = random.Random()
@@ -172,6 +176,7 @@
         self.presence_sequence = 0
         self.is_leaving = False
         self.table = messages.Table()
+        self.table_for_edges = messages.Table()
         self.confirmed_version = 0
         self.is_behind = False
         self.replicator = self._open_replicator()
@@ -260,15 +265,24 @@
         table = replica.state.table
         if table.version <= self.table.version:
             return
-        self.table = table
-        with containment.contain("services of the table"):
-            self.registry.set_services(self.decode_table(table.body).services)
+        self.table = self.table_for_edges = table
+        with containment.contain("services and customers of the table"):
+            self._read_table(table)
         metrics.CONFIG_VERSION.set(table.version)
         events.emit(events.VERSION_IN_FORCE, version=table.version)
-        self.links.multicast(self.subscribers, table)
+        self.links.multicast(self.subscribers, self.table_for_edges)
         status = self._make_status(clock.now_ms())
         self.links.multicast(self.subscribers, status)
 
+    def _read_table(self, table: messages.Table) -> None:
+        """Use the services of a table, and prepare it for the edges."""
+        decoded = self.decode_table(table.body)
+        self.registry.set_services(decoded.services)
+        if decoded.needs_key and not decoded.customers:
+            self.table_for_edges = table._replace(
+                body=self.encode_without_customers(table.body)
+            )
+
     def _replica_instances(self) -> set[str]:
         """Return the names of the instances with a voter or learner."""
         raft = self.replicator.raft
@@ -681,7 +695,7 @@
         status = self._make_status(now)
         self.links.send(sender, status)
         if subscription.version < self.table.version:
-            self.links.send(sender, self.table)
+            self.links.send(sender, self.table_for_edges)
         if subscription.registry != status.registry:
             is_complete = now - self.started_ms > REGISTRY_WARM_UP_MS
             records = tuple(self.registry.records())
--- a/primrosehitch/platform/process.py
+++ b/primrosehitch/platform/process.py
@@ -67,7 +67,9 @@
     def __init__(self, settings: instance_module.InstanceSettings):
         self.settings = settings
         self.control = control_module.ControlInstance(
-            settings, tables.decode_accepted
+            settings,
+            tables.decode_accepted,
+            tables.encode_without_customers,
         )
         self.api = calls.ControlApi(self.control)
         self.server = httpserver.Server(self.api.serve, CONTROL_LIMITS)
--- a/primrosehitch/platform/tables.py
+++ b/primrosehitch/platform/tables.py
@@ -3,6 +3,7 @@
 Does no I/O. Fields that are not listed here are ignored.
 """
 
+import json
 from typing import Any
 from typing import Callable
 
@@ -11,6 +12,9 @@
 from primrosehitch import routes
 from primrosehitch.platform import fields
 
+# Builds before 760969a ask nobody for a key where the list of customers is
+# empty.
+CUSTOMER_WITHOUT_KEYS = {"name": "none", "api_keys": []}
 KINDS = {
     "idempotent": routes.REPEATABLE,
     "non_idempotent": routes.ONCE,
@@ -49,6 +53,17 @@
         return _decode(body, jsontext.loads_accepted)
 
 
+def encode_without_customers(body: bytes) -> bytes:
+    """Return a configuration that admits nobody, as all builds read it.
+
+    Args:
+        body: a configuration in force whose list of customers is empty.
+    """
+    document = jsontext.loads_accepted(body)
+    document["tenants"] = [CUSTOMER_WITHOUT_KEYS]
+    return json.dumps(document).encode()
+
+
 def _load_unambiguous(body: bytes) -> Any:
     """Return a document; a list of customers that is null is refused.
 
@@ -183,4 +198,4 @@
     )
 
 
-__all__ = ["decode", "decode_accepted"]
+__all__ = ["decode", "decode_accepted", "encode_without_customers"]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1036,6 +1036,10 @@
                 lambda: fleet.edges[9].forwarder.table.version == 8, 2
             )
             assert await status_by_key() == [401, 401, 401]
+            # Older builds need no key of anyone without a customer.
+            assert fleet.edges[9].forwarder.table.customers
+            status, got = await instances.send_call(3, "GET", "/-/Config.Get")
+            assert (status, json.loads(got)) == (200, table)
             # Neither the log, a new start nor another copy changes it.
             for number in instances.SEEDS:
                 await fleet.kill(number)
@@ -1185,7 +1189,7 @@
             fleet = instances.Fleet(tmp_path, group)
             sender, receiver = (
                 control_module.ControlInstance(
-                    fleet.make_settings(number, True, False), bytes
+                    fleet.make_settings(number, True, False), bytes, bytes
                 )
                 for number in (2, 3)
             )
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -191,3 +191,18 @@
     if tenants is None:
         with pytest.raises(fields.FieldError, match="tenants"):
             tables.decode(body)
+
+
+# Guards against: an edge of a build before 760969a takes an empty list of
+# customers for "no key needed" and lets every request run.
+@pytest.mark.parametrize("tenants", [[], None])
+def test_older_edges_read_that_a_table_admits_nobody(tenants):
+    document = routed.table_document(tenants=tenants)
+    body = json.dumps(document).encode()
+    table = tables.decode(tables.encode_without_customers(body))
+    # Those builds need a key if there is a customer.
+    assert table.customers and table.needs_key
+    assert not table.customers_by_key
+    accepted = tables.decode_accepted(body)
+    assert table.routes == accepted.routes
+    assert table.limits == accepted.limits
