Parse one request of a connection at a time; bound what it holds

Cause: one read of up to 256 kB was parsed whole, so that thousands of small requests joined a connection's queue, and responses were written without regard to whether the caller reads them. 60 connections that pipeline and read nothing raised an edge to more than 1 GB.

Change: input is split at the ends of requests. The next request is parsed once the response to the last one is written and little of it is left in the write buffer; until then its bytes wait in a bounded backlog, and a connection with a full backlog is not read. Bodies, backlogs, buffered responses and the kernel's buffers are counted per connection and in sum; over the limit connectionmemory.py decides which connections close. A caller that reads nothing for a time is closed. Listening sockets bound the kernel's buffers.

--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -376,6 +376,22 @@
     "Raise the limit on descriptors, or look who opens connections.",
 )
 
+UNREAD_CLOSED = Event(
+    1711,
+    "unread-closed",
+    "Connections ended whose callers had read nothing of a response for"
+    " `unread_timeout_s`, or that broke off with a response unread.",
+    "If it recurs, look which callers do not read their responses.",
+)
+MEMORY_CLOSED = Event(
+    1712,
+    "memory-closed",
+    "Connections were closed since all connections together held more than"
+    " their share of the memory.",
+    "Look who sends many large requests or does not read responses; raise"
+    " `memory_mb` if the VM has more memory.",
+)
+
 CATALOGUE = tuple(
     value for value in list(globals().values()) if isinstance(value, Event)
 )
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -1242,6 +1242,7 @@
             if not self.responder.head_sent:
                 parts.append(item)
                 size += len(item)
+                self.responder.hold(len(item))
             if size > MAX_BUFFERED_RESPONSE_BYTES:
                 return None, await self._relay_unbuffered(
                     connection, head, parts
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -5,13 +5,21 @@
 once. The requests of one connection are handled one after the other, each
 in its own task. docs/design/routed-services.md says why this is not
 uvicorn.
+
+A request that was sent ahead is not parsed before the response to the one
+before it is written. Until then its bytes wait in a backlog; a connection
+with a full backlog is not read. docs/design/uncontrolled-clients.md says how
+the memory of all connections is bounded.
 """
 
 import asyncio
 from collections import deque
+import fcntl
 import hashlib
 import http
 import socket
+import struct
+import termios
 from typing import Any
 from typing import Awaitable
 from typing import Callable
@@ -22,24 +30,30 @@
 import httptools
 
 from primrosehitch import clock
+from primrosehitch import connectionmemory
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import flowcontrol
 from primrosehitch import listening
+from primrosehitch import metrics
+from primrosehitch import requestsplit
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
 
 Header = tuple[bytes, bytes]
 
-# A connection with more pipelined requests than this is not read further
-# until one of them is done.
-MAX_PIPELINED_REQUESTS = 4
+# The most bytes of one read.
+READ_BYTES = 32_768
+# A connection whose backlog consists of more reads than this is not read.
+MAX_BACKLOG_READS = 16
 # How long input is read and discarded after a final response, so that the
 # caller receives the response before the connection closes.
 LINGERING_CLOSE_MS = 1000
 # How long a connection beyond the callers' share may be idle.
 EXCESS_IDLE_MS = 1000
 TIMEOUT_CHECK_INTERVAL_MS = 500
+# Closed connections are logged at most this often.
+CLOSED_REPORT_PERIOD_MS = 1000
 BODY_HASH_BYTES = 16
 # Bytes of chunk framing that a byte of a request body may cost.
 MAX_FRAMING_PER_BODY_BYTE = 16
@@ -170,23 +184,50 @@
         self.connection.write(body)
         self.finish()
 
+    def hold(self, size: int) -> None:
+        """Count bytes that are buffered for the response until it ends.
+
+        Args:
+            size: the bytes that were added.
+        """
+        self.connection.hold_for_response(size)
+
     def abort(self) -> None:
         """Abort the connection, so that the response is incomplete."""
         self.connection.abort()
 
 
+class Backlogged(NamedTuple):
+    """Bytes of one read that wait to be parsed.
+
+    Attributes:
+        data: the bytes.
+        start: how many of them were parsed.
+        read_ms: when they were read, by ``clock.now_ms``.
+    """
+
+    data: bytes
+    start: int
+    read_ms: int
+
+
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
-class Connection(flowcontrol.FlowControlMixin, asyncio.Protocol):
+class Connection(flowcontrol.FlowControlMixin, asyncio.BufferedProtocol):
     """One caller's connection.
 
     Args:
         server: the server that accepted it.
 
     Attributes:
+        splitter: finds the ends of requests in received bytes.
         pending_requests: complete requests that wait for their turn, each
             with whether the connection persists after it.
+        backlog: received bytes that wait to be parsed, by read.
+        backlog_bytes: the size of the backlog.
+        reading_paused: whether the connection is not read since its backlog
+            is full.
         busy: whether a request is being handled.
         discarding_input: whether a final response was sent and further
             input is ignored.
@@ -197,21 +238,43 @@
             idle, body and lingering-close timeouts.
         started_ms: when the first byte of the request being parsed
             arrived, or -1.
+        head_began_ms: since when the head of that request is parsed, for
+            the header timeout.
         in_body: whether the head of that request is complete.
+        held_bytes: the bytes that the connection holds in the process and
+            in the kernel, as counted by the server's ``memory``.
+        is_counted: whether changes of that number are counted.
+        response_bytes: those of an endpoint's response that is buffered.
+        unread_bytes: those of a response that the caller does not read.
+        outstanding_bytes: sent or buffered bytes that the caller had not
+            acknowledged at the last check, while writing is paused.
+        read_progress_ms: when that number last changed.
     """
 
     def __init__(self, server: "Server"):
         super().__init__()
         self.server = server
         self.parser = httptools.HttpRequestParser(self)
+        self.splitter = requestsplit.RequestSplitter()
         self.transport: Any = None
         self.pending_requests: deque[tuple[Request, bool]] = deque()
+        self.backlog: deque[Backlogged] = deque()
+        self.backlog_bytes = 0
+        self.reading_paused = False
         self.busy = False
         self.closed = False
         self.discarding_input = False
         self.is_excess = False
         self.handler_scope: anyio.CancelScope | None = None
         self.last_activity_ms = clock.now_ms()
+        self.read_ms = self.last_activity_ms
+        self.head_began_ms = self.last_activity_ms
+        self.held_bytes = 0
+        self.is_counted = True
+        self.response_bytes = 0
+        self.unread_bytes = 0
+        self.outstanding_bytes = 0
+        self.read_progress_ms = 0
         self.reset_request()
 
     def reset_request(self) -> None:
@@ -230,6 +293,9 @@
         """Register the connection with the server."""
         self.transport = transport
         set_socket_options(transport, TCP_USER_TIMEOUT_MS)
+        transport.set_write_buffer_limits(
+            self.server.memory.bounds.write_buffer_bytes
+        )
         sock = transport.get_extra_info("socket")
         if sock is not None:
             self.is_excess = listening.exceeds_share(
@@ -239,18 +305,164 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request's handler and wake its writer."""
+        if isinstance(exc, TimeoutError) and self.unread_bytes:
+            # The kernel's time limit has ended first.
+            self.server.report_unread()
         self.closed = True
         self.server.connections.discard(self)
+        self._discard_input()
+        self._release_all()
         if self.handler_scope is not None:
             self.handler_scope.cancel()
         self.wake_writers()
 
-    def data_received(self, data: bytes) -> None:
-        """Feed received bytes to the parser."""
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read, which all connections share.
+
+        Its content is parsed or copied before the next read.
+        """
+        return self.server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse received bytes, or keep them until they may be parsed."""
         if self.discarding_input:
             return
+        self.read_ms = clock.now_ms()
+        buffer = self.server.read_buffer
+        fed = 0
+        if self._may_parse and not self.backlog:
+            fed = self._parse_requests(buffer, 0, nbytes)
+        if fed < nbytes and not self.discarding_input:
+            self._add_backlog(bytes(memoryview(buffer)[fed:nbytes]))
+        if self.server.memory.is_exceeded:
+            self.server.close_for_memory()
+
+    @property
+    def _may_parse(self) -> bool:
+        """Whether the next request may be parsed now.
+
+        It may once the response to the one before is written, and little of
+        that is left in the write buffer.
+        """
+        return not (
+            self.busy
+            or self.pending_requests
+            or self.discarding_input
+            or self.writable_event is not None
+        )
+
+    def _parse_requests(
+        self, data: bytes | bytearray, start: int, end: int
+    ) -> int:
+        """Feed the parser until a request is complete.
+
+        Args:
+            data: received bytes.
+            start: the first byte that was not fed yet.
+            end: the end of the received bytes.
+
+        Returns:
+            Up to where the parser was fed.
+        """
+        view = memoryview(data)
+        while start < end and self._may_parse:
+            stop = self.splitter.next_end(data, start, end)
+            self._feed(view[start:stop])
+            start = stop
+        return start
+
+    def _add_backlog(self, data: bytes) -> None:
+        """Keep bytes of requests that were sent ahead."""
+        self.backlog.append(Backlogged(data, 0, self.read_ms))
+        self.backlog_bytes += len(data)
+        self._hold(len(data))
+        if not self.reading_paused and (
+            self.backlog_bytes > self.server.memory.bounds.backlog_bytes
+            or len(self.backlog) > MAX_BACKLOG_READS
+        ):
+            self.reading_paused = True
+            self._hold(self.server.kernel_buffer_bytes)
+            self.transport.pause_reading()
+
+    def _parse_backlog(self) -> None:
+        """Parse the backlog up to the end of a request, then read on."""
+        while self.backlog and self._may_parse:
+            data, start, self.read_ms = self.backlog[0]
+            fed = self._parse_requests(data, start, len(data))
+            if self.discarding_input:
+                return
+            self.backlog_bytes -= fed - start
+            self._hold(start - fed)
+            if fed < len(data):
+                self.backlog[0] = Backlogged(data, fed, self.read_ms)
+            else:
+                self.backlog.popleft()
+        if not self.backlog:
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if self.reading_paused and not self.server.reading_stopped:
+            self.reading_paused = False
+            self._hold(-self.server.kernel_buffer_bytes)
+            if not self.transport.is_closing():
+                self.transport.resume_reading()
+
+    def _discard_input(self) -> None:
+        """Drop all input that no handler was started for."""
+        self.discarding_input = True
+        dropped = self.backlog_bytes + self.body_bytes
+        dropped += sum(len(r.body) for r, _ in self.pending_requests)
+        self.backlog.clear()
+        self.backlog_bytes = 0
+        self.pending_requests.clear()
+        self.reset_request()
+        self._hold(-dropped)
+
+    def _hold(self, size: int) -> None:
+        """Count bytes that the connection holds from now on, or less."""
+        if size and self.is_counted:
+            self.server.memory.change(self, size)
+
+    def _release_all(self) -> None:
+        """Count nothing for the connection any more."""
+        self._hold(-self.held_bytes)
+        self.is_counted = False
+
+    def hold_for_response(self, size: int) -> None:
+        """Count bytes that are buffered until the handler ends.
+
+        Args:
+            size: the bytes that were added.
+        """
+        self.response_bytes += size
+        self._hold(size)
+        if self.server.memory.is_exceeded:
+            self.server.close_for_memory()
+
+    @property
+    def phase(self) -> connectionmemory.Phase:
+        """What the connection is doing, for the order of closing."""
+        is_unread = self.writable_event is not None
+        if self.busy:
+            if is_unread:
+                return connectionmemory.Phase.SERVED_UNREAD
+            return connectionmemory.Phase.SERVED
+        if is_unread:
+            return connectionmemory.Phase.UNREAD
+        return connectionmemory.Phase.RECEIVING
+
+    @property
+    def progress_ms(self) -> int:
+        """When the caller last sent or read something that is awaited."""
+        if self.writable_event is not None:
+            return self.read_progress_ms
+        return self.last_activity_ms
+
+    def _feed(self, data: memoryview) -> None:
+        """Feed bytes that hold at most the end of one request."""
         if self.started_ms < 0:
-            self.started_ms = clock.now_ms()
+            self.started_ms = self.read_ms
+            self.head_began_ms = clock.now_ms()
         # The start of a message sets the count back, so that only input
         # after the read in which it began is counted.
         self.unparsed_bytes += len(data)
@@ -262,7 +474,7 @@
         else:
             self._check_unparsed_bytes()
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes | memoryview) -> None:
         """Feed the parser; ignore requests to change the protocol.
 
         A server may ignore them (RFC 9110, 7.8). The parser takes the head
@@ -276,7 +488,8 @@
             try:
                 self.parser.feed_data(data)
             except httptools.HttpParserUpgrade as exc:
-                data = self._head_without_upgrade() + data[exc.args[0] :]
+                rest = bytes(data[exc.args[0] :])
+                data = self._head_without_upgrade() + rest
                 self.parser = httptools.HttpRequestParser(self)
                 continue
             return
@@ -315,7 +528,8 @@
     def on_message_begin(self) -> None:
         """Start a request (parser callback)."""
         self.reset_request()
-        self.started_ms = clock.now_ms()
+        self.started_ms = self.read_ms
+        self.head_began_ms = clock.now_ms()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target (parser callback)."""
@@ -336,19 +550,24 @@
         """Answer ``Expect: 100-continue`` (parser callback)."""
         if self.parser.get_method() == b"CONNECT":
             self.refuse(400, "CONNECT is not supported")
-        if self.parser.should_upgrade():
+        if self.discarding_input or self.parser.should_upgrade():
             return
         self.in_body = True
         self.last_activity_ms = clock.now_ms()
+        self.splitter.begin_body(self.headers)
         for name, value in self.headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body (parser callback)."""
+        if self.discarding_input:
+            return
+        self.splitter.record_body(len(body))
         self.body_parts.append(body)
         self.body_hasher.update(body)
         self.body_bytes += len(body)
+        self._hold(len(body))
         self.last_activity_ms = clock.now_ms()
         if self.body_bytes > self.server.limits.body_bytes:
             self.refuse(413, "request body too large")
@@ -366,13 +585,9 @@
             self.body_hasher.digest(),
         )
         self.reset_request()
+        self.splitter.end_message()
         is_persistent = self.parser.should_keep_alive()
         self.pending_requests.append((request, is_persistent))
-        if (
-            len(self.pending_requests) > MAX_PIPELINED_REQUESTS
-            and self.transport
-        ):
-            self.transport.pause_reading()
         self._serve_next()
 
     def _serve_next(self) -> None:
@@ -403,19 +618,57 @@
             self.busy = False
             self.server.active_requests -= 1
             self.last_activity_ms = clock.now_ms()
+            self._hold(-len(request.body) - self.response_bytes)
+            self.response_bytes = 0
         if self.closed or not responder.finished:
             self.abort()
         elif not responder.keep_alive:
             self.close()
         else:
-            if self.transport is not None:
-                self.transport.resume_reading()
-            self._serve_next()
+            self._go_on()
+
+    def _go_on(self) -> None:
+        """Serve the next request that was sent ahead, if it may be."""
+        if self.writable_event is not None:
+            # ``resume_writing`` goes on.
+            return
+        self._serve_next()
+        if self.backlog:
+            self._parse_backlog()
 
     def write(self, data: bytes) -> None:
         """Write bytes to the transport without waiting."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
+            if self.writable_event is not None:
+                self._count_unread()
+
+    def pause_writing(self) -> None:
+        """Pause writers; called when the write buffer is full."""
+        super().pause_writing()
+        self.read_progress_ms = clock.now_ms()
+        self.outstanding_bytes = 0
+        self._count_unread()
+
+    def resume_writing(self) -> None:
+        """Resume writers; called when the write buffer has drained."""
+        super().resume_writing()
+        self._count_unread()
+        if not self.busy:
+            self.last_activity_ms = clock.now_ms()
+            self._go_on()
+
+    def _count_unread(self) -> None:
+        """Count what is held of a response that the caller does not read."""
+        unread = 0
+        if self.writable_event is not None and self.transport is not None:
+            unread = self.transport.get_write_buffer_size()
+            unread += self.server.kernel_buffer_bytes
+        self._hold(unread - self.unread_bytes)
+        self.unread_bytes = unread
+        if self.server.memory.is_exceeded:
+            # The transport may be in the middle of a write.
+            asyncio.get_running_loop().call_soon(self.server.close_for_memory)
 
     async def drain(self) -> None:
         """Wait until the transport's write buffer has drained.
@@ -436,7 +689,9 @@
             status: the HTTP status.
             text: the body of the response.
         """
-        self.discarding_input = True
+        if self.discarding_input:
+            return
+        self._discard_input()
         body = text.encode()
         self.write(
             _status_line(status)
@@ -453,9 +708,10 @@
         socket with unread input sends a reset, which can make the caller
         lose the response.
         """
-        self.discarding_input = True
+        self._discard_input()
         if self.transport is None or self.transport.is_closing():
             return
+        self._resume_reading()
         self.last_activity_ms = clock.now_ms()
         if self.transport.can_write_eof():
             self.transport.write_eof()
@@ -486,13 +742,15 @@
             now: the current time in ms.
         """
         limits = self.server.limits
-        if self.discarding_input:
+        if self.writable_event is not None:
+            self._enforce_reading(now)
+        elif self.discarding_input:
             if now - self.last_activity_ms > LINGERING_CLOSE_MS:
                 self.abort()
         elif self.busy:
             return
         elif self.started_ms >= 0 and not self.in_body:
-            if now - self.started_ms > limits.header_timeout_ms:
+            if now - self.head_began_ms > limits.header_timeout_ms:
                 self.refuse(408, "timed out reading the request headers")
         elif now - self.last_activity_ms > self._idle_timeout_ms():
             if self.in_body:
@@ -500,6 +758,38 @@
             else:
                 self.close()
 
+    def _enforce_reading(self, now: int) -> None:
+        """Abort the connection if the caller has read nothing for long."""
+        outstanding = self._measure_outstanding()
+        if outstanding != self.outstanding_bytes:
+            self.outstanding_bytes = outstanding
+            self.read_progress_ms = now
+        bounds = self.server.memory.bounds
+        if now - self.read_progress_ms > bounds.unread_timeout_ms:
+            self.server.report_unread()
+            self.abort()
+
+    def _measure_outstanding(self) -> int:
+        """Return the bytes that the caller has not acknowledged.
+
+        The kernel's part counts as well: the transport can write again only
+        once a good part of the kernel's buffer is free.
+        """
+        if self.transport.is_closing():
+            return 0
+        outstanding = self.transport.get_write_buffer_size()
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+            outstanding += struct.unpack("i", answer)[0]
+        return outstanding
+
+    def close_for_memory(self) -> None:
+        """Close at once; the process holds too much for its callers."""
+        self._discard_input()
+        self._release_all()
+        self.abort()
+
     def _idle_timeout_ms(self) -> int:
         limit_ms = self.server.limits.idle_timeout_ms
         if self.is_excess and not self.in_body:
@@ -510,7 +800,10 @@
     def is_idle(self) -> bool:
         """Whether no request is being received, queued or handled."""
         return (
-            not self.busy and self.started_ms < 0 and not self.pending_requests
+            not self.busy
+            and self.started_ms < 0
+            and not self.pending_requests
+            and not self.backlog
         )
 
 
@@ -520,8 +813,14 @@
     Args:
         handler: responds to one request.
         limits: limits on all callers; may be replaced at any time.
+        memory: counts what the connections of all servers of the process
+            hold.
 
     Attributes:
+        read_buffer: receives the bytes of each read.
+        kernel_buffer_bytes: what one of the kernel's buffers of a
+            connection may hold.
+        reading_stopped: whether nothing is read any more.
         connections: the open connections.
         active_requests: how many requests are being handled.
         draining: whether connections close after their current request.
@@ -530,9 +829,21 @@
         task_group: runs the handlers.
     """
 
-    def __init__(self, handler: Handler, limits: routes.ClientLimits):
+    def __init__(
+        self,
+        handler: Handler,
+        limits: routes.ClientLimits,
+        memory: connectionmemory.ConnectionMemory | None = None,
+    ):
         self.handler = handler
         self.limits = limits
+        self.memory = memory or connectionmemory.ConnectionMemory()
+        self.read_buffer = bytearray(READ_BYTES)
+        self.kernel_buffer_bytes = 2 * self.memory.bounds.socket_buffer_bytes
+        self.reading_stopped = False
+        self.next_report_ms = 0
+        self.unread_closed = 0
+        self.address = ""
         self.connections: set[Connection] = set()
         self.active_requests = 0
         self.draining = False
@@ -556,6 +867,7 @@
             ListenError: the address cannot be listened on.
         """
         loop = asyncio.get_running_loop()
+        self.address = str(address)
         async with anyio.create_task_group() as task_group:
             self.task_group = task_group
             self.listener = await listening.bind(
@@ -567,6 +879,9 @@
                     backlog=LISTEN_BACKLOG,
                 ),
             )
+            listening.set_buffer_sizes(
+                self.listener.sockets, self.memory.bounds.socket_buffer_bytes
+            )
             task_status.started()
             try:
                 while True:
@@ -583,6 +898,45 @@
         """
         for connection in list(self.connections):
             connection.enforce_timeouts(now)
+        self._report_closed(now)
+        metrics.CONNECTION_BYTES.set(self.memory.held_bytes)
+
+    def close_for_memory(self) -> None:
+        """Close connections, of any server, until few enough bytes are held.
+
+        The memory is shared by the servers of the process.
+        """
+        for connection in self.memory.take_victims():
+            connection.close_for_memory()
+            metrics.CLOSED_CONNECTIONS.labels("memory").inc()
+        self._report_closed(clock.now_ms())
+
+    def report_unread(self) -> None:
+        """Count a connection that ends with a response unread."""
+        metrics.CLOSED_CONNECTIONS.labels("unread").inc()
+        self.unread_closed += 1
+        self._report_closed(clock.now_ms())
+
+    def _report_closed(self, now: int) -> None:
+        """Log closed connections, at most once a second."""
+        memory = self.memory
+        closed = memory.take_report(now)
+        if closed:
+            events.emit(
+                events.MEMORY_CLOSED,
+                address=self.address,
+                connections=closed,
+                held_bytes=memory.held_bytes,
+                limit_bytes=memory.limit_bytes,
+            )
+        if self.unread_closed and now >= self.next_report_ms:
+            events.emit(
+                events.UNREAD_CLOSED,
+                address=self.address,
+                connections=self.unread_closed,
+            )
+            self.unread_closed = 0
+            self.next_report_ms = now + CLOSED_REPORT_PERIOD_MS
 
     def close_idle_connections(self) -> None:
         """Close the connections without a request."""
@@ -607,6 +961,7 @@
         with anyio.move_on_after(timeout_s):
             while not self.is_idle:
                 await anyio.sleep(STOP_POLL_S)
+        self.reading_stopped = True
         for connection in self.connections:
             connection.stop_reading()
         with anyio.move_on_after(timeout_s):
@@ -617,7 +972,7 @@
     def is_idle(self) -> bool:
         """Whether no request is handled or waits for its turn."""
         return not self.active_requests and not any(
-            c.pending_requests for c in self.connections
+            c.pending_requests or c.backlog for c in self.connections
         )
 
 
--- a/primrosehitch/listening.py
+++ b/primrosehitch/listening.py
@@ -9,9 +9,11 @@
 
 import errno
 import resource
+import socket
 from typing import Any
 from typing import Awaitable
 from typing import Callable
+from typing import Iterable
 from typing import TypeVar
 
 import anyio
@@ -82,6 +84,22 @@
     return limit != resource.RLIM_INFINITY and descriptor >= share * limit
 
 
+def set_buffer_sizes(listeners: Iterable[Any], size: int) -> None:
+    """Bound the kernel's buffers of the connections of listening sockets.
+
+    Accepted connections inherit the sizes. Without them the kernel grows
+    the buffers of a connection to several MB.
+
+    Args:
+        listeners: the listening sockets.
+        size: the size of each of the two buffers, in bytes. The kernel uses
+            up to twice as much.
+    """
+    for listener in listeners:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
 async def serve(
     listener: anyio.abc.Listener[anyio.abc.SocketStream],
     handler: Callable[[anyio.abc.SocketStream], Awaitable[Any]],
@@ -110,4 +128,5 @@
     "bind",
     "exceeds_share",
     "serve",
+    "set_buffer_sizes",
 ]
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -47,6 +47,20 @@
     "primrosehitch_limited_requests",
     "Requests sent to endpoints while a limit of theirs was in force.",
 )
+CONNECTION_BYTES = prometheus_client.Gauge(
+    "primrosehitch_connection_bytes",
+    "Bytes held for callers' connections, in the process and in the kernel.",
+)
+CONNECTION_LIMIT_BYTES = prometheus_client.Gauge(
+    "primrosehitch_connection_limit_bytes",
+    "Limit on the bytes held for callers' connections.",
+)
+CLOSED_CONNECTIONS = prometheus_client.Counter(
+    "primrosehitch_closed_connections",
+    "Callers' connections closed with a response unread, or to keep the"
+    " limit on the bytes held.",
+    ["cause"],
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -65,8 +79,11 @@
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
 
 __all__ = [
+    "CLOSED_CONNECTIONS",
     "CONFIG_AGE_SECONDS",
     "CONFIG_VERSION",
+    "CONNECTION_BYTES",
+    "CONNECTION_LIMIT_BYTES",
     "CONTENT_TYPE",
     "ENDPOINTS",
     "FIRST_TOKEN_SECONDS",
--- /dev/null
+++ b/primrosehitch/requestsplit.py
@@ -0,0 +1,79 @@
+"""Splits received bytes so that a parser gets one request at a time.
+
+Does no I/O. The parser takes all bytes that it is given, and its callbacks
+cannot stop it. A client that sends many small requests in one segment would
+have all of them parsed at once. ``RequestSplitter`` returns where the next
+message may end, so that the caller can stop there.
+"""
+
+from typing import Iterable
+
+EMPTY_LINE = b"\r\n\r\n"
+# A chunked body may consist of empty lines. Parsing at least this many bytes
+# at a time bounds the processor time that such a body costs; at most a few
+# short requests fit into so many bytes.
+MIN_CHUNKED_STEP_BYTES = 64
+
+
+class RequestSplitter:
+    """Follows the framing of the messages of one connection.
+
+    Attributes:
+        body_left: bytes of a body of known length that are still to come.
+        is_chunked: whether the parser is in a body of unknown length.
+    """
+
+    def __init__(self) -> None:
+        self.body_left = 0
+        self.is_chunked = False
+
+    def begin_body(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Record the framing of a body.
+
+        Args:
+            headers: the (name, value) pairs of a head that the parser has
+                accepted, names in lower case.
+        """
+        for name, value in headers:
+            if name == b"content-length":
+                self.body_left = _parse_length(value)
+            elif name == b"transfer-encoding":
+                self.is_chunked = True
+
+    def record_body(self, size: int) -> None:
+        """Record that the parser has passed on bytes of a body."""
+        if self.body_left:
+            self.body_left = max(0, self.body_left - size)
+
+    def end_message(self) -> None:
+        """Record that a message is complete."""
+        self.body_left = 0
+        self.is_chunked = False
+
+    def next_end(self, data: bytes | bytearray, start: int, end: int) -> int:
+        """Return up to where the parser may be fed next.
+
+        An empty line of which the first part was fed before is not found;
+        the bytes up to the next one then hold the end of one message and
+        the head of another.
+
+        Args:
+            data: received bytes.
+            start: the first byte that was not fed yet.
+            end: the end of the received bytes.
+        """
+        if self.body_left:
+            return min(end, start + self.body_left)
+        search_start = start
+        if self.is_chunked:
+            search_start += MIN_CHUNKED_STEP_BYTES - len(EMPTY_LINE)
+        found = data.find(EMPTY_LINE, search_start, end)
+        return end if found < 0 else found + len(EMPTY_LINE)
+
+
+def _parse_length(value: bytes) -> int:
+    digits = value.strip()
+    return int(digits) if digits.isdigit() else 0
+
+
+__all__ = ["RequestSplitter"]
