Settings and metrics of the bounds on callers' connections

Cause: the bound on the memory of all connections had a fixed size.

Change: it is a share (1/8) of memory_mb, which the platform always gives, or else of the smaller of the machine's memory and RLIMIT_DATA. All servers of a process count together. The other bounds are settings in "clients"; files of older builds have neither and get the defaults.

--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -90,6 +90,17 @@
     },
 )
 
+ClientsFile = TypedDict(
+    "ClientsFile",
+    {
+        "memory_share": NotRequired[float],
+        "unread_timeout_s": NotRequired[float],
+        "backlog_bytes": NotRequired[int],
+        "write_buffer_bytes": NotRequired[int],
+        "socket_buffer_bytes": NotRequired[int],
+    },
+)
+
 BoundsFile = TypedDict(
     "BoundsFile",
     {
@@ -119,6 +130,8 @@
         "platform": NotRequired[str | None],
         "metrics_port": NotRequired[int],
         "bounds": NotRequired["BoundsFile"],
+        "memory_mb": NotRequired[float],
+        "clients": NotRequired["ClientsFile"],
     },
 )
 
@@ -173,6 +186,7 @@
 __all__ = [
     "BoundsFile",
     "ClassSpec",
+    "ClientsFile",
     "CustomerSpec",
     "Declaration",
     "GrantSpec",
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -36,6 +36,7 @@
 from primrosehitch import metering
 from primrosehitch import metrics
 from primrosehitch import overload
+from primrosehitch import processmemory
 from primrosehitch import quarantine as quarantine_module
 from primrosehitch import registry as registry_module
 from primrosehitch import routes
@@ -146,11 +147,12 @@
             ),
             self.contact,
         )
+        memory = processmemory.make_connection_memory(settings)
         self.front = httpserver.Server(
-            self._serve_front, routes.ClientLimits()
+            self._serve_front, routes.ClientLimits(), memory
         )
         self.ready = httpserver.Server(
-            self._serve_ready, routes.ClientLimits()
+            self._serve_ready, routes.ClientLimits(), memory
         )
         # With the time in ms at which each was found.
         self.sent_findings: gathering.RecentUpdates[
--- a/primrosehitch/instance.py
+++ b/primrosehitch/instance.py
@@ -40,6 +40,27 @@
     machines_lost: int = 1
 
 
+class ClientBounds(NamedTuple):
+    """Bounds on what callers may make the process hold.
+
+    Attributes:
+        memory_share: the share of the process's memory that the connections
+            of callers may hold together, 0 to 1.
+        unread_timeout_ms: how long a caller may read nothing of a response.
+        backlog_bytes: requests sent ahead that are held for a connection.
+        write_buffer_bytes: responses held for a connection before its next
+            request is taken.
+        socket_buffer_bytes: size of each of the kernel's buffers of a
+            connection.
+    """
+
+    memory_share: float = 0.125
+    unread_timeout_ms: int = 15_000
+    backlog_bytes: int = 16_384
+    write_buffer_bytes: int = 16_384
+    socket_buffer_bytes: int = 32_768
+
+
 class InstanceSettings(NamedTuple):
     """Settings of one instance.
 
@@ -61,6 +82,8 @@
         platform: address that gets orders and usage reports.
         secret: shared secret for authentication between instances.
         bounds: the agreed limits.
+        memory_mb: the memory of the VM in MB, 0 if the system tells it.
+        clients: bounds on what callers may make the process hold.
     """
 
     name: str
@@ -76,6 +99,8 @@
     platform: settings_module.Address | None
     secret: bytes
     bounds: Bounds
+    memory_mb: float = 0
+    clients: ClientBounds = ClientBounds()
 
 
 def parse(document: documents.InstanceFile, source: str) -> InstanceSettings:
@@ -119,6 +144,8 @@
         platform=_parse_optional_address(document.get("platform")),
         secret=document.get("secret", "").encode(),
         bounds=_parse_bounds(document.get("bounds", {})),
+        memory_mb=document.get("memory_mb", 0),
+        clients=_parse_clients(document.get("clients", {})),
     )
 
 
@@ -165,6 +192,23 @@
     )
 
 
+def _parse_clients(document: documents.ClientsFile) -> ClientBounds:
+    default = ClientBounds()
+    return ClientBounds(
+        memory_share=document.get("memory_share", default.memory_share),
+        unread_timeout_ms=_to_ms(
+            document.get("unread_timeout_s"), default.unread_timeout_ms
+        ),
+        backlog_bytes=document.get("backlog_bytes", default.backlog_bytes),
+        write_buffer_bytes=document.get(
+            "write_buffer_bytes", default.write_buffer_bytes
+        ),
+        socket_buffer_bytes=document.get(
+            "socket_buffer_bytes", default.socket_buffer_bytes
+        ),
+    )
+
+
 def _to_ms(seconds: float | None, default: int) -> int:
     return default if seconds is None else int(seconds * 1000)
 
@@ -181,4 +225,4 @@
     return parse(jsonc.read(path), str(path))
 
 
-__all__ = ["Bounds", "InstanceSettings", "load", "parse"]
+__all__ = ["Bounds", "ClientBounds", "InstanceSettings", "load", "parse"]
--- a/primrosehitch/instance_check.py
+++ b/primrosehitch/instance_check.py
@@ -220,6 +220,188 @@
                 custom_formats,
                 (name_prefix or "data") + ".bounds",
             )
+        if "memory_mb" in data_keys:
+            data_keys.remove("memory_mb")
+            data__memorymb = data["memory_mb"]
+            if not isinstance(
+                data__memorymb, (int, float, Decimal)
+            ) or isinstance(data__memorymb, bool):
+                raise ValueError(
+                    "" + (name_prefix or "data") + ".memory_mb must be number"
+                )
+            if isinstance(
+                data__memorymb, (int, float, Decimal)
+            ) and not isinstance(data__memorymb, bool):
+                if data__memorymb < 32:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".memory_mb must be bigger than or equal to 32"
+                    )
+        if "clients" in data_keys:
+            data_keys.remove("clients")
+            data__clients = data["clients"]
+            validate____defs_clientsfile(
+                data__clients,
+                custom_formats,
+                (name_prefix or "data") + ".clients",
+            )
+        if data_keys:
+            raise ValueError(
+                ""
+                + (name_prefix or "data")
+                + " must not contain "
+                + str(data_keys)
+                + " properties"
+            )
+    return data
+
+
+def validate____defs_clientsfile(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise ValueError("" + (name_prefix or "data") + " must be object")
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data_keys = set(data.keys())
+        if "memory_share" in data_keys:
+            data_keys.remove("memory_share")
+            data__memoryshare = data["memory_share"]
+            if not isinstance(
+                data__memoryshare, (int, float, Decimal)
+            ) or isinstance(data__memoryshare, bool):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".memory_share must be number"
+                )
+            if isinstance(
+                data__memoryshare, (int, float, Decimal)
+            ) and not isinstance(data__memoryshare, bool):
+                if data__memoryshare > 0.5:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".memory_share must be smaller than or equal to 0.5"
+                    )
+                if data__memoryshare <= 0:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".memory_share must be bigger than 0"
+                    )
+        if "unread_timeout_s" in data_keys:
+            data_keys.remove("unread_timeout_s")
+            data__unreadtimeouts = data["unread_timeout_s"]
+            if not isinstance(
+                data__unreadtimeouts, (int, float, Decimal)
+            ) or isinstance(data__unreadtimeouts, bool):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".unread_timeout_s must be number"
+                )
+            if isinstance(
+                data__unreadtimeouts, (int, float, Decimal)
+            ) and not isinstance(data__unreadtimeouts, bool):
+                if data__unreadtimeouts < 1:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".unread_timeout_s must be bigger than or equal to 1"
+                    )
+        if "backlog_bytes" in data_keys:
+            data_keys.remove("backlog_bytes")
+            data__backlogbytes = data["backlog_bytes"]
+            if (
+                not isinstance(data__backlogbytes, (int))
+                and not (
+                    isinstance(data__backlogbytes, float)
+                    and data__backlogbytes.is_integer()
+                )
+                or isinstance(data__backlogbytes, bool)
+            ):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".backlog_bytes must be integer"
+                )
+            if isinstance(
+                data__backlogbytes, (int, float, Decimal)
+            ) and not isinstance(data__backlogbytes, bool):
+                if data__backlogbytes < 1024:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".backlog_bytes must be bigger than or equal to 1024"
+                    )
+                if data__backlogbytes > 1048576:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".backlog_bytes must be smaller than or equal to 1048576"
+                    )
+        if "write_buffer_bytes" in data_keys:
+            data_keys.remove("write_buffer_bytes")
+            data__writebufferbytes = data["write_buffer_bytes"]
+            if (
+                not isinstance(data__writebufferbytes, (int))
+                and not (
+                    isinstance(data__writebufferbytes, float)
+                    and data__writebufferbytes.is_integer()
+                )
+                or isinstance(data__writebufferbytes, bool)
+            ):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".write_buffer_bytes must be integer"
+                )
+            if isinstance(
+                data__writebufferbytes, (int, float, Decimal)
+            ) and not isinstance(data__writebufferbytes, bool):
+                if data__writebufferbytes < 1024:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".write_buffer_bytes must be bigger than or equal to 1024"
+                    )
+                if data__writebufferbytes > 1048576:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".write_buffer_bytes must be smaller than or equal to 1048576"
+                    )
+        if "socket_buffer_bytes" in data_keys:
+            data_keys.remove("socket_buffer_bytes")
+            data__socketbufferbytes = data["socket_buffer_bytes"]
+            if (
+                not isinstance(data__socketbufferbytes, (int))
+                and not (
+                    isinstance(data__socketbufferbytes, float)
+                    and data__socketbufferbytes.is_integer()
+                )
+                or isinstance(data__socketbufferbytes, bool)
+            ):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".socket_buffer_bytes must be integer"
+                )
+            if isinstance(
+                data__socketbufferbytes, (int, float, Decimal)
+            ) and not isinstance(data__socketbufferbytes, bool):
+                if data__socketbufferbytes < 4096:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".socket_buffer_bytes must be bigger than or equal to 4096"
+                    )
+                if data__socketbufferbytes > 4194304:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".socket_buffer_bytes must be smaller than or equal to 4194304"
+                    )
         if data_keys:
             raise ValueError(
                 ""
--- a/primrosehitch/platform/process.py
+++ b/primrosehitch/platform/process.py
@@ -26,6 +26,7 @@
 from primrosehitch import instance as instance_module
 from primrosehitch import logsink
 from primrosehitch import metrics
+from primrosehitch import processmemory
 from primrosehitch import routes
 from primrosehitch import settingswatch
 from primrosehitch.platform import api
@@ -70,8 +71,11 @@
             settings, tables.decode_accepted
         )
         self.api = calls.ControlApi(self.control)
-        self.server = httpserver.Server(self.api.serve, CONTROL_LIMITS)
-        self.metrics = httpserver.Server(_serve_metrics, CONTROL_LIMITS)
+        memory = processmemory.make_connection_memory(settings)
+        self.server = httpserver.Server(self.api.serve, CONTROL_LIMITS, memory)
+        self.metrics = httpserver.Server(
+            _serve_metrics, CONTROL_LIMITS, memory
+        )
 
     async def run(self, stop: anyio.Event) -> None:
         """Serve until ``stop`` is set, then transfer the leadership."""
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -16,6 +16,7 @@
 from primrosehitch import instance
 from primrosehitch import instance_check
 from primrosehitch import jsonc
+from primrosehitch import processmemory
 
 ROOT = pathlib.Path(__file__).parent.parent
 VALID = jsonc.read(ROOT / "examples" / "routed" / "control.json")
@@ -31,6 +32,19 @@
     (("bootstrap",), "yes", "$.bootstrap"),
     (("bounds",), {"grace_s": 0}, "$.bounds.grace_s"),
     (("bounds",), {"none": 1}, "$.bounds"),
+    (("memory_mb",), 0, "$.memory_mb"),
+    (("memory_mb",), "160", "$.memory_mb"),
+    (("clients",), {"memory_share": 0.6}, "$.clients.memory_share"),
+    (("clients",), {"memory_share": 0}, "$.clients.memory_share"),
+    (("clients",), {"unread_timeout_s": 0.5}, "$.clients.unread_timeout_s"),
+    (("clients",), {"backlog_bytes": 1}, "$.clients.backlog_bytes"),
+    (("clients",), {"write_buffer_bytes": 0}, "$.clients.write_buffer_bytes"),
+    (
+        ("clients",),
+        {"socket_buffer_bytes": 9},
+        "$.clients.socket_buffer_bytes",
+    ),
+    (("clients",), {"none": 1}, "$.clients"),
     (("none",), 1, "$"),
 ]
 
@@ -48,6 +62,39 @@
     assert instance.parse(VALID, "x").name == "control-1"
 
 
+# Guards against: a settings file of an older build, which has neither
+# setting, changes what a process does or is refused.
+def test_client_bounds_have_defaults():
+    settings = instance.parse(VALID, "x")
+    assert settings.memory_mb == 0
+    assert settings.clients == instance.ClientBounds()
+
+
+def test_client_bounds_are_read():
+    document = _with_value(("clients",), {"unread_timeout_s": 2.5})
+    document["memory_mb"] = 160
+    settings = instance.parse(document, "x")
+    assert settings.memory_mb == 160
+    assert settings.clients.unread_timeout_ms == 2500
+    memory = processmemory.make_connection_memory(settings)
+    assert memory.limit_bytes == 20_000_000
+    assert memory.bounds.unread_timeout_ms == 2500
+
+
+# Guards against: a process without the setting counts on memory that it
+# does not have.
+def test_memory_is_the_smaller_of_the_machine_and_the_limit(monkeypatch):
+    monkeypatch.setattr(processmemory, "_machine_bytes", lambda: 500)
+    for limit, expected in ((-1, 500), (400, 400), (600, 500)):
+        monkeypatch.setattr(
+            processmemory.resource,
+            "getrlimit",
+            lambda _, limit=limit: (limit, -1),
+        )
+        assert processmemory.available_bytes(0) == expected
+        assert processmemory.available_bytes(2) == 2_000_000
+
+
 @pytest.mark.parametrize(("path", "value", "field_path"), INVALID)
 def test_invalid_settings_error_names_the_field_path(path, value, field_path):
     with pytest.raises(errors.SettingsError) as caught:
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -146,10 +146,7 @@
     b"POST /chunked HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"8\r\n\r\n\r\n\r\n\r\n\r\n5\r\nhello\r\n0\r\nTrailer: t\r\n\r\n"
 )
-SIZED = (
-    b"POST /sized HTTP/1.1\r\nContent-Length: 12\r\n\r\n"
-    b"a\r\n\r\nGET / \r"
-)
+SIZED = b"POST /sized HTTP/1.1\r\nContent-Length: 12\r\n\r\na\r\n\r\nGET / \r"
 UPGRADE = (
     b"POST /upgrade HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n"
     b"Content-Length: 4\r\n\r\n\r\n\r\n"
