--- a/primrosehitch/connectionmemory.py
+++ b/primrosehitch/connectionmemory.py
@@ -66,6 +66,9 @@
     def progress_ms(self) -> int:
         """When the client last sent or read something that was awaited."""
 
+    def close_for_memory(self) -> None:
+        """Close at once and hold nothing any more."""
+
 
 class ConnectionMemory:
     """The bytes held by the connections of one process.
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -147,7 +147,9 @@
             ),
             self.contact,
         )
-        memory = processmemory.make_connection_memory(settings)
+        memory = processmemory.make_connection_memory(
+            settings.memory_mb, settings.clients
+        )
         self.front = httpserver.Server(
             self._serve_front, routes.ClientLimits(), memory
         )
--- a/primrosehitch/flowcontrol.py
+++ b/primrosehitch/flowcontrol.py
@@ -4,6 +4,11 @@
 here until it resumes, so that a slow peer bounds what is buffered for it.
 """
 
+import fcntl
+import struct
+import termios
+from typing import Any
+
 import anyio
 
 
@@ -38,4 +43,23 @@
             await self.writable_event.wait()
 
 
-__all__ = ["FlowControlMixin"]
+def outstanding_bytes(transport: Any) -> int:
+    """Return the bytes written that the peer has not acknowledged.
+
+    The kernel's part counts as well: the transport can write again only once
+    a good part of the kernel's buffer is free.
+
+    Args:
+        transport: a transport; 0 is returned for one that is closing.
+    """
+    if transport.is_closing():
+        return 0
+    outstanding = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        outstanding += struct.unpack("i", answer)[0]
+    return outstanding
+
+
+__all__ = ["FlowControlMixin", "outstanding_bytes"]
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -39,6 +39,9 @@
 DEFAULT_IDLE_TIMEOUT_MS = 2000
 # Reading pauses while more than this of a response waits for a slow reader.
 MAX_BUFFERED_BYTES = 64 * 1024
+# Idle connections kept to one endpoint, so that a burst of requests does not
+# leave the process short of descriptors.
+MAX_IDLE_CONNECTIONS = 24
 # A longer idle timeout is taken for a malformed one.
 MAX_TIMEOUT_DIGITS = 9
 BODYLESS_STATUSES = frozenset((204, 304))
@@ -460,13 +463,17 @@
     def release(self, connection: EndpointConnection) -> None:
         """Return a connection to the pool, or close it.
 
-        It is kept only if it is reusable and the caller has read the whole
-        response.
+        It is kept only if it is reusable, the caller has read the whole
+        response, and few enough are kept.
         """
         unread = bool(connection.received_items)
         if connection.response_pending or connection.has_unsent_data or unread:
             connection.abort()
-        elif connection.reusable and not connection.closed:
+        elif (
+            connection.reusable
+            and not connection.closed
+            and len(self.idle) < MAX_IDLE_CONNECTIONS
+        ):
             self.idle.append(connection)
         else:
             connection.abort()
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -14,12 +14,9 @@
 
 import asyncio
 from collections import deque
-import fcntl
 import hashlib
 import http
 import socket
-import struct
-import termios
 from typing import Any
 from typing import Awaitable
 from typing import Callable
@@ -760,7 +757,7 @@
 
     def _enforce_reading(self, now: int) -> None:
         """Abort the connection if the caller has read nothing for long."""
-        outstanding = self._measure_outstanding()
+        outstanding = flowcontrol.outstanding_bytes(self.transport)
         if outstanding != self.outstanding_bytes:
             self.outstanding_bytes = outstanding
             self.read_progress_ms = now
@@ -769,21 +766,6 @@
             self.server.report_unread()
             self.abort()
 
-    def _measure_outstanding(self) -> int:
-        """Return the bytes that the caller has not acknowledged.
-
-        The kernel's part counts as well: the transport can write again only
-        once a good part of the kernel's buffer is free.
-        """
-        if self.transport.is_closing():
-            return 0
-        outstanding = self.transport.get_write_buffer_size()
-        sock = self.transport.get_extra_info("socket")
-        if sock is not None:
-            answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-            outstanding += struct.unpack("i", answer)[0]
-        return outstanding
-
     def close_for_memory(self) -> None:
         """Close at once; the process holds too much for its callers."""
         self._discard_input()
--- a/primrosehitch/platform/process.py
+++ b/primrosehitch/platform/process.py
@@ -71,7 +71,9 @@
             settings, tables.decode_accepted
         )
         self.api = calls.ControlApi(self.control)
-        memory = processmemory.make_connection_memory(settings)
+        memory = processmemory.make_connection_memory(
+            settings.memory_mb, settings.clients
+        )
         self.server = httpserver.Server(self.api.serve, CONTROL_LIMITS, memory)
         self.metrics = httpserver.Server(
             _serve_metrics, CONTROL_LIMITS, memory
--- a/primrosehitch/processmemory.py
+++ b/primrosehitch/processmemory.py
@@ -46,15 +46,16 @@
 
 
 def make_connection_memory(
-    settings: instance_module.InstanceSettings,
+    memory_mb: float = 0,
+    clients: instance_module.ClientBounds = instance_module.ClientBounds(),
 ) -> connectionmemory.ConnectionMemory:
-    """Return the bounds on what the connections of a process hold.
+    """Return the count of what the connections of a process hold.
 
     Args:
-        settings: the instance's settings.
+        memory_mb: the memory of the VM in MB, 0 if the system tells it.
+        clients: the bounds.
     """
-    clients = settings.clients
-    available = available_bytes(settings.memory_mb)
+    available = available_bytes(memory_mb)
     memory = connectionmemory.ConnectionMemory(
         connectionmemory.ConnectionBounds(
             memory_bytes=int(clients.memory_share * available),
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -76,7 +76,9 @@
     settings = instance.parse(document, "x")
     assert settings.memory_mb == 160
     assert settings.clients.unread_timeout_ms == 2500
-    memory = processmemory.make_connection_memory(settings)
+    memory = processmemory.make_connection_memory(
+        settings.memory_mb, settings.clients
+    )
     assert memory.limit_bytes == 20_000_000
     assert memory.bounds.unread_timeout_ms == 2500
 
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -12,9 +12,11 @@
 
 from primrosehitch import clock
 from primrosehitch import connectionmemory
+from primrosehitch import httpclient
 from primrosehitch import httpserver
 from primrosehitch import requestsplit
 from primrosehitch import routes
+from primrosehitch import settings
 
 BOUNDS = connectionmemory.ConnectionBounds(
     memory_bytes=1 << 20,
@@ -343,6 +345,21 @@
     assert min(steps[:-1]) >= requestsplit.MIN_CHUNKED_STEP_BYTES
 
 
+# Guards against: after a burst of requests, as many idle connections to an
+# endpoint as there were requests use up descriptors.
+def test_pool_keeps_a_bounded_number_of_idle_connections():
+    address = settings.Address("127.0.0.1", 1)
+    pool = httpclient.ConnectionPool(address)
+    connections = [
+        httpclient.EndpointConnection(address)
+        for _ in range(httpclient.MAX_IDLE_CONNECTIONS + 3)
+    ]
+    for connection in connections:
+        pool.release(connection)
+    assert pool.idle == connections[:-3]
+    assert not any(c.reusable for c in connections[-3:])
+
+
 class Held:
     """A connection as the decision sees it."""
 
