Links: bound what connections hold before authentication

Cause: a client that is no peer could make a process keep frames of up to 64 MB on any number of connections for two seconds each.

Change: until a peer has proved that it knows the secret, frames and reads are at most 4 kB, and at most 256 such connections are kept; the oldest is closed first.

--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -372,7 +372,8 @@
 CONNECTION_REFUSED = Event(
     1010,
     "connection-refused",
-    "A peer's connection was closed since too few descriptors are left.",
+    "A peer's connection was closed since too few descriptors are left, or"
+    " since too many peers have not proved who they are.",
     "Raise the limit on descriptors, or look who opens connections.",
 )
 
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -39,6 +39,12 @@
 PROTOCOL_VERSION = 1
 FRAME_HEADER = struct.Struct("<IH")
 MAX_FRAME_BYTES = 64 << 20
+# Until a peer has proved that it knows the secret, its frames and each read
+# are at most this large, and at most so many connections are kept: 194 edges
+# may dial a control instance that has just started.
+MAX_HANDSHAKE_FRAME_BYTES = 4096
+MAX_HANDSHAKES = 256
+MAX_READ_BYTES = 65536
 MAX_QUEUED_MESSAGES = 4096
 HANDSHAKE_TIMEOUT_S = 2.0
 WRITE_TIMEOUT_S = 2.0
@@ -95,9 +101,14 @@
 
 
 class FrameDecoder:
-    """Splits the byte stream of a link into messages."""
+    """Splits the byte stream of a link into messages.
 
-    def __init__(self) -> None:
+    Args:
+        max_frame_bytes: the largest accepted message, without its header.
+    """
+
+    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self.max_frame_bytes = max_frame_bytes
         self.partial = b""
 
     def feed(self, data: bytes) -> list[tuple]:
@@ -117,7 +128,7 @@
         decoded = []
         while offset + FRAME_HEADER.size <= len(data):
             size, kind_number = FRAME_HEADER.unpack_from(data, offset)
-            if size > MAX_FRAME_BYTES:
+            if size > self.max_frame_bytes:
                 raise errors.LinkError(
                     f"frame of {size} bytes is too large", "link.read"
                 )
@@ -145,14 +156,20 @@
     """Reads messages from one connection and buffers the excess.
 
     Args:
-        stream: the connection.
+        stream: the connection, whose peer is not authenticated yet.
     """
 
     def __init__(self, stream: anyio.abc.SocketStream):
         self.stream = stream
-        self.decoder = FrameDecoder()
+        self.decoder = FrameDecoder(MAX_HANDSHAKE_FRAME_BYTES)
+        self.read_bytes = MAX_HANDSHAKE_FRAME_BYTES
         self.unread: list[tuple] = []
 
+    def accept_large_frames(self) -> None:
+        """Accept large messages; the peer is authenticated."""
+        self.decoder.max_frame_bytes = MAX_FRAME_BYTES
+        self.read_bytes = MAX_READ_BYTES
+
     async def read_available(self) -> list[tuple]:
         """Return the buffered messages, or else those of the next read.
 
@@ -165,7 +182,7 @@
         available, self.unread = self.unread, []
         if available:
             return available
-        return self.decoder.feed(await self.stream.receive())
+        return self.decoder.feed(await self.stream.receive(self.read_bytes))
 
     async def read_one(self) -> tuple:
         """Return the next message; later ones of the read stay buffered."""
@@ -203,6 +220,8 @@
 
     Attributes:
         on_up: called with a peer's name when a link to it is up.
+        handshakes: the dialed connections whose peers are not authenticated
+            yet, by what cancels them, the oldest first.
         on_loss: called with a peer's name when messages for it may be
             lost, because its connection ended or its queue is full.
     """
@@ -231,6 +250,7 @@
         self.on_up: Callable[[str], None] = _ignore
         self.on_loss: Callable[[str], None] = _ignore
         self.task_group: anyio.abc.TaskGroup | None = None
+        self.handshakes: dict[anyio.CancelScope, None] = {}
         self.next_excess_report_ms = 0
 
     def add(self, peer: LinkPeer) -> None:
@@ -376,6 +396,7 @@
             reader = MessageReader(stream)
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
                 await self._authenticate_to_peer(stream, reader, peer.name)
+            reader.accept_large_frames()
             events.emit(events.LINK_UP, peer=peer.name)
             self.connected[peer.name] = True
             self.on_up(peer.name)
@@ -510,8 +531,15 @@
 
     async def _receive_messages(self, stream: anyio.abc.SocketStream) -> None:
         reader = MessageReader(stream)
-        with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-            sender = await self._authenticate_dialer(stream, reader)
+        with anyio.move_on_after(HANDSHAKE_TIMEOUT_S) as handshake:
+            self._bound_handshakes(handshake)
+            try:
+                sender = await self._authenticate_dialer(stream, reader)
+            finally:
+                self.handshakes.pop(handshake, None)
+        if handshake.cancelled_caught:
+            return
+        reader.accept_large_frames()
         while True:
             with anyio.fail_after(IDLE_TIMEOUT_S):
                 received = await reader.read_available()
@@ -521,6 +549,19 @@
                 else:
                     await self.inbox.send(Received(sender, message))
 
+    def _bound_handshakes(self, handshake: anyio.CancelScope) -> None:
+        """End the oldest handshake if there are too many.
+
+        A peer needs some ms for its own, and dials again.
+        """
+        self.handshakes[handshake] = None
+        if len(self.handshakes) <= MAX_HANDSHAKES:
+            return
+        oldest = next(iter(self.handshakes))
+        del self.handshakes[oldest]
+        oldest.cancel()
+        self._report_excess_connection()
+
     async def _authenticate_dialer(
         self,
         stream: anyio.abc.SocketStream,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -149,6 +149,44 @@
         return
 
 
+# Guards against: a client that is no peer makes a process keep frames of up
+# to 64 MB.
+def test_large_frame_before_authentication_ends_the_connection():
+    def build(challenge):
+        size = links_module.MAX_HANDSHAKE_FRAME_BYTES + 1
+        return links_module.FRAME_HEADER.pack(size, 1)
+
+    assert anyio.run(send_raw_bytes, build) is None
+
+
+async def open_more_handshakes_than_allowed():
+    links_b, _ = create_links("b", 25903, "a", 25904)
+    async with anyio.create_task_group() as group:
+        group.start_soon(links_b.run)
+        await anyio.sleep(0.1)
+        streams = []
+        for _ in range(4):
+            streams.append(await anyio.connect_tcp(HOST, 25903))
+            await streams[-1].receive()
+        with anyio.fail_after(1), pytest.raises(anyio.EndOfStream):
+            while True:
+                await streams[0].receive()
+        count = len(links_b.handshakes)
+        with anyio.move_on_after(0.1) as still_open:
+            await streams[3].receive()
+        for stream in streams:
+            await stream.aclose()
+        group.cancel_scope.cancel()
+    return count, still_open.cancelled_caught
+
+
+# Guards against: clients that are no peers keep any number of connections
+# with unread bytes.
+def test_oldest_handshake_ends_if_there_are_too_many(monkeypatch):
+    monkeypatch.setattr(links_module, "MAX_HANDSHAKES", 3)
+    assert anyio.run(open_more_handshakes_than_allowed) == (3, True)
+
+
 def test_message_of_unknown_kind_is_skipped():
     unknown = links_module.FRAME_HEADER.pack(3, 60000) + b"abc"
     known = links_module.encode_frame(messages.Refresh(4))
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -78,6 +78,12 @@
     def is_closing(self):
         return self.is_aborted
 
+    def get_extra_info(self, name, default=None):
+        return default
+
+    def close(self):
+        self.abort()
+
     def abort(self):
         if not self.is_aborted:
             self.is_aborted = True
