--- a/primrosehitch_lab/fault_soak.py
+++ b/primrosehitch_lab/fault_soak.py
@@ -18,6 +18,7 @@
 import anyio
 
 from primrosehitch_lab import fault_callers
+from primrosehitch_lab import fault_crowd
 from primrosehitch_lab import fault_engine_needs
 from primrosehitch_lab import fault_engines
 from primrosehitch_lab import fault_fleet
@@ -44,6 +45,8 @@
 GARBLE_EVERY = 2
 # One in so many seeds replaces all control instances.
 REPLACE_EVERY = 4
+# One in so many seeds has clients that read no response.
+CROWD_EVERY = 7
 FIRST_NET = 40
 NETS = 200
 
@@ -75,6 +78,7 @@
         self.repeats_crash = seed % CRASH_EVERY == 0
         self.garbles_streams = seed % GARBLE_EVERY == 1
         self.replaces_controls = seed % REPLACE_EVERY == 2
+        self.has_crowd = seed % CROWD_EVERY == 5
         self.fleet = fault_fleet.FaultFleet(folder, net)
         self.ledger = fault_ledger.Ledger()
         self.slots = [
@@ -104,7 +108,12 @@
             self.now,
             random.Random(f"needs {seed}"),
         )
-
+        self.crowd = fault_crowd.Crowd(
+            self.fleet,
+            self.ledger,
+            self.now,
+            random.Random(f"crowd {seed}"),
+        )
         self.signals = fault_signals.Signals(
             self.fleet,
             self.ledger,
@@ -151,6 +160,8 @@
                 group.start_soon(self.needs.repeat_crash)
             if self.garbles_streams:
                 group.start_soon(self.needs.garble_streams)
+            if self.has_crowd:
+                group.start_soon(self.crowd.run)
             async with anyio.create_task_group() as steps:
                 steps.start_soon(self.schedule.run)
                 if self.replaces_controls:
