Client bounds: count heads, and find empty lines between two reads

Cause: a head in its first read was not counted at all, so that each connection could make the process keep 64 kB of it; and a head of 16 kB may have 3000 headers, each of which costs some 150 bytes beside its own.

Change: a head beyond the limit is refused in its first read. Incomplete heads, and the headers of heads with more than 64, count in the sum. An empty line that is split between two reads is found, so that a read never begins with the rest of one message and the whole of another.

--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -46,6 +46,10 @@
 # Bodies up to this size are not counted as held, which would cost each
 # request more processor time than a small body is worth.
 MAX_UNCOUNTED_BODY_BYTES = 4096
+# What a header costs beside its bytes; a head of 16 kB may have 3000. Heads
+# with this many headers at most are not counted once they are complete.
+HEADER_COST_BYTES = 150
+MAX_UNCOUNTED_HEADERS = 64
 # How long input is read and discarded after a final response, so that the
 # caller receives the response before the connection closes.
 LINGERING_CLOSE_MS = 1000
@@ -246,6 +250,8 @@
         held_bytes: the bytes that the connection holds in the process and
             in the kernel, as counted by the server's ``memory``.
         is_counted: whether changes of that number are counted.
+        head_held: those of a head that is not complete.
+        fed_bytes: how many bytes the parser is fed at present.
         response_bytes: those of an endpoint's response that is buffered.
         unread_bytes: those of a response that the caller does not read.
         outstanding_bytes: sent or buffered bytes that the caller had not
@@ -273,6 +279,8 @@
         self.head_began_ms = self.last_activity_ms
         self.held_bytes = 0
         self.is_counted = True
+        self.head_held = 0
+        self.fed_bytes = 0
         self.response_bytes = 0
         self.unread_bytes = 0
         self.outstanding_bytes = 0
@@ -376,7 +384,11 @@
             stop = splitter.next_end(data, start, end)
             self._feed(view[start:stop])
             start = stop
-            if start == end or not self._may_parse:
+            if start == end:
+                if self.started_ms >= 0 and not self.in_body:
+                    self._hold_partial_head()
+                return start
+            if not self._may_parse:
                 return start
 
     def _add_backlog(self, data: bytes) -> None:
@@ -422,14 +434,25 @@
         """Drop all input that no handler was started for."""
         self.discarding_input = True
         dropped = self.backlog_bytes + _counted_bytes(self.body_bytes)
+        dropped += self.head_held
+        if self.in_body:
+            dropped += _counted_header_bytes(self.headers)
         for request, _ in self.pending_requests:
             dropped += _counted_bytes(len(request.body))
+            dropped += _counted_header_bytes(request.headers)
+        self.head_held = 0
         self.backlog.clear()
         self.backlog_bytes = 0
         self.pending_requests.clear()
         self.reset_request()
         self._hold(-dropped)
 
+    def _hold_partial_head(self) -> None:
+        """Count the part of a head that was received."""
+        size = self.unparsed_bytes + HEADER_COST_BYTES * len(self.headers)
+        self._hold(size - self.head_held)
+        self.head_held = size
+
     def _hold(self, size: int) -> None:
         """Count bytes that the connection holds from now on, or less."""
         if size and self.is_counted:
@@ -475,9 +498,8 @@
         if self.started_ms < 0:
             self.started_ms = self.read_ms
             self.head_began_ms = self.parse_ms
-        # The start of a message sets the count back, so that only input
-        # after the read in which it began is counted.
-        self.unparsed_bytes += len(data)
+        self.fed_bytes = len(data)
+        self.unparsed_bytes += self.fed_bytes
         try:
             self._parse(data)
         except httptools.HttpParserError as exc:
@@ -541,6 +563,8 @@
     def on_message_begin(self) -> None:
         """Start a request (parser callback)."""
         self.reset_request()
+        # The message began with the bytes that are fed at present.
+        self.unparsed_bytes = self.fed_bytes
         self.started_ms = self.read_ms
         self.head_began_ms = self.parse_ms
 
@@ -567,6 +591,10 @@
             return
         self.in_body = True
         self.last_activity_ms = clock.now_ms()
+        held = _counted_header_bytes(self.headers) - self.head_held
+        if held:
+            self._hold(held)
+            self.head_held = 0
         for name, value in self.headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -632,6 +660,7 @@
             self.server.active_requests -= 1
             self.last_activity_ms = clock.now_ms()
             held = _counted_bytes(len(request.body)) + self.response_bytes
+            held += _counted_header_bytes(request.headers)
             self._hold(-held)
             self.response_bytes = 0
         if self.closed or not responder.finished:
@@ -1002,6 +1031,13 @@
     return body_bytes if body_bytes > MAX_UNCOUNTED_BODY_BYTES else 0
 
 
+def _counted_header_bytes(headers: list[Header]) -> int:
+    """Return what the headers of a request are counted as."""
+    if len(headers) <= MAX_UNCOUNTED_HEADERS:
+        return 0
+    return HEADER_COST_BYTES * len(headers)
+
+
 def _status_line(status: int) -> bytes:
     try:
         phrase = http.HTTPStatus(status).phrase
--- a/primrosehitch/pacedprotocol.py
+++ b/primrosehitch/pacedprotocol.py
@@ -24,6 +24,7 @@
 # Bytes of a request other than its body, and other than the chunk framing of
 # the body: this many for each of its bytes.
 MAX_HEAD_BYTES = 65_536
+MAX_HEADERS = 1000
 MAX_FRAMING_PER_BODY_BYTE = 16
 OVERSIZED_HEAD = "Request head too large."
 MALFORMED = "Invalid HTTP request received."
@@ -168,7 +169,8 @@
             # uvicorn drops the bytes that follow such a request.
             self._unsupported_upgrade_warning()
             return False
-        if self.overhead_left < 0:
+        headers = self.headers or ()
+        if self.overhead_left < 0 or len(headers) > MAX_HEADERS:
             self._refuse(OVERSIZED_HEAD)
             return False
         return True
--- a/primrosehitch/requestsplit.py
+++ b/primrosehitch/requestsplit.py
@@ -9,6 +9,7 @@
 from typing import Iterable
 
 EMPTY_LINE = b"\r\n\r\n"
+MAX_TAIL_BYTES = len(EMPTY_LINE) - 1
 # A chunked body may consist of empty lines. Parsing at least this many bytes
 # at a time bounds the processor time that such a body costs; at most a few
 # short requests fit into so many bytes.
@@ -22,12 +23,15 @@
         in_body: whether ``begin_body`` was called for the current message.
         body_left: bytes of a body of known length that are still to come.
         is_chunked: whether the parser is in a body of unknown length.
+        tail: the last bytes of a read without an empty line, which may begin
+            with them.
     """
 
     def __init__(self) -> None:
         self.in_body = False
         self.body_left = 0
         self.is_chunked = False
+        self.tail = b""
 
     def begin_body(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """Record the framing of a body.
@@ -57,10 +61,6 @@
     def next_end(self, data: bytes | bytearray, start: int, end: int) -> int:
         """Return up to where the parser may be fed next.
 
-        An empty line of which the first part was fed before is not found;
-        the bytes up to the next one then hold the end of one message and
-        the head of another.
-
         Args:
             data: received bytes.
             start: the first byte that was not fed yet.
@@ -68,11 +68,23 @@
         """
         if self.body_left:
             return min(end, start + self.body_left)
+        if self.tail:
+            joint = self.tail + data[start : min(end, start + MAX_TAIL_BYTES)]
+            found = joint.find(EMPTY_LINE)
+            if found >= 0:
+                stop = start + found + len(EMPTY_LINE) - len(self.tail)
+                self.tail = b""
+                return stop
         search_start = start
         if self.is_chunked:
             search_start += MIN_CHUNKED_STEP_BYTES - len(EMPTY_LINE)
         found = data.find(EMPTY_LINE, search_start, end)
-        return end if found < 0 else found + len(EMPTY_LINE)
+        if found >= 0:
+            self.tail = b""
+            return found + len(EMPTY_LINE)
+        last = bytes(data[max(start, end - MAX_TAIL_BYTES) : end])
+        self.tail = (self.tail + last)[-MAX_TAIL_BYTES:]
+        return end
 
 
 def _parse_length(value: bytes) -> int:
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -310,6 +310,42 @@
     run(body)
 
 
+# Guards against: a head whose end never comes is kept whole, with headers of
+# which each costs more than its bytes.
+@pytest.mark.parametrize("part", [b"a:b\r\n", b"v" * 5])
+def test_endless_head_is_refused_in_its_first_read(part):
+    async def body(harness):
+        connection = harness.connect()
+        start = b"GET / HTTP/1.1\r\nA: b\r\nB: "
+        harness.receive(connection, start + 12_000 // len(part) * part)
+        assert not connection.transport.written
+        assert harness.memory.held_bytes > 12_000
+        connection = harness.connect()
+        harness.receive(connection, start + 30_000 // len(part) * part)
+        written = connection.transport.written
+        assert written.startswith(b"HTTP/1.1 431 ")
+        assert written.count(b"HTTP/1.1") == 1
+
+    run(body)
+
+
+def test_many_headers_are_counted_until_the_request_has_ended():
+    async def body(harness):
+        harness.may_answer = anyio.Event()
+        connection = harness.connect()
+        head = b"GET / HTTP/1.1\r\n" + b"a:b\r\n" * 1000 + b"\r\n"
+        harness.receive(connection, head[:4000])
+        assert harness.memory.held_bytes > 4000
+        harness.receive(connection, head[4000:])
+        await settle()
+        assert harness.memory.held_bytes > 100_000
+        harness.may_answer.set()
+        await settle()
+        assert harness.memory.held_bytes == 0
+
+    run(body)
+
+
 # Guards against: a body within the limits is refused in calm because it is
 # larger than the share of the memory.
 def test_single_body_is_served_whatever_the_limit():
@@ -338,6 +374,21 @@
     run(body)
 
 
+# Guards against: an empty line that is split between two reads is missed, so
+# that two requests are parsed at once.
+def test_empty_line_between_two_reads_is_found():
+    data = GET % 1 + GET % 2
+    for split in range(1, len(data)):
+        splitter = requestsplit.RequestSplitter()
+        ends = []
+        for begin, part in ((0, data[:split]), (split, data[split:])):
+            start = 0
+            while start < len(part):
+                start = splitter.next_end(part, start, len(part))
+                ends.append(begin + start)
+        assert set(ends) == {len(GET % 1), split, len(data)}
+
+
 # Guards against: a chunked body of empty lines costs one call of the parser
 # for every few bytes.
 def test_steps_in_a_chunked_body_have_a_least_size():
