Mutants of the bounds on clients

Change: four mutants, and a test that a request of a later read waits while the response to the last one is unread. The text of an older mutant of httpserver.py is found once again.

--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -587,7 +587,7 @@
         """Answer ``Expect: 100-continue`` (parser callback)."""
         if self.parser.get_method() == b"CONNECT":
             self.refuse(400, "CONNECT is not supported")
-        if self.discarding_input or self.parser.should_upgrade():
+        if self.parser.should_upgrade() or self.discarding_input:
             return
         self.in_body = True
         self.last_activity_ms = clock.now_ms()
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -252,6 +252,23 @@
     run(body)
 
 
+# Guards against: a request that comes by itself, and not ahead of a response,
+# is served while the response to the last one is unread.
+def test_later_request_waits_for_an_unread_response():
+    async def body(harness):
+        connection = harness.connect(reads_responses=False)
+        harness.response = b"r" * 500
+        for number in (1, 2):
+            harness.receive(connection, GET % number)
+            await settle()
+            assert len(harness.served) == 1
+        connection.transport.read_responses()
+        await settle()
+        assert len(harness.served) == 2
+
+    run(body)
+
+
 # Guards against: a caller that reads nothing keeps its connection for ever;
 # one that reads slowly loses it.
 def test_caller_that_reads_nothing_is_closed_after_the_timeout():
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1005,6 +1005,35 @@
         "            if False:",
         "tests/test_settingswatch.py",
     ),
+    Mutant(
+        "a request is parsed once the response to the last one is read",
+        "httpserver.py",
+        "            or self.writable_event is not None\n",
+        "",
+        "tests/test_uncontrolled_clients.py",
+    ),
+    Mutant(
+        "a connection with a full backlog is not read",
+        "httpserver.py",
+        "            self.reading_paused = True\n",
+        "            return\n",
+        "tests/test_uncontrolled_clients.py",
+    ),
+    Mutant(
+        "the sum over all connections is bounded",
+        "connectionmemory.py",
+        "        return self.held_bytes > self.limit_bytes",
+        "        return False",
+        "tests/test_uncontrolled_clients.py",
+    ),
+    Mutant(
+        "uvicorn takes the next request after the response",
+        "pacedprotocol.py",
+        "        if not self.message_ended:\n            return True\n"
+        "        is_answered",
+        "        return True\n        is_answered",
+        "tests/test_pacedprotocol.py",
+    ),
 ]
 
 
