--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -372,10 +372,27 @@
 CONNECTION_REFUSED = Event(
     1010,
     "connection-refused",
-    "A peer's connection was closed since too few descriptors are left.",
+    "A peer's connection was closed since too few descriptors are left, or"
+    " since too many peers have not proved who they are.",
     "Raise the limit on descriptors, or look who opens connections.",
 )
 
+UNREAD_CLOSED = Event(
+    1711,
+    "unread-closed",
+    "Connections ended whose callers had read nothing of a response for"
+    " `unread_timeout_s`, or that broke off with a response unread.",
+    "If it recurs, look which callers do not read their responses.",
+)
+MEMORY_CLOSED = Event(
+    1712,
+    "memory-closed",
+    "Connections were closed since all connections together held more than"
+    " their share of the memory.",
+    "Look who sends many large requests or does not read responses; raise"
+    " `memory_mb` if the VM has more memory.",
+)
+
 CATALOGUE = tuple(
     value for value in list(globals().values()) if isinstance(value, Event)
 )
--- a/primrosehitch/listening.py
+++ b/primrosehitch/listening.py
@@ -9,9 +9,11 @@
 
 import errno
 import resource
+import socket
 from typing import Any
 from typing import Awaitable
 from typing import Callable
+from typing import Iterable
 from typing import TypeVar
 
 import anyio
@@ -30,6 +32,9 @@
 CALLER_DESCRIPTOR_SHARE = 0.75
 PEER_DESCRIPTOR_SHARE = 0.875
 
+# From linux/tcp.h; the socket module does not define it on all systems.
+TCP_NOTSENT_LOWAT = 25
+
 Listener = TypeVar("Listener")
 
 
@@ -82,6 +87,24 @@
     return limit != resource.RLIM_INFINITY and descriptor >= share * limit
 
 
+def set_buffer_sizes(listeners: Iterable[Any], size: int) -> None:
+    """Bound the kernel's buffers of the connections of listening sockets.
+
+    Accepted connections inherit the bounds. Without them the kernel grows
+    the buffers of a connection to several MB. Of the send buffer only what
+    is not sent yet is bounded, since a fixed size of it would make each
+    large response wait for delayed acknowledgements.
+
+    Args:
+        listeners: the listening sockets.
+        size: the bound on each of the two buffers, in bytes. The kernel
+            uses up to twice as much.
+    """
+    for listener in listeners:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        listener.setsockopt(socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, size)
+
+
 async def serve(
     listener: anyio.abc.Listener[anyio.abc.SocketStream],
     handler: Callable[[anyio.abc.SocketStream], Awaitable[Any]],
@@ -110,4 +133,5 @@
     "bind",
     "exceeds_share",
     "serve",
+    "set_buffer_sizes",
 ]
