Evacuate failure domains: orders, edges, balancer and planner

Cause: an operator had no way to keep requests from the endpoints of a failure domain; POST /-/Evacuate.Start/ZONE was answered 404.

Change: an order is an Edit of a row of table evacuation that applies only to the version it was decided on, so that a late copy undoes nothing. The status of a control instance tells edges the version and the evacuated domains; an edge applies newer ones only. The balancer, the last check before sending and the planner leave the endpoints of evacuated domains out.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -122,6 +122,8 @@
             further connection.
         at_rate_limit: ready ones that named a limit on requests and for
             which this edge has no permit.
+        evacuated: those in evacuated failure domains; only ``known`` counts
+            them as well.
     """
 
     known: int
@@ -131,6 +133,7 @@
     paused: int
     at_connection_limit: int
     at_rate_limit: int
+    evacuated: int
 
 
 PartUpdates = gathering.UpdateBatcher[tuple[str, str], messages.PartRead]
@@ -151,8 +154,11 @@
     Attributes:
         edge_count: number of edges, this one among them.
         endpoints: all known endpoints by identifier.
-        ready_by_service: endpoints in the ready state by service.
-        silent_by_service: endpoints in the silent state by service.
+        evacuated: failure domains whose endpoints get no request.
+        ready_by_service: endpoints in the ready state by service, without
+            those in evacuated domains.
+        silent_by_service: endpoints in the silent state by service, without
+            those in evacuated domains.
         prefill_tokens_per_ms: prefill rate of an engine by service.
         gap_sensitive_share: fraction of the engine time that
             gap-sensitive streams take, by service.
@@ -171,6 +177,7 @@
         self.rng = rng
         self.edge_count = 1
         self.endpoints: dict[str, Endpoint] = {}
+        self.evacuated: frozenset[str] = frozenset()
         self.ready_by_service: dict[str, list[Endpoint]] = {}
         self.silent_by_service: dict[str, list[Endpoint]] = {}
         self.prefill_tokens_per_ms: dict[str, float] = {}
@@ -228,11 +235,51 @@
         self.silent_by_service = {}
         for endpoint in self.endpoints.values():
             service = endpoint.record.service
+            if self.is_evacuated(endpoint):
+                continue
             if endpoint.record.state == registry.READY:
                 self.ready_by_service.setdefault(service, []).append(endpoint)
             elif endpoint.record.state == registry.SILENT:
                 self.silent_by_service.setdefault(service, []).append(endpoint)
 
+    def set_evacuated(self, domains: Iterable[str]) -> frozenset[str]:
+        """Send no request to the endpoints of some failure domains.
+
+        Args:
+            domains: all evacuated failure domains.
+
+        Returns:
+            The domains whose evacuation ended.
+        """
+        earlier, self.evacuated = self.evacuated, frozenset(domains)
+        self._index_by_state()
+        return earlier - self.evacuated
+
+    def is_evacuated(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint's failure domain is evacuated."""
+        return endpoint.record.domain in self.evacuated
+
+    def has_only_evacuated(
+        self, service: str, version: str | None = None
+    ) -> bool:
+        """Return whether evacuations leave a service without an endpoint.
+
+        Args:
+            service: the service.
+            version: the software version that must serve the request, or
+                None for any.
+        """
+        if not self.evacuated:
+            return False
+        serving = [
+            e
+            for e in self.endpoints.values()
+            if e.record.service == service
+            and version in (None, e.record.version)
+            and not e.is_departing
+        ]
+        return bool(serving) and all(map(self.is_evacuated, serving))
+
     def usable_endpoints(
         self,
         service: str,
@@ -281,6 +328,7 @@
             if e.record.id not in excluded
             and version in (None, e.record.version)
             and not e.is_leaving
+            and not self.is_evacuated(e)
             and e.paused_until <= now
             and self.limits.is_open(e.incarnation, now)
             and e.has_free_connection(self.edge_count)
@@ -338,6 +386,7 @@
             at_rate_limit=sum(
                 not self.limits.is_open(e.incarnation, now) for e in ready
             ),
+            evacuated=sum(map(self.is_evacuated, known)),
         )
 
     def choose(
--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -20,6 +20,8 @@
 from primrosehitch import edgedirectory
 from primrosehitch import endpointlimits
 from primrosehitch import errors
+from primrosehitch import evacuationorders
+from primrosehitch import evacuations as evacuations_module
 from primrosehitch import events
 from primrosehitch import gathering
 from primrosehitch import helpers as helpers_module
@@ -39,6 +41,7 @@
 from primrosehitch import replicator as replicator_module
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
+from primrosehitch import state as state_module
 from primrosehitch import streamorigins
 from primrosehitch import timers
 from primrosehitch import truetime as truetime_module
@@ -174,8 +177,14 @@
         self.table = messages.Table()
         self.confirmed_version = 0
         self.is_behind = False
+        self.evacuations = evacuations_module.Evacuations()
         self.replicator = self._open_replicator()
         self.proposer = proposals.Proposer(self.name, self)
+        self.evacuation_orders = evacuationorders.EvacuationOrders(
+            settings.name,
+            self.proposer,
+            lambda: self.replicator.replica.state,
+        )
         self.seeds: frozenset[str] = frozenset()
         self.set_seeds(settings.seeds)
         self._on_applied()
@@ -257,6 +266,7 @@
         self.recorded_parts = recorded
         for instance in self._replica_instances():
             self._add_link(instance)
+        self._apply_evacuations(replica.state)
         table = replica.state.table
         if table.version <= self.table.version:
             return
@@ -269,6 +279,17 @@
         status = self._make_status(clock.now_ms())
         self.links.multicast(self.subscribers, status)
 
+    def _apply_evacuations(self, state: state_module.State) -> None:
+        """Send the edges a status if other failure domains are evacuated."""
+        if state.version <= self.evacuations.version:
+            return
+        change = self.evacuations.apply(
+            state.version, evacuations_module.domains_in(state.rows.values())
+        )
+        if evacuations_module.report(change, self.evacuations):
+            status = self._make_status(clock.now_ms())
+            self.links.multicast(self.subscribers, status)
+
     def _replica_instances(self) -> set[str]:
         """Return the names of the instances with a voter or learner."""
         raft = self.replicator.raft
@@ -337,6 +358,24 @@
         events.emit(events.TABLE_UNCERTAIN, version=self.table.version)
         return None
 
+    async def read_confirmed_evacuations(
+        self,
+    ) -> evacuations_module.Evacuations | None:
+        """Return the evacuated failure domains, by a linearizable read.
+
+        Returns:
+            They with their version, or None if no quorum confirmed them in
+            time.
+        """
+        if await self.read_confirmed_table() is None:
+            return None
+        state = self.replicator.replica.state
+        confirmed = evacuations_module.Evacuations()
+        confirmed.apply(
+            state.version, evacuations_module.domains_in(state.rows.values())
+        )
+        return confirmed
+
     async def _wait_for_applied(self, index: int) -> messages.Table:
         """Return the table once the replica has applied a log index."""
         while self.replicator.raft.applied_index < index:
@@ -701,6 +740,8 @@
             registry=self.registry.digest(),
             domains=tuple(controls.values()),
             incarnation=self.incarnation,
+            catalog=self.evacuations.version,
+            evacuated=self.evacuations.listed(),
         )
 
     def _active_edges(self, now: int) -> int:
--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -255,19 +255,26 @@
         if table is None:
             return
         records = self.control.registry.live_records()
+        evacuated = self.control.evacuations.domains
         is_warm = self._has_run(SCALING_WARM_UP_MS, now)
         for service in table.services.values():
             if service.scaling is not None:
                 scaler = self._scaler(service.name)
                 scaler.observe(records, is_warm)
                 scaler.limited_count = self._count_limited(service.name)
+                scaler.record_evacuated(evacuated, now)
 
     def _count_limited(self, service: str) -> int:
-        """Return how many ready endpoints of a service named a limit."""
+        """Return how many ready endpoints of a service named a limit.
+
+        Those of evacuated failure domains are replaced anyway.
+        """
         limits = self.control.limits
+        evacuated = self.control.evacuations.domains
         return sum(
             record.service == service
             and record.state == registry.READY
+            and record.domain not in evacuated
             and limits.milli_per_s(
                 endpoint.Incarnation(record.id, record.born)
             )
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -24,7 +24,9 @@
 from primrosehitch import controlselector
 from primrosehitch import dialect as dialect_module
 from primrosehitch import errors
+from primrosehitch import evacuations as evacuations_module
 from primrosehitch import events
+from primrosehitch import firsttable
 from primrosehitch import forwarder as forwarder_module
 from primrosehitch import gathering
 from primrosehitch import helpers as helpers_module
@@ -167,6 +169,8 @@
         self.selector = controlselector.ControlSelector(
             self.controls, settings.domain, self.rng, now
         )
+        self.evacuations = evacuations_module.Evacuations()
+        self.first_table = firsttable.FirstTable()
         self.control_incarnation = 0
         # Negative while the edge is not draining.
         self.drain_started_ms = -1
@@ -328,6 +332,7 @@
         async for tick in self.timers.subscribe(SUBSCRIBE_PERIOD_MS):
             self._select_control()
             self._report_contact(tick.now)
+            self._apply_held_table(self.first_table.overdue(tick.now))
             self.quarantine.judge(tick.now)
             self._subscribe()
             self._send_load_report()
@@ -445,6 +450,9 @@
         became the current one, because it may lack earlier counts.
         """
         now = clock.now_ms()
+        self._apply_evacuations(status)
+        if status.fresh:
+            self._apply_held_table(self.first_table.confirm())
         domains = dict(zip(status.peers, status.domains))
         self.controls.apply_view(domains, now)
         self.selector.record_status(sender, status.fresh, now)
@@ -467,6 +475,17 @@
             self.origins.send_again()
         self._select_control()
 
+    def _apply_evacuations(self, status: messages.ControlStatus) -> None:
+        """Apply the evacuated domains of any control instance, if newer."""
+        change = self.evacuations.apply(status.catalog, status.evacuated)
+        if evacuations_module.report(change, self.evacuations):
+            self.balancer.set_evacuated(self.evacuations.domains)
+            self.forwarder.notify_routing_change()
+
+    def _apply_held_table(self, table: messages.Table | None) -> None:
+        if table is not None and self.forwarder.table is None:
+            self._put_in_force(table)
+
     def _confirm_contact(self, control: str, now: int) -> None:
         lost_for_ms = self.contact.confirm(control, now)
         if lost_for_ms is not None:
@@ -481,6 +500,18 @@
         current = self.forwarder.table
         if current is not None and message.version <= current.version:
             return
+        if current is None:
+            now = clock.now_ms()
+            is_first = self.first_table.held is None
+            if not self.first_table.admits(message, now):
+                if is_first:
+                    events.emit(events.TABLE_HELD, version=message.version)
+                return
+        self._put_in_force(message)
+
+    def _put_in_force(self, message: messages.Table) -> None:
+        """Serve by a table from now on, if it can be decoded."""
+        current = self.forwarder.table
         try:
             table = self.decode_table(message.body)
         except errors.PrimrosehitchError as exc:
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -258,6 +258,48 @@
     "A call from an endpoint or an operator was rejected as invalid.",
     "Check the sender; the error text says what is wrong.",
 )
+EVACUATION_STARTED = Event(
+    1311,
+    "evacuation-started",
+    "The evacuation of a failure domain is in force on this instance: edges"
+    " send no request to the endpoints of the domain.",
+    "None; it lasts until an operator ends it.",
+)
+EVACUATION_ENDED = Event(
+    1312,
+    "evacuation-ended",
+    "The evacuation of a failure domain has ended on this instance.",
+    NO_ACTION,
+)
+EVACUATION_CONFIRMED = Event(
+    1313,
+    "evacuation-confirmed",
+    "An order to start or end an evacuation was confirmed by a quorum and"
+    " acknowledged to the operator.",
+    NO_ACTION,
+)
+EVACUATION_UNCERTAIN = Event(
+    1314,
+    "evacuation-uncertain",
+    "An order to start or end an evacuation was not confirmed in time; it may"
+    " still come into force.",
+    "Send the order again, to another control instance. If that fails as"
+    " well, check events 1201 and 1102 of the control instances.",
+)
+EVACUATION_REFUSED = Event(
+    1315,
+    "evacuation-refused",
+    "A further failure domain cannot be evacuated, since too many are.",
+    "End evacuations that are not needed any more.",
+)
+TABLE_HELD = Event(
+    1316,
+    "table-held",
+    "An edge that has just started got its first route table from a control"
+    " instance without a quorum. It serves once another one has confirmed"
+    " which failure domains are evacuated, or after a short time.",
+    "If it recurs, check event 1201 of that control instance.",
+)
 LIMIT_IN_FORCE = Event(
     1514,
     "limit-in-force",
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -41,6 +41,8 @@
 # the endpoints rejected the request.
 NO_ENDPOINT_RETRY_AFTER_S = 0.3
 REJECTED_RETRY_AFTER_S = 0.3
+# An evacuation ends only by an order.
+EVACUATED_RETRY_AFTER_S = 1.0
 # A request without an available endpoint waits for one for at most this
 # fraction of its remaining time, and for at most its latency objective or
 # the minimum below, whichever is longer.
@@ -90,8 +92,12 @@
 # another edge, and at most to so many edges.
 UNREACHABLE_ATTEMPTS = 2
 MAX_HELPERS = 2
+# Reason of the reply to a request that only endpoints of evacuated failure
+# domains could serve, and outcome of an attempt at one whose domain was
+# evacuated before the request was sent.
+EVACUATED_REASON = "evacuated"
 # Outcomes of attempts in which nothing was sent.
-UNSENT_REASONS = (UNREACHABLE_REASON, RATE_LIMITED_REASON)
+UNSENT_REASONS = (UNREACHABLE_REASON, RATE_LIMITED_REASON, EVACUATED_REASON)
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 # Statuses that tell a caller that the request has not run and will not.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -437,7 +443,10 @@
                 choice = await self._wait_for_endpoint()
             if choice is None:
                 self._emit_no_endpoint()
-                return self._respond_with_failure(NotRun("no-endpoint"))
+                reason = "no-endpoint"
+                if self._has_only_evacuated():
+                    reason = EVACUATED_REASON
+                return self._respond_with_failure(NotRun(reason))
             part = self._quarantined_part()
             if part is not None:
                 reason = _quarantine_reason(part)
@@ -651,14 +660,14 @@
         )
         now = clock.now_ms()
         available_at = self._next_available_at(now)
-        if available_at - now > wait_ms:
+        if available_at - now > wait_ms or self._has_only_evacuated():
             return None
         choice = None
         line = self.shared.waiting
         ticket = line.join(self._line(), self.priority)
         try:
             with anyio.move_on_after(wait_ms / 1000):
-                while choice is None:
+                while choice is None and not self._has_only_evacuated():
                     with anyio.move_on_after(ENDPOINT_POLL_INTERVAL_S):
                         await self.shared.routing_changed.wait()
                     if not line.is_behind(self._line(), ticket):
@@ -729,6 +738,8 @@
             if part is not None:
                 return self.shared.quarantine.retry_after_s(part, now)
         delay_s = NO_ENDPOINT_RETRY_AFTER_S
+        if reason == EVACUATED_REASON:
+            delay_s = EVACUATED_RETRY_AFTER_S
         if reason == "rejected":
             delay_s = REJECTED_RETRY_AFTER_S
         available_at = self._next_available_at(now)
@@ -740,6 +751,12 @@
             self.ask.service, now, self.ask.version
         )
 
+    def _has_only_evacuated(self) -> bool:
+        """Return whether evacuations leave no endpoint for the request."""
+        return self.balancer.has_only_evacuated(
+            self.ask.service, self.ask.version
+        )
+
     def _quarantined_part(self) -> str | None:
         """Return what keeps the request from endpoints, if it is anything.
 
@@ -835,6 +852,10 @@
         ):
             pool.release(connection)
             return NotRun(UNREACHABLE_REASON)
+        if self.balancer.is_evacuated(choice.endpoint):
+            pool.release(connection)
+            self.tried_endpoints.remove(record.id)
+            return NotRun(EVACUATED_REASON)
         if not self.balancer.limits.take(
             choice.endpoint.incarnation, clock.now_ms()
         ):
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1386,6 +1386,8 @@
     registry: int = 0
     domains: tuple[str, ...] = ()
     incarnation: int = 0
+    catalog: int = 0
+    evacuated: tuple[str, ...] = ()
 
 
 def _write_control_status(b: Any, m: ControlStatus) -> None:
@@ -1397,6 +1399,8 @@
     b.registry = m.registry
     b.domains = list(m.domains)
     b.incarnation = m.incarnation
+    b.catalog = m.catalog
+    b.evacuated = list(m.evacuated)
 
 
 def _read_control_status(r: Any) -> ControlStatus:
@@ -1409,6 +1413,8 @@
         r.registry,
         tuple(r.domains),
         r.incarnation,
+        r.catalog,
+        tuple(r.evacuated),
     )
 
 
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -47,6 +47,10 @@
     "primrosehitch_limited_requests",
     "Requests sent to endpoints while a limit of theirs was in force.",
 )
+EVACUATED_DOMAINS = prometheus_client.Gauge(
+    "primrosehitch_evacuated_domains",
+    "Failure domains to whose endpoints no request is sent.",
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -69,6 +73,7 @@
     "CONFIG_VERSION",
     "CONTENT_TYPE",
     "ENDPOINTS",
+    "EVACUATED_DOMAINS",
     "FIRST_TOKEN_SECONDS",
     "IS_LEADER",
     "LIMITED_ENDPOINTS",
--- a/primrosehitch/platform/calls.py
+++ b/primrosehitch/platform/calls.py
@@ -1,21 +1,29 @@
 """HTTP API of a control instance for engines and operators.
 
 Engines send heartbeats and say when they leave; operators replace and
-read the route table:
+read the route table and evacuate zones:
 
     POST /-/Instances.Heartbeat/ID
     POST /-/Instances.Leave/ID
     POST /-/Config.Put
     GET /-/Config.Get
+    POST /-/Evacuate.Start/ZONE
+    POST /-/Evacuate.End/ZONE
+    GET /-/Evacuate.List
 
-Every answer is a JSON object; an error has the field ``error``.
+ZONE is percent-encoded UTF-8. Every answer is a JSON object; an error has
+the field ``error``.
 """
 
 import json
+import re
 from typing import Any
+from urllib import parse
 
 from primrosehitch import control as control_module
 from primrosehitch import errors
+from primrosehitch import evacuationorders
+from primrosehitch import evacuations
 from primrosehitch import events
 from primrosehitch import httpserver
 from primrosehitch import jsontext
@@ -28,6 +36,10 @@
 LEAVE_PATH = "/-/Instances.Leave/"
 CONFIG_PUT_PATH = "/-/Config.Put"
 CONFIG_GET_PATH = "/-/Config.Get"
+EVACUATE_START_PATH = "/-/Evacuate.Start/"
+EVACUATE_END_PATH = "/-/Evacuate.End/"
+EVACUATE_LIST_PATH = "/-/Evacuate.List"
+MALFORMED_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
 STATES = {"ready": registry.READY, "draining": registry.DRAINING}
 # The range of the field in our messages.
 MAX_SLOTS = (1 << 32) - 1
@@ -65,6 +77,26 @@
     )
 
 
+def parse_zone(text: str) -> str:
+    """Return the zone that the path of a call names.
+
+    Args:
+        text: the rest of the path, each byte as one character.
+
+    Raises:
+        DomainNameError: it is not percent-encoded UTF-8, or no name of a
+            zone.
+    """
+    if "/" in text or MALFORMED_ESCAPE.search(text):
+        raise evacuations.DomainNameError("the zone is not percent-encoded")
+    try:
+        zone = parse.unquote_to_bytes(text.encode("latin-1")).decode()
+    except UnicodeDecodeError as exc:
+        raise evacuations.DomainNameError("the zone is not UTF-8") from exc
+    evacuations.require_domain_name(zone)
+    return zone
+
+
 def _decode_json(body: bytes) -> Any:
     try:
         return jsontext.loads(body)
@@ -106,6 +138,18 @@
                 await self._handle_put(request, responder)
             elif request.method == "GET" and path == CONFIG_GET_PATH:
                 await self._handle_get(responder)
+            elif request.method == "POST" and path.startswith(
+                EVACUATE_START_PATH
+            ):
+                zone = parse_zone(path[len(EVACUATE_START_PATH) :])
+                await self._handle_evacuation(zone, True, responder)
+            elif request.method == "POST" and path.startswith(
+                EVACUATE_END_PATH
+            ):
+                zone = parse_zone(path[len(EVACUATE_END_PATH) :])
+                await self._handle_evacuation(zone, False, responder)
+            elif request.method == "GET" and path == EVACUATE_LIST_PATH:
+                await self._handle_evacuations(responder)
             else:
                 _refuse(responder, 404, "no call with this method and path")
         except errors.PrimrosehitchError as exc:
@@ -150,6 +194,30 @@
         else:
             responder.respond(200, JSON_HEADERS, table.body)
 
+    async def _handle_evacuation(
+        self, zone: str, evacuated: bool, responder: httpserver.Responder
+    ) -> None:
+        outcome = await self.control.evacuation_orders.place(zone, evacuated)
+        if outcome is evacuationorders.Outcome.CONFIRMED:
+            responder.respond(200, JSON_HEADERS, b"{}")
+        elif outcome is evacuationorders.Outcome.TOO_MANY:
+            _refuse(responder, 409, "too many zones are evacuated")
+        else:
+            _refuse(responder, 503, "no quorum confirmed the order in time")
+
+    async def _handle_evacuations(
+        self, responder: httpserver.Responder
+    ) -> None:
+        confirmed = await self.control.read_confirmed_evacuations()
+        if confirmed is None:
+            _refuse(responder, 503, "no quorum confirmed the state in time")
+            return
+        document = {
+            "version": confirmed.version,
+            "zones": list(confirmed.listed()),
+        }
+        responder.respond(200, JSON_HEADERS, json.dumps(document).encode())
+
 
 def _refuse(responder: httpserver.Responder, status: int, text: str) -> None:
     responder.respond(
@@ -157,4 +225,4 @@
     )
 
 
-__all__ = ["ControlApi", "parse_heartbeat"]
+__all__ = ["ControlApi", "parse_heartbeat", "parse_zone"]
--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -11,10 +11,16 @@
 over the failure domains. On-demand endpoints are ordered only as far as
 spot endpoints are unavailable. Scaling up is immediate, scaling down is
 delayed.
+
+The endpoints of an evacuated failure domain are no capacity: the other
+domains get as many more as it had to provide. Its own orders stand, so that
+its streams go on and its endpoints are there at the end; nothing is ordered
+there beyond its minimum.
 """
 
 from collections import deque
 import math
+from typing import Collection
 from typing import Iterable
 from typing import NamedTuple
 
@@ -47,6 +53,9 @@
 # An order that the endpoints' reports do not confirm is sent again after
 # this time.
 RESEND_MS = 10_000
+# After the end of an evacuation the endpoints of the domain count as capacity
+# again after this time. They are cold at first.
+EVACUATION_END_DELAY_MS = 10_000
 
 
 class CapacityOrder(NamedTuple):
@@ -123,6 +132,7 @@
             failure domain and whether it was for spot endpoints.
         undelivered_since: since when a failure domain has fewer spot
             endpoints than were ordered, in ms.
+        evacuated_at: when a failure domain was last seen evacuated, in ms.
     """
 
     def __init__(self, service: str):
@@ -136,6 +146,7 @@
         self.limited_count = 0
         self.last_orders: dict[tuple[str, bool], tuple[int, int]] = {}
         self.undelivered_since: dict[str, int] = {}
+        self.evacuated_at: dict[str, int] = {}
 
     def record_demand(self, running: float, now: int) -> None:
         """Record how many requests are in flight now."""
@@ -171,6 +182,10 @@
             initial = math.ceil(len(ready) / STANDBY_FACTOR)
             self.initial_count = max(self.initial_count, initial)
 
+    def record_evacuated(self, domains: Collection[str], now: int) -> None:
+        """Record which failure domains are evacuated now."""
+        self.evacuated_at.update(dict.fromkeys(domains, now))
+
     def mark_spot_unavailable(self, domain: str, now: int) -> None:
         """Record that a failure domain has no spot endpoints at present."""
         self.unavailable_until[domain] = now + UNAVAILABLE_RETRY_MS
@@ -197,25 +212,35 @@
             records: the newest records of all known endpoints.
             now: the current time in ms.
         """
-        by_price = sorted(
+        all_domains = sorted(
             domains, key=lambda d: (scaling.prices.get(d, 1.0), d)
         )
         if self.first_plan_ms < 0:
             self.first_plan_ms = now
-        ready = self._count_ready(by_price, records, now)
+        present = self._count_ready(all_domains, records, now)
+        avoided = self._avoided_domains(now)
+        for domain in avoided:
+            self.undelivered_since.pop(domain, None)
+        by_price = [d for d in all_domains if d not in avoided]
+        ready = {d: present[d] for d in by_price}
+        orders = self._minimum_orders(
+            scaling, [d for d in all_domains if d in avoided], present, now
+        )
         spot_domains = [
             d for d in by_price if self._is_spot_available(scaling, d, now)
         ]
-        spot_targets = self._spot_targets(scaling, by_price, spot_domains, now)
+        required = self.required_count(len(all_domains), now)
+        spot_targets = self._spot_targets(
+            scaling, by_price, spot_domains, required
+        )
         self._track_deliveries(ready, now)
         coming_spot = {
             d: self._coming_spot(scaling, d, ready[d], spot_targets[d], now)
             for d in by_price
         }
         on_demand_targets = self._on_demand_targets(
-            scaling, by_price, ready, coming_spot, now
+            scaling, by_price, ready, coming_spot, required, now
         )
-        orders: list[CapacityOrder] = []
         for domain in by_price:
             counts = ready[domain]
             on_demand = min(on_demand_targets[domain], scaling.max_endpoints)
@@ -226,7 +251,36 @@
                 room = scaling.max_endpoints - max(counts.on_demand, on_demand)
                 spot = min(spot_targets[domain], max(room, counts.spot))
                 orders.append(CapacityOrder(self.service, domain, True, spot))
-        return [o for o in orders if self._is_due(o, ready, now)]
+        return [o for o in orders if self._is_due(o, present, now)]
+
+    def _avoided_domains(self, now: int) -> set[str]:
+        """Return the domains that are evacuated or were a moment ago."""
+        return {
+            domain
+            for domain, at in self.evacuated_at.items()
+            if now - at < EVACUATION_END_DELAY_MS
+        }
+
+    def _minimum_orders(
+        self,
+        scaling: routes.Scaling,
+        avoided: list[str],
+        present: dict[str, ReadyCounts],
+        now: int,
+    ) -> list[CapacityOrder]:
+        """Return orders for avoided domains that lack their minimum.
+
+        Larger orders that were sent before stand.
+        """
+        is_spot = 0 < scaling.spot_price < 1
+        minimum = scaling.min_endpoints
+        return [
+            CapacityOrder(self.service, domain, is_spot, minimum)
+            for domain in avoided
+            if sum(present[domain]) < minimum
+            and self.last_orders.get((domain, is_spot), (0, 0))[0] <= minimum
+            and (not is_spot or self._is_spot_available(scaling, domain, now))
+        ]
 
     def _track_deliveries(
         self, ready: dict[str, ReadyCounts], now: int
@@ -279,6 +333,7 @@
         by_price: list[str],
         ready: dict[str, ReadyCounts],
         coming_spot: dict[str, int],
+        required: int,
         now: int,
     ) -> dict[str, int]:
         """Return how many on-demand endpoints each failure domain needs.
@@ -294,12 +349,12 @@
             ready: ready endpoints by failure domain.
             coming_spot: spot endpoints by failure domain, those that can
                 be ordered now among them.
+            required: how many endpoints the service should have.
             now: the current time in ms.
         """
         if not 0 < scaling.spot_price < 1:
             targets = dict.fromkeys(by_price, scaling.min_endpoints)
             limits = dict.fromkeys(by_price, scaling.max_endpoints)
-            required = self.required_count(len(by_price), now)
             _distribute(required, targets, limits, by_price)
             return targets
         overload = math.ceil(
@@ -354,7 +409,7 @@
         scaling: routes.Scaling,
         by_price: list[str],
         spot_domains: list[str],
-        now: int,
+        required: int,
     ) -> dict[str, int]:
         """Return how many spot endpoints each failure domain should have.
 
@@ -363,7 +418,6 @@
         """
         targets = dict.fromkeys(by_price, scaling.min_endpoints)
         eligible = spot_domains or by_price
-        required = self.required_count(len(by_price), now)
         others = sum(targets[d] for d in by_price if d not in eligible)
         limits = dict.fromkeys(eligible, scaling.max_endpoints)
         _distribute(required + others, targets, limits, eligible)
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -455,6 +455,10 @@
   registry @5 :UInt64;
   domains @6 :List(Text);
   incarnation @7 :UInt64;
+  # Version of the replicated rows, and the evacuated failure domains in it;
+  # 0 from an older release, which says nothing of evacuations.
+  catalog @8 :UInt64;
+  evacuated @9 :List(Text);
 }
 
 # The table version and registry digest that an edge has.
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -273,3 +273,10 @@
         fleet.engine = platform_engine.StandInEngine(["good"])
         await serve_from(fleet, fleet.engine)
         yield fleet
+
+
+async def order_evacuation(number, domain, evacuated=True):
+    """Order the start or the end of an evacuation; return the status."""
+    verb = "Start" if evacuated else "End"
+    path = f"/-/Evacuate.{verb}/{domain}"
+    return (await send_call(number, "POST", path))[0]
