--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -32,6 +32,7 @@
 from primrosehitch import messages
 from primrosehitch import metering
 from primrosehitch import metrics
+from primrosehitch import olderserved
 from primrosehitch import partfindings
 from primrosehitch import peers as peers_module
 from primrosehitch import permits as permits_module
@@ -74,6 +75,9 @@
 # and to others after this time.
 MAX_INTRODUCTIONS = 8
 INTRODUCTION_PERIOD_MS = 1000
+# Edges of control instances that do not tell of evacuations are told of them
+# this often.
+INFORM_PERIOD_MS = 500
 # For this long after its start a control instance may lack endpoints, so
 # an edge must not drop the ones that its update leaves out.
 REGISTRY_WARM_UP_MS = 15_000
@@ -143,6 +147,7 @@
         self.edges = edgedirectory.EdgeDirectory()
         # Edges that nobody serves and that this instance dials.
         self.introduced: frozenset[str] = frozenset()
+        self.older_served = olderserved.OlderServed()
         self.edge_parts = balancer.make_part_updates()
         self.all_parts = balancer.make_part_updates()
         self.recent_parts: gathering.RecentUpdates[
@@ -288,7 +293,8 @@
         )
         if evacuations_module.report(change, self.evacuations):
             status = self._make_status(clock.now_ms())
-            self.links.multicast(self.subscribers, status)
+            informed = self.older_served.informed
+            self.links.multicast(informed.union(self.subscribers), status)
 
     def _replica_instances(self) -> set[str]:
         """Return the names of the instances with a voter or learner."""
@@ -486,6 +492,7 @@
             group.start_soon(self._issue_permits)
             group.start_soon(self._broadcast_known_edges)
             group.start_soon(self._introduce)
+            group.start_soon(self._inform_of_evacuations)
             for gatherer, make_message, targets in (
                 (
                     self.edge_tallies,
@@ -597,6 +604,7 @@
                 self._own_helpers(), self.settings.domain, self.rng
             ),
             names_edges=True,
+            evacuates=True,
         )
 
     def _own_helpers(self) -> list[messages.HelperEdge]:
@@ -793,7 +801,25 @@
     def _on_known_edges(
         self, sender: str, message: messages.KnownEdges
     ) -> None:
-        self.edges.apply(message.edges, clock.now_ms())
+        now = clock.now_ms()
+        self.edges.apply(message.edges, now)
+        known = self.peers.presences.get(sender)
+        if known is not None and not known.presence.evacuates:
+            names = [edge.name for edge in message.edges]
+            self.older_served.record_named(names, now)
+
+    async def _inform_of_evacuations(self) -> None:
+        """Send the status to edges of instances of older releases."""
+        async for tick in self.timers.subscribe(INFORM_PERIOD_MS):
+            served = self.older_served
+            for name in served.update(self.subscribers, tick.now):
+                if name not in self.subscribers.keys() | self.introduced:
+                    self.links.remove(name)
+            if self.evacuations.version:
+                status = self._make_status(tick.now)
+                for name in served.informed:
+                    self._add_link(name)
+                    self.links.send(name, status)
 
     async def _introduce(self) -> None:
         """Dial edges that nobody serves, while leading.
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1333,6 +1333,7 @@
     registry: int = 0
     helpers: tuple["HelperEdge", ...] = ()
     names_edges: bool = False
+    evacuates: bool = False
 
 
 def _write_presence(b: Any, m: Presence) -> None:
@@ -1353,6 +1354,7 @@
     for i, item in enumerate(m.helpers):
         _write_helper_edge(items[i], item)
     b.namesEdges = m.names_edges
+    b.evacuates = m.evacuates
 
 
 def _read_presence(r: Any) -> Presence:
@@ -1372,6 +1374,7 @@
         r.registry,
         tuple(_read_helper_edge(x) for x in r.helpers),
         r.namesEdges,
+        r.evacuates,
     )
 
 
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -443,6 +443,8 @@
   helpers @13 :List(HelperEdge);
   # The sender tells the names of its edges in KnownEdges.
   namesEdges @14 :Bool;
+  # The sender tells its edges which failure domains are evacuated.
+  evacuates @15 :Bool;
 }
 
 # The state that a control instance sends to its subscribed edges.
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -462,3 +462,58 @@
             assert edge.balancer.evacuated == {"z0"}
 
     instances.run_test(body)
+
+
+class OlderRelease:
+    """Makes a control instance tell what one of an older release tells."""
+
+    def __init__(self, control):
+        self.control = control
+        self.make_status = control._make_status
+        self.make_presence = control._make_presence
+        control._make_status = lambda now: self.make_status(now)._replace(
+            catalog=0, evacuated=()
+        )
+        control._make_presence = lambda: self.make_presence()._replace(
+            evacuates=False
+        )
+
+
+# Guards against: edges of control instances of an older release do not learn
+# of evacuations.
+@pytest.mark.parametrize("older_leads", [True, False])
+def test_edges_of_older_control_instances_learn_of_evacuations(
+    tmp_path, older_leads
+):
+    async def body():
+        async with instances.running_fleet(tmp_path) as running_fleet:
+            await instances.wait_until(
+                lambda: len(running_fleet.leaders()) == 1
+            )
+            (leader,) = running_fleet.leaders()
+            newer = instances.SEEDS[0]
+            if (newer == leader) == older_leads:
+                newer = instances.SEEDS[1]
+            if not older_leads:
+                newer = leader
+            for number, control in running_fleet.controls.items():
+                if number != newer:
+                    OlderRelease(control)
+            await anyio.sleep(0.6)
+            for number in EDGES:
+                running_fleet.start_edge(number)
+            fleet = EvacuatedFleet(running_fleet)
+            await fleet.start()
+            older = [n for n in instances.SEEDS if n != newer]
+            for edge in running_fleet.edges.values():
+                name = str(instances.address(older[0], instances.LINK_PORT))
+                instances.use_control(edge, name)
+            assert await instances.order_evacuation(newer, "z0") == 200
+            await instances.wait_until(lambda: fleet.knows("z0"), EVACUATE_S)
+            before = fleet.count("z0")
+            await fleet.call_all()
+            assert fleet.count("z0") == before
+            assert await instances.order_evacuation(newer, "z0", False) == 200
+            await instances.wait_until(lambda: fleet.knows(), EVACUATE_S)
+
+    instances.run_test(body)
