--- a/primrosehitch/cli.py
+++ b/primrosehitch/cli.py
@@ -19,8 +19,10 @@
 from primrosehitch import porcelain
 from primrosehitch import settings as settings_module
 from primrosehitch import tracing
+from primrosehitch.platform import evacuate
 
 GATEWAY_VARIABLE = "PRIMROSEHITCH_GATEWAY"
+CONTROL_VARIABLE = "PRIMROSEHITCH_CONTROL"
 KEY_VARIABLE = "PRIMROSEHITCH_KEY"
 BURN_COLUMNS = (
     "class_name",
@@ -52,6 +54,17 @@
     return porcelain.Target(address, os.environ.get(KEY_VARIABLE, ""))
 
 
+def _control(control: str) -> porcelain.Target:
+    address = control or os.environ.get(CONTROL_VARIABLE, "")
+    if not address:
+        raise errors.PrimrosehitchError(
+            "no control instance given: pass --control IP:PORT or set"
+            f" {CONTROL_VARIABLE}",
+            "cli",
+        )
+    return porcelain.Target(address, "")
+
+
 def _to_json(value: Any) -> str:
     return json.dumps(value, indent=2)
 
@@ -124,17 +137,38 @@
         return _to_json(declaration_module.validate(document, csv))
 
 
+class Evacuation:
+    """Keep requests from the endpoints of a failure domain.
+
+    An order that fails can be repeated, at another control instance too.
+    """
+
+    def start(self, domain: str, control: str = "") -> str:
+        """Start the evacuation of DOMAIN; it lasts until its end."""
+        return _to_json(evacuate.start(_control(control), str(domain)))
+
+    def end(self, domain: str, control: str = "") -> str:
+        """End the evacuation of DOMAIN."""
+        return _to_json(evacuate.end(_control(control), str(domain)))
+
+    def list(self, control: str = "") -> str:
+        """Show the evacuated failure domains."""
+        return _to_json(evacuate.listed(_control(control)))
+
+
 class Commands:
     """Operate a primrosehitch deployment.
 
     The gateway is taken from --gateway or PRIMROSEHITCH_GATEWAY, the
-    operator's key from PRIMROSEHITCH_KEY.
+    operator's key from PRIMROSEHITCH_KEY, the control instance of
+    evacuations from --control or PRIMROSEHITCH_CONTROL.
     """
 
     def __init__(self) -> None:
         self.keys = Keys()
         self.report = Report()
         self.table = Table()
+        self.evacuation = Evacuation()
 
     def init(self, gateway: str = "", force: bool = False) -> str:
         """Bootstrap a new cluster on a replica, once per deployment."""
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -298,7 +298,7 @@
     "An edge that has just started got its first route table from a control"
     " instance without a quorum. It serves once another one has confirmed"
     " which failure domains are evacuated, or after a short time.",
-    "If it recurs, check event 1201 of that control instance.",
+    "If it recurs, check events 1201 of the control instances.",
 )
 LIMIT_IN_FORCE = Event(
     1514,
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import json
+import sys
 
 import anyio
 import httpcore
@@ -517,3 +518,34 @@
             await instances.wait_until(lambda: fleet.knows(), EVACUATE_S)
 
     instances.run_test(body)
+
+
+async def run_cli(*arguments):
+    """Run the operators' command line; return its exit status and output."""
+    result = await anyio.run_process(
+        [sys.executable, "-m", "primrosehitch.cli", *arguments], check=False
+    )
+    return result.returncode, (result.stdout + result.stderr).decode()
+
+
+def test_operators_start_list_and_end_evacuations_by_command(tmp_path):
+    async def body():
+        async with instances.running_fleet(tmp_path) as fleet:
+            await instances.wait_until(lambda: len(fleet.leaders()) == 1)
+            control = f"{instances.host(3)}:{instances.CONTROL_PORT}"
+            at = f"--control={control}"
+            assert await run_cli("evacuation", "start", "z/0", at) == (
+                0,
+                "{}\n",
+            )
+            code, text = await run_cli("evacuation", "list", at)
+            assert code == 0 and json.loads(text)["zones"] == ["z/0"]
+            assert (await run_cli("evacuation", "end", "z/0", at))[0] == 0
+            code, text = await run_cli("evacuation", "list", at)
+            assert json.loads(text)["zones"] == []
+            code, text = await run_cli("evacuation", "start", "", at)
+            assert code == 1 and "empty" in text
+            code, text = await run_cli("evacuation", "list")
+            assert code == 1 and "--control" in text
+
+    instances.run_test(body)
