Evacuations: the version of an order belongs to its decision

Cause: the model of orders made its edits itself, so that a change of the version in the real ones could not fail it. The test of an edge beside a lagging control instance started before that instance knew that it lags.

Change: Decision.edit makes the edit, in the tests as well. The test waits until the instance tells of no quorum.

--- a/primrosehitch/evacuationorders.py
+++ b/primrosehitch/evacuationorders.py
@@ -16,7 +16,6 @@
 from primrosehitch import errors
 from primrosehitch import evacuations
 from primrosehitch import events
-from primrosehitch import messages
 from primrosehitch import proposals
 from primrosehitch import state as state_module
 
@@ -67,30 +66,23 @@
             evacuated: whether to start or to end its evacuation.
         """
         began = anyio.current_time()
-        error_text = "the replica lags behind"
-        outcome, version = Outcome.UNCERTAIN, 0
-        try:
-            with anyio.move_on_after(ORDER_TIMEOUT_S):
-                outcome, version = await self._edit(
-                    domain, evacuated, began + ORDER_TIMEOUT_S
-                )
-        except errors.ProposalError as exc:
-            error_text = str(exc)
         fields = {"domain": domain, "evacuated": evacuated}
-        if outcome is Outcome.CONFIRMED:
-            took_ms = round(1000 * (anyio.current_time() - began))
-            events.emit(
-                events.EVACUATION_CONFIRMED,
-                version=version,
-                took_ms=took_ms,
-                **fields,
+        try:
+            outcome, version = await self._edit(
+                domain, evacuated, began + ORDER_TIMEOUT_S
             )
-        elif outcome is Outcome.TOO_MANY:
+        except errors.ProposalError as exc:
+            events.emit(events.EVACUATION_UNCERTAIN, error=str(exc), **fields)
+            return Outcome.UNCERTAIN
+        if outcome is Outcome.TOO_MANY:
             events.emit(events.EVACUATION_REFUSED, version=version, **fields)
-        else:
-            events.emit(
-                events.EVACUATION_UNCERTAIN, error=error_text, **fields
-            )
+            return outcome
+        events.emit(
+            events.EVACUATION_CONFIRMED,
+            version=version,
+            took_ms=round(1000 * (anyio.current_time() - began)),
+            **fields,
+        )
         return outcome
 
     async def _edit(
@@ -102,22 +94,25 @@
             The outcome and the version of the rows that confirms it.
 
         Raises:
-            ProposalError: no quorum answered in time.
+            ProposalError: no quorum answered in time, or the replica of
+                this instance lags behind.
         """
         while True:
             state = self.current_state()
-            decision = evacuations.decide(state.rows, domain, evacuated)
-            edit = messages.Edit(
-                uuid.uuid4().hex, state.version, self.instance, decision.rows
+            decision = evacuations.decide(
+                state.rows, state.version, domain, evacuated
             )
             result = await self.proposer.propose(
-                edit, max(0.0, ends_at - anyio.current_time())
+                decision.edit(uuid.uuid4().hex, self.instance),
+                max(0.0, ends_at - anyio.current_time()),
             )
             if result.accepted:
                 if decision.verdict is evacuations.Verdict.TOO_MANY:
                     return Outcome.TOO_MANY, result.version
                 return Outcome.CONFIRMED, result.version
             while self.current_state().version < result.version:
+                if anyio.current_time() >= ends_at:
+                    raise errors.ProposalError("the replica lags behind")
                 await anyio.sleep(APPLY_POLL_PERIOD_S)
 
 
--- a/primrosehitch/evacuations.py
+++ b/primrosehitch/evacuations.py
@@ -40,10 +40,24 @@
 
 
 class Decision(NamedTuple):
-    """The rows to edit for an order; none unless it changes one."""
+    """What an order changes in a version of the rows.
+
+    Attributes:
+        verdict: what it means for the rows.
+        version: the version on which that was decided.
+        rows: the rows that it changes, if any.
+    """
 
     verdict: Verdict
-    rows: tuple[messages.Row, ...]
+    version: int
+    rows: tuple[messages.Row, ...] = ()
+
+    def edit(self, edit_id: str, operator: str) -> messages.Edit:
+        """Return the edit of the order, which applies to no other version.
+
+        One without rows raises the version all the same.
+        """
+        return messages.Edit(edit_id, self.version, operator, self.rows)
 
 
 class Change(NamedTuple):
@@ -99,6 +113,7 @@
 
 def decide(
     rows: Mapping[tuple[str, str], messages.Row],
+    version: int,
     domain: str,
     evacuated: bool,
 ) -> Decision:
@@ -106,20 +121,21 @@
 
     Args:
         rows: all rows of the replicated state by table and key.
+        version: the version of the state.
         domain: the failure domain.
         evacuated: whether the order starts or ends its evacuation.
     """
     own = [row for row in rows.values() if row.table == TABLE]
     in_force = domains_in(own)
     if (domain in in_force) == evacuated:
-        return Decision(Verdict.IN_FORCE, ())
+        return Decision(Verdict.IN_FORCE, version)
     if evacuated and (
         len(in_force) >= MAX_DOMAINS
         or (len(own) >= MAX_ROWS and (TABLE, domain) not in rows)
     ):
-        return Decision(Verdict.TOO_MANY, ())
+        return Decision(Verdict.TOO_MANY, version)
     row = messages.Row(TABLE, domain, ROW_VALUE, deleted=not evacuated)
-    return Decision(Verdict.CHANGES, (row,))
+    return Decision(Verdict.CHANGES, version, (row,))
 
 
 def report(change: Change, evacuations: Evacuations) -> bool:
--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -13,6 +13,7 @@
 import pytest
 import routed
 
+from primrosehitch import clock
 from primrosehitch import evacuationorders
 from primrosehitch import evacuations
 from primrosehitch import messages
@@ -204,6 +205,14 @@
             assert await instances.order_evacuation(leader, "z0") == 200
             await instances.wait_until(lambda: fleet.knows("z0"), EVACUATE_S)
             assert not fleet.fleet.controls[behind].evacuations.domains
+            # It counts as up to date for a moment after the cut.
+            await instances.wait_until(
+                lambda: (
+                    not fleet.fleet.controls[behind]._has_quorum_contact(
+                        clock.now_ms()
+                    )
+                )
+            )
             before = fleet.count("z0")
             fleet.fleet.start_edge(EDGES[1])
             edge = fleet.fleet.edges[EDGES[1]]
@@ -534,10 +543,8 @@
             await instances.wait_until(lambda: len(fleet.leaders()) == 1)
             control = f"{instances.host(3)}:{instances.CONTROL_PORT}"
             at = f"--control={control}"
-            assert await run_cli("evacuation", "start", "z/0", at) == (
-                0,
-                "{}\n",
-            )
+            code, text = await run_cli("evacuation", "start", "z/0", at)
+            assert (code, text) == (0, "{}\n")
             code, text = await run_cli("evacuation", "list", at)
             assert code == 0 and json.loads(text)["zones"] == ["z/0"]
             assert (await run_cli("evacuation", "end", "z/0", at))[0] == 0
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -27,9 +27,8 @@
 
 def edit_for(state, domain, evacuated, edit_id):
     """Return the edit of an order that is decided on a state."""
-    decision = evacuations.decide(state.rows, domain, evacuated)
-    edit = messages.Edit(edit_id, state.version, "n2", decision.rows)
-    return edit, decision.verdict
+    decision = evacuations.decide(state.rows, state.version, domain, evacuated)
+    return decision.edit(edit_id, "n2"), decision.verdict
 
 
 def place(state, domain, evacuated=True):
@@ -165,21 +164,21 @@
 def test_number_of_domains_is_bounded():
     rows = {}
     for number in range(evacuations.MAX_DOMAINS):
-        decision = evacuations.decide(rows, f"z{number}", True)
+        decision = evacuations.decide(rows, 7, f"z{number}", True)
         rows[evacuations.TABLE, f"z{number}"] = decision.rows[0]
-    refused = evacuations.Decision(evacuations.Verdict.TOO_MANY, ())
-    assert evacuations.decide(rows, "new", True) == refused
-    in_force = evacuations.decide(rows, "z0", True)
+    refused = evacuations.Decision(evacuations.Verdict.TOO_MANY, 7)
+    assert evacuations.decide(rows, 7, "new", True) == refused
+    in_force = evacuations.decide(rows, 7, "z0", True)
     assert in_force.verdict is evacuations.Verdict.IN_FORCE
-    ended = evacuations.decide(rows, "z0", False)
+    ended = evacuations.decide(rows, 7, "z0", False)
     rows[evacuations.TABLE, "z0"] = ended.rows[0]
-    assert evacuations.decide(rows, "new", True).rows
+    assert evacuations.decide(rows, 7, "new", True).rows
     for number in range(evacuations.MAX_ROWS):
         rows[evacuations.TABLE, f"old{number}"] = messages.Row(
             evacuations.TABLE, f"old{number}", "", deleted=True
         )
-    assert evacuations.decide(rows, "new", True) == refused
-    assert evacuations.decide(rows, "z0", True).rows
+    assert evacuations.decide(rows, 7, "new", True) == refused
+    assert evacuations.decide(rows, 7, "z0", True).rows
 
 
 @given(st.text(max_size=80))
