Evacuations: tests of the planner for on-demand and lost endpoints

Cause: on a scratch copy, three changes of the planner failed no test: spot endpoints of the evacuated domain counted as capacity, a smaller order where a larger one stands, and endpoints missed before the evacuation as overdue.

Change: three tests, of which each of these changes fails one.

Measured: tests/test_evacuations.py passes (22).

--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -348,6 +348,66 @@
     assert platform.counts["zb", True] == platform.counts["zc", True] == 5
 
 
+# Guards against: spot endpoints of the evacuated domain count where others are
+# to be had on demand only.
+def test_on_demand_endpoints_replace_evacuated_spot_endpoints():
+    platform = EvacuatedPlatform(on_demand=2)
+    platform.run(10_000)
+    assert platform.spot_counts() == [4, 4, 4]
+    platform.evacuated = frozenset(["za"])
+    for domain in ("zb", "zc"):
+        platform.reclaimed_until[domain] = platform.now + 22_000
+        platform.counts[domain, True] = 0
+    platform.run(20_000)
+    on_demand = [platform.counts[d, False] for d in DOMAINS]
+    assert on_demand == [0, 3, 3]
+    for _ in range(60):
+        platform.run(500)
+        ready = [r for r in platform.records() if r.state == "ready"]
+        assert sum(r.domain != "za" for r in ready) >= 6
+    assert test_scaling.counts_by_kind(platform)[0] == 0
+
+
+# Guards against: a smaller order ends what is left in the evacuated domain.
+def test_order_of_an_evacuated_domain_stands_if_endpoints_are_lost():
+    platform = EvacuatedPlatform(on_demand=2)
+    platform.run(10_000)
+    platform.counts["za", True] = 0
+    platform.run(500)
+    began = platform.now
+    platform.evacuated = frozenset(["za"])
+    platform.run(120_000)
+    assert not platform.orders_in("za", began)
+    platform.evacuated = frozenset()
+    ended = platform.now
+    platform.run(60_000)
+    assert platform.orders_in("za", ended)[0].count == 4
+    assert all(
+        o.spot or not o.count for at, o in platform.orders if at > ended
+    )
+    assert platform.spot_counts() == [4, 4, 4]
+
+
+# Guards against: endpoints that were missed before the evacuation count as
+# overdue at its end, and on-demand ones are ordered for them.
+def test_endpoints_missed_before_an_evacuation_are_not_overdue_after_it():
+    platform = EvacuatedPlatform(on_demand=2)
+    platform.run(30_000, running=100)
+    assert platform.spot_counts() == [5, 5, 5]
+    platform.counts["za", True] = 0
+    platform.run(500, running=100)
+    platform.pending_boots.clear()
+    platform.evacuated = frozenset(["za"])
+    platform.run(20_000, running=100)
+    platform.evacuated = frozenset()
+    ended = platform.now
+    platform.run(30_000, running=100)
+    assert platform.orders_in("za", ended)[0].spot
+    assert all(
+        o.spot or not o.count for at, o in platform.orders if at > ended
+    )
+
+
 def test_planner_orders_nothing_more_if_all_domains_are_evacuated():
     platform = EvacuatedPlatform()
     platform.run(10_000, running=20)
