--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -20,6 +20,8 @@
 from primrosehitch import edgedirectory
 from primrosehitch import endpointlimits
 from primrosehitch import errors
+from primrosehitch import evacuationorders
+from primrosehitch import evacuations as evacuations_module
 from primrosehitch import events
 from primrosehitch import gathering
 from primrosehitch import helpers as helpers_module
@@ -30,6 +32,7 @@
 from primrosehitch import messages
 from primrosehitch import metering
 from primrosehitch import metrics
+from primrosehitch import olderserved
 from primrosehitch import partfindings
 from primrosehitch import peers as peers_module
 from primrosehitch import permits as permits_module
@@ -39,6 +42,7 @@
 from primrosehitch import replicator as replicator_module
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
+from primrosehitch import state as state_module
 from primrosehitch import streamorigins
 from primrosehitch import timers
 from primrosehitch import truetime as truetime_module
@@ -71,6 +75,9 @@
 # and to others after this time.
 MAX_INTRODUCTIONS = 8
 INTRODUCTION_PERIOD_MS = 1000
+# Edges of control instances that do not tell of evacuations are told of them
+# this often.
+INFORM_PERIOD_MS = 500
 # For this long after its start a control instance may lack endpoints, so
 # an edge must not drop the ones that its update leaves out.
 REGISTRY_WARM_UP_MS = 15_000
@@ -144,6 +151,7 @@
         self.edges = edgedirectory.EdgeDirectory()
         # Edges that nobody serves and that this instance dials.
         self.introduced: frozenset[str] = frozenset()
+        self.older_served = olderserved.OlderServed()
         self.edge_parts = balancer.make_part_updates()
         self.all_parts = balancer.make_part_updates()
         self.recent_parts: gathering.RecentUpdates[
@@ -179,8 +187,14 @@
         self.table_for_edges = messages.Table()
         self.confirmed_version = 0
         self.is_behind = False
+        self.evacuations = evacuations_module.Evacuations()
         self.replicator = self._open_replicator()
         self.proposer = proposals.Proposer(self.name, self)
+        self.evacuation_orders = evacuationorders.EvacuationOrders(
+            settings.name,
+            self.proposer,
+            lambda: self.replicator.replica.state,
+        )
         self.seeds: frozenset[str] = frozenset()
         self.set_seeds(settings.seeds)
         self._on_applied()
@@ -262,6 +276,7 @@
         self.recorded_parts = recorded
         for instance in self._replica_instances():
             self._add_link(instance)
+        self._apply_evacuations(replica.state)
         table = replica.state.table
         if table.version <= self.table.version:
             return
@@ -283,6 +298,18 @@
                 body=self.encode_without_customers(table.body)
             )
 
+    def _apply_evacuations(self, state: state_module.State) -> None:
+        """Send the edges a status if other failure domains are evacuated."""
+        if state.version <= self.evacuations.version:
+            return
+        change = self.evacuations.apply(
+            state.version, evacuations_module.domains_in(state.rows.values())
+        )
+        if evacuations_module.report(change, self.evacuations):
+            status = self._make_status(clock.now_ms())
+            informed = self.older_served.informed
+            self.links.multicast(informed.union(self.subscribers), status)
+
     def _replica_instances(self) -> set[str]:
         """Return the names of the instances with a voter or learner."""
         raft = self.replicator.raft
@@ -351,6 +378,24 @@
         events.emit(events.TABLE_UNCERTAIN, version=self.table.version)
         return None
 
+    async def read_confirmed_evacuations(
+        self,
+    ) -> evacuations_module.Evacuations | None:
+        """Return the evacuated failure domains, by a linearizable read.
+
+        Returns:
+            They with their version, or None if no quorum confirmed them in
+            time.
+        """
+        if await self.read_confirmed_table() is None:
+            return None
+        state = self.replicator.replica.state
+        confirmed = evacuations_module.Evacuations()
+        confirmed.apply(
+            state.version, evacuations_module.domains_in(state.rows.values())
+        )
+        return confirmed
+
     async def _wait_for_applied(self, index: int) -> messages.Table:
         """Return the table once the replica has applied a log index."""
         while self.replicator.raft.applied_index < index:
@@ -461,6 +506,7 @@
             group.start_soon(self._issue_permits)
             group.start_soon(self._broadcast_known_edges)
             group.start_soon(self._introduce)
+            group.start_soon(self._inform_of_evacuations)
             for gatherer, make_message, targets in (
                 (
                     self.edge_tallies,
@@ -572,6 +618,7 @@
                 self._own_helpers(), self.settings.domain, self.rng
             ),
             names_edges=True,
+            evacuates=True,
         )
 
     def _own_helpers(self) -> list[messages.HelperEdge]:
@@ -715,6 +762,8 @@
             registry=self.registry.digest(),
             domains=tuple(controls.values()),
             incarnation=self.incarnation,
+            catalog=self.evacuations.version,
+            evacuated=self.evacuations.listed(),
         )
 
     def _active_edges(self, now: int) -> int:
@@ -766,7 +815,25 @@
     def _on_known_edges(
         self, sender: str, message: messages.KnownEdges
     ) -> None:
-        self.edges.apply(message.edges, clock.now_ms())
+        now = clock.now_ms()
+        self.edges.apply(message.edges, now)
+        known = self.peers.presences.get(sender)
+        if known is not None and not known.presence.evacuates:
+            names = [edge.name for edge in message.edges]
+            self.older_served.record_named(names, now)
+
+    async def _inform_of_evacuations(self) -> None:
+        """Send the status to edges of instances of older releases."""
+        async for tick in self.timers.subscribe(INFORM_PERIOD_MS):
+            served = self.older_served
+            for name in served.update(self.subscribers, tick.now):
+                if name not in self.subscribers.keys() | self.introduced:
+                    self.links.remove(name)
+            if self.evacuations.version:
+                status = self._make_status(tick.now)
+                for name in served.informed:
+                    self._add_link(name)
+                    self.links.send(name, status)
 
     async def _introduce(self) -> None:
         """Dial edges that nobody serves, while leading.
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1333,6 +1333,7 @@
     registry: int = 0
     helpers: tuple["HelperEdge", ...] = ()
     names_edges: bool = False
+    evacuates: bool = False
 
 
 def _write_presence(b: Any, m: Presence) -> None:
@@ -1353,6 +1354,7 @@
     for i, item in enumerate(m.helpers):
         _write_helper_edge(items[i], item)
     b.namesEdges = m.names_edges
+    b.evacuates = m.evacuates
 
 
 def _read_presence(r: Any) -> Presence:
@@ -1372,6 +1374,7 @@
         r.registry,
         tuple(_read_helper_edge(x) for x in r.helpers),
         r.namesEdges,
+        r.evacuates,
     )
 
 
@@ -1386,6 +1389,8 @@
     registry: int = 0
     domains: tuple[str, ...] = ()
     incarnation: int = 0
+    catalog: int = 0
+    evacuated: tuple[str, ...] = ()
 
 
 def _write_control_status(b: Any, m: ControlStatus) -> None:
@@ -1397,6 +1402,8 @@
     b.registry = m.registry
     b.domains = list(m.domains)
     b.incarnation = m.incarnation
+    b.catalog = m.catalog
+    b.evacuated = list(m.evacuated)
 
 
 def _read_control_status(r: Any) -> ControlStatus:
@@ -1409,6 +1416,8 @@
         r.registry,
         tuple(r.domains),
         r.incarnation,
+        r.catalog,
+        tuple(r.evacuated),
     )
 
 
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -61,6 +61,10 @@
     " limit on the bytes held.",
     ["cause"],
 )
+EVACUATED_DOMAINS = prometheus_client.Gauge(
+    "primrosehitch_evacuated_domains",
+    "Failure domains to whose endpoints no request is sent.",
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -86,6 +90,7 @@
     "CONNECTION_LIMIT_BYTES",
     "CONTENT_TYPE",
     "ENDPOINTS",
+    "EVACUATED_DOMAINS",
     "FIRST_TOKEN_SECONDS",
     "IS_LEADER",
     "LIMITED_ENDPOINTS",
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -443,6 +443,8 @@
   helpers @13 :List(HelperEdge);
   # The sender tells the names of its edges in KnownEdges.
   namesEdges @14 :Bool;
+  # The sender tells its edges which failure domains are evacuated.
+  evacuates @15 :Bool;
 }
 
 # The state that a control instance sends to its subscribed edges.
@@ -455,6 +457,10 @@
   registry @5 :UInt64;
   domains @6 :List(Text);
   incarnation @7 :UInt64;
+  # Version of the replicated rows, and the evacuated failure domains in it;
+  # 0 from an older release, which says nothing of evacuations.
+  catalog @8 :UInt64;
+  evacuated @9 :List(Text);
 }
 
 # The table version and registry digest that an edge has.
