Limit requests to cold endpoints by permits

Cause: a cold endpoint tolerates cold_per_s requests a second in all, but edges sent it as many as any other one.

Change: heartbeats' cold_left_ms reaches the edges in EndpointRecord, edges presume endpoints cold that may have started again (coldstarts.py), and the leader issues permits for them at a rate that keeps the bound of any one second (coldrates.py). In force only for services with cold_per_s above 0.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -16,6 +16,7 @@
 
 import xxhash
 
+from primrosehitch import coldstarts
 from primrosehitch import endpointlimits
 from primrosehitch import gathering
 from primrosehitch import loads as loads_module
@@ -72,6 +73,11 @@
 # domain has answered since.
 UNREACHABLE_DOMAIN_ENDPOINTS = 2
 UNREACHABLE_DOMAIN_MS = 1500
+# Cost of choosing a cold endpoint, in ms of waiting. For a plain call it is a
+# fraction of the mean call time. Warm endpoints come first, but what permits
+# allow is worth sending: a cache gets warm by requests.
+COLD_PENALTY_MS = 100.0
+COLD_CALL_FRACTION = 1.0
 # Cost of choosing a suspect endpoint, in ms of waiting.
 SUSPECT_PENALTY_MS = 4000.0
 # EWMA weight of one answer in an endpoint's error rate, and the cost of an
@@ -120,8 +126,9 @@
         paused: ready ones that asked for a pause.
         at_connection_limit: ready ones to which this edge may open no
             further connection.
-        at_rate_limit: ready ones that named a limit on requests and for
-            which this edge has no permit.
+        at_rate_limit: ready ones that named a limit on requests or are
+            cold, and for which this edge has no permit.
+        cold: ready ones that are cold or presumed cold.
     """
 
     known: int
@@ -131,6 +138,7 @@
     paused: int
     at_connection_limit: int
     at_rate_limit: int
+    cold: int
 
 
 PartUpdates = gathering.UpdateBatcher[tuple[str, str], messages.PartRead]
@@ -158,7 +166,8 @@
             gap-sensitive streams take, by service.
         recent_failures: time of the last failure by failure domain and
             endpoint.
-        limits: rate limits that endpoints have named.
+        limits: rate limits that endpoints have named, and permits.
+        cold: which endpoints are cold.
         reachability: the services that this edge may be cut off from.
         part_updates: prompt parts that this edge's requests put into the
             endpoints' prefix caches, to be sent to the other edges.
@@ -177,6 +186,7 @@
         self.gap_sensitive_share: dict[str, float] = {}
         self.recent_failures: dict[str, dict[str, int]] = {}
         self.limits = endpointlimits.EndpointLimits()
+        self.cold = self.limits.cold
         self.reachability = reachability.Reachability()
         self.part_updates = make_part_updates()
         self.has_kept_connection: Callable[[str], bool] = lambda address: False
@@ -212,6 +222,28 @@
             self._drop(record.id)
         self._index_by_state()
 
+    def record_heartbeat(
+        self, record: messages.EndpointRecord, now: int
+    ) -> None:
+        """Record what a heartbeat says of the coldness of an endpoint."""
+        endpoint = self.endpoints.get(record.id)
+        if endpoint is not None and endpoint.record.born == record.born:
+            self.cold.record_heartbeat(record, now)
+
+    def presume_cold(self, domains: Iterable[str], now: int) -> None:
+        """Presume endpoints cold that got no requests for some time.
+
+        Args:
+            domains: failure domains whose evacuation has ended.
+            now: the current time in ms.
+        """
+        chosen = set(domains)
+        for endpoint in self.endpoints.values():
+            if endpoint.record.domain in chosen:
+                self.cold.presume(
+                    endpoint.incarnation, coldstarts.EVACUATED, now
+                )
+
     def remove_endpoint(self, identifier: str) -> None:
         """Remove an endpoint, if it is known."""
         self._drop(identifier)
@@ -313,7 +345,7 @@
         incarnation = endpoint.incarnation
         if self.limits.is_open(incarnation, now):
             return now
-        return now + self.limits.next_permit_ms(incarnation)
+        return now + self.limits.next_permit_ms(incarnation, now)
 
     def availability(self, service: str, now: int) -> Availability:
         """Return how many endpoints of a service are in which state.
@@ -338,6 +370,7 @@
             at_rate_limit=sum(
                 not self.limits.is_open(e.incarnation, now) for e in ready
             ),
+            cold=sum(self.cold.is_cold(e.incarnation, now) for e in ready),
         )
 
     def choose(
@@ -520,6 +553,12 @@
             endpoint.record.domain, now
         ):
             penalty_ms += SUSPECT_PENALTY_MS
+        if self.cold.is_cold(endpoint.incarnation, now):
+            penalty_ms += (
+                COLD_PENALTY_MS
+                if profile.prompt_tokens
+                else COLD_CALL_FRACTION * endpoint.mean_call_ms
+            )
         if endpoint.record.domain != self.domain:
             penalty_ms += CROSS_DOMAIN_MS
         if not self.has_kept_connection(endpoint.record.address):
@@ -735,6 +774,9 @@
                 MAX_EJECTION_MS, MIN_EJECTION_MS << min(doublings, 8)
             )
             endpoint.ejected_until = now + ejection_ms
+            self.cold.record_ejection(
+                endpoint.incarnation, endpoint.last_heard_at, now
+            )
 
     def record_activity(self, endpoint: Endpoint, now: int) -> None:
         """Record that bytes of an answer arrived from an endpoint."""
--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -16,8 +16,11 @@
 
 from primrosehitch import balancer
 from primrosehitch import clock
+from primrosehitch import coldrates
+from primrosehitch import coldstarts
 from primrosehitch import containment
 from primrosehitch import edgedirectory
+from primrosehitch import endpoint
 from primrosehitch import endpointlimits
 from primrosehitch import errors
 from primrosehitch import events
@@ -153,6 +156,10 @@
         self.origins = streamorigins.OriginTable()
         self.origins_to_peers = streamorigins.make_origin_updates()
         self.permits = permits_module.PermitDesk(self.rng)
+        self.cold_policies: dict[str, coldstarts.ColdPolicy] = {}
+        self.cold_evidence = coldstarts.EvidenceTable()
+        self.evidence_to_edges = coldstarts.make_evidence()
+        self.evidence_to_peers = coldstarts.make_evidence()
         # Edges and instances that joined or may have missed messages, until
         # they are sent what they may lack.
         self.lacking_updates: set[str] = set()
@@ -262,7 +269,11 @@
             return
         self.table = table
         with containment.contain("services of the table"):
-            self.registry.set_services(self.decode_table(table.body).services)
+            services = self.decode_table(table.body).services
+            self.registry.set_services(services)
+            self.cold_policies = coldrates.policies(
+                services.values(), self.settings.bounds
+            )
         metrics.CONFIG_VERSION.set(table.version)
         events.emit(events.VERSION_IN_FORCE, version=table.version)
         self.links.multicast(self.subscribers, table)
@@ -374,10 +385,12 @@
         Raises:
             MessageError: the record holds a value that no message carries.
         """
+        now = clock.now_ms()
+        record = record._replace(heard_ms=self.true_time.wall_ms_at(now))
         # A record that is known is sent to other instances again and again.
         messages.encode(record)
         self.refreshed_ids.add(record.id)
-        change = self.registry.apply_record(record, clock.now_ms())
+        change = self.registry.apply_record(record, now)
         if change is not None:
             self._broadcast_endpoint(change)
 
@@ -470,6 +483,16 @@
                     messages.EndpointLimits,
                     self.peers.link_names,
                 ),
+                (
+                    self.evidence_to_peers,
+                    messages.EndpointLimits,
+                    self.peers.link_names,
+                ),
+                (
+                    self.evidence_to_edges,
+                    messages.EndpointLimits,
+                    self.subscribers.keys,
+                ),
                 (
                     self.origins_to_peers,
                     messages.StreamOrigins,
@@ -851,8 +874,27 @@
     def _on_limits(
         self, sender: str, message: messages.EndpointLimits
     ) -> None:
-        """Queue changed limits for the edges; those of edges for peers."""
-        self._merge_limits(sender, message.limits)
+        """Queue changed limits for the edges; those of edges for peers.
+
+        The same holds for endpoints that are presumed cold from now on.
+        """
+        self._merge_limits(
+            sender, tuple(n for n in message.limits if not n.cold)
+        )
+        is_from_edge = sender not in self.peers.presences
+        now = clock.now_ms()
+        for news in message.limits:
+            entry = self.registry.entries.get(news.endpoint)
+            if (
+                not news.cold
+                or (entry and coldstarts.refutes(entry.record, news))
+                or not self.cold_evidence.put(news, now)
+            ):
+                continue
+            incarnation = endpointlimits.limited_incarnation(news)
+            self.evidence_to_edges.put(incarnation, news)
+            if is_from_edge:
+                self.evidence_to_peers.put(incarnation, news)
 
     def _merge_limits(
         self, sender: str, limits: tuple[messages.EndpointLimit, ...]
@@ -891,8 +933,43 @@
 
         An instance that has restarted learns of the limits as well.
         """
-        self._merge_limits(sender, request.limits)
+        self._merge_limits(
+            sender, tuple(n for n in request.limits if n.said_ms)
+        )
         self.permits.ask(sender, request.limits, clock.now_ms())
+        self._send_later_heartbeats(sender, request)
+
+    def _send_later_heartbeats(
+        self, sender: str, request: messages.PermitRequest
+    ) -> None:
+        """Tell an edge what endpoints said after it presumed them cold.
+
+        Heartbeats that change nothing are not sent to edges otherwise.
+        """
+        records = []
+        for item in request.limits:
+            entry = self.registry.entries.get(item.endpoint)
+            if (
+                entry is not None
+                and item.cold_since_ms
+                and coldstarts.refutes(entry.record, item)
+            ):
+                records.append(entry.record)
+        if records:
+            update = messages.EndpointUpdate(tuple(records), False)
+            self.links.send(sender, update)
+
+    def _cold_milli_per_s(self, incarnation: endpoint.Incarnation) -> int:
+        """Return the rate of permits for an endpoint while it is cold.
+
+        There are none for an endpoint that is not known, or that has started
+        again: its next start gets its own.
+        """
+        entry = self.registry.entries.get(incarnation.endpoint)
+        if entry is None or entry.record.born != incarnation.born:
+            return 0
+        policy = self.cold_policies.get(entry.record.service)
+        return policy.milli_per_s if policy is not None else 0
 
     def _on_permit_grant(
         self, sender: str, grant: messages.PermitGrant
@@ -911,7 +988,8 @@
         async for tick in self.timers.subscribe(PERMIT_PERIOD_MS):
             leader = self.leader()
             if leader == self.name and self._has_quorum_contact(tick.now):
-                for sender, grant in self.permits.issue(tick.now).items():
+                grants = self.permits.issue(tick.now, self._cold_milli_per_s)
+                for sender, grant in grants.items():
                     self.links.send(sender, grant)
                 continue
             self.permits.stop_issuing()
@@ -975,6 +1053,7 @@
             messages.PartsRead(self.recent_parts.values(clock.now_ms())),
             self._quarantine_findings(),
             messages.EndpointLimits(tuple(self.limits.in_force())),
+            messages.EndpointLimits(self.cold_evidence.values(clock.now_ms())),
         )
         if receiver in self.peers.presences:
             now = clock.now_ms()
--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -101,6 +101,8 @@
         "grace_s": NotRequired[float],
         "lease_ms": NotRequired[float],
         "machines_lost": NotRequired[int],
+        "cold_excess": NotRequired[float],
+        "cold_slack": NotRequired[float],
     },
 )
 
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -18,11 +18,13 @@
 from primrosehitch import balancer as balancer_module
 from primrosehitch import budget as budget_module
 from primrosehitch import clock
+from primrosehitch import coldrates
 from primrosehitch import containment
 from primrosehitch import controlcontact
 from primrosehitch import controldirectory
 from primrosehitch import controlselector
 from primrosehitch import dialect as dialect_module
+from primrosehitch import endpointlimits
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import forwarder as forwarder_module
@@ -122,6 +124,7 @@
         self.registry = registry_module.Registry()
         self.registry.set_services(())
         self.balancer = balancer_module.Balancer(settings.domain, self.rng)
+        self.balancer.cold.wall_ms_at = self.true_time.wall_ms_at
         self.budget = budget_module.SharedRetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
         )
@@ -253,7 +256,8 @@
             group.start_soon(self._poll_control)
             group.start_soon(self._send_parts_read)
             group.start_soon(self._send_part_findings)
-            group.start_soon(self._send_limits)
+            group.start_soon(self._send_limits, self.balancer.limits.updates)
+            group.start_soon(self._send_limits, self.balancer.cold.evidence)
             group.start_soon(self._send_origins)
             group.start_soon(self._request_origins)
             group.start_soon(self._request_helpers)
@@ -328,6 +332,7 @@
         async for tick in self.timers.subscribe(SUBSCRIBE_PERIOD_MS):
             self._select_control()
             self._report_contact(tick.now)
+            self.balancer.cold.review(tick.now)
             self.quarantine.judge(tick.now)
             self._subscribe()
             self._send_load_report()
@@ -429,7 +434,10 @@
                 self.quarantine.apply_finding(finding, now)
         elif isinstance(message, messages.EndpointLimits):
             for limit in message.limits:
-                self.balancer.limits.apply(limit)
+                if limit.cold:
+                    self.balancer.cold.apply(limit, clock.now_ms())
+                else:
+                    self.balancer.limits.apply(limit)
         elif isinstance(message, messages.HelperReply):
             self.forwarder.helpers.apply(message.helpers)
         elif isinstance(message, messages.StreamOrigins):
@@ -496,10 +504,21 @@
         metrics.CONFIG_VERSION.set(table.version)
         events.emit(events.VERSION_IN_FORCE, version=table.version)
         self.registry.set_services(table.services)
+        self._set_cold_policies(table)
         for record in self.registry.records():
             self._update_balancer(record)
         self.forwarder.notify_routing_change()
 
+    def _set_cold_policies(self, table: routes.RouteTable) -> None:
+        """Limit the requests to cold endpoints as the table says."""
+        policies = coldrates.policies(
+            table.services.values(), self.settings.bounds
+        )
+        for service, policy in policies.items():
+            if not policy.milli_per_s:
+                events.emit(events.COLD_UNSERVED, service=service)
+        self.balancer.cold.set_policies(policies)
+
     def _on_endpoints(self, update: messages.EndpointUpdate) -> None:
         """Apply changed records; a complete update lists all endpoints."""
         now = clock.now_ms()
@@ -507,6 +526,7 @@
             change = self.registry.apply_record(record, now)
             if change is not None:
                 self._apply_change(change)
+            self.balancer.record_heartbeat(record, now)
         if update.whole:
             self._mark_unlisted_silent({r.id for r in update.records})
         self.forwarder.notify_routing_change()
@@ -627,10 +647,10 @@
             repeated = finding._replace(age_ms=now - found_ms)
             self.quarantine.findings.put(key, repeated)
 
-    async def _send_limits(self) -> None:
-        """Send which limits endpoints have named, changed or ended."""
+    async def _send_limits(self, updates: endpointlimits.LimitUpdates) -> None:
+        """Send which limits endpoints have named, or which may be cold."""
         while True:
-            limits = await self.balancer.limits.updates.take()
+            limits = await updates.take()
             while not self._send(messages.EndpointLimits(limits)):
                 await anyio.sleep(SUBSCRIBE_PERIOD_MS / 1000)
 
@@ -687,9 +707,9 @@
                 self.forwarder.record_reached(service)
 
     async def _request_permits(self) -> None:
-        """Ask for permits to send requests to limited endpoints."""
-        async for _ in self.timers.subscribe(PERMIT_REQUEST_PERIOD_MS):
-            wanted = self.balancer.limits.take_wanted()
+        """Ask for permits to send requests to limited or cold endpoints."""
+        async for tick in self.timers.subscribe(PERMIT_REQUEST_PERIOD_MS):
+            wanted = self.balancer.limits.take_wanted(tick.now)
             if wanted:
                 self._send(messages.PermitRequest(wanted))
 
--- a/primrosehitch/endpointlimits.py
+++ b/primrosehitch/endpointlimits.py
@@ -4,7 +4,8 @@
 endpoint's answers name it. An edge that learns of one tells the others, and
 sends a request to a limited endpoint only with a permit. Permits come from
 the leader of the control instances (``permits.py``) and expire soon, so that
-none are saved up.
+none are saved up. The same holds for endpoints that are cold
+(``coldstarts.py``); one that is both gets permits at the lower rate.
 
 Two clocks are used: true time in ms, by which what endpoints said is
 ordered across edges, and the local monotonic clock in ms (``now``).
@@ -14,6 +15,7 @@
 from collections import OrderedDict
 from typing import Iterator
 
+from primrosehitch import coldstarts
 from primrosehitch import events
 from primrosehitch import gathering
 from primrosehitch import messages
@@ -86,9 +88,13 @@
 
     Attributes:
         table: what is known of limits.
+        cold: which endpoints are cold.
         sent: this edge's requests to limited endpoints since it knows of
             the limit.
         permits: when the unused permits for an endpoint expire, in ms.
+        cold_permits: as permits, of those that were issued at the rate of a
+            cold endpoint. They are valid for a time from the request for
+            them on, so that no delay on the way prolongs it.
         wanted: requests that could have used a permit since the last
             request for permits, by incarnation.
         updates: what this edge learned from answers, for the other edges.
@@ -96,8 +102,10 @@
 
     def __init__(self) -> None:
         self.table = LimitTable()
+        self.cold = coldstarts.ColdStarts()
         self.sent: dict[Incarnation, int] = {}
         self.permits: dict[Incarnation, deque[int]] = {}
+        self.cold_permits: dict[Incarnation, deque[int]] = {}
         self.wanted: dict[Incarnation, int] = {}
         self.updates = make_limit_updates()
 
@@ -162,6 +170,9 @@
 
     def forget(self, incarnation: Incarnation) -> None:
         """Forget the limit of an endpoint that is gone."""
+        self.cold.forget(incarnation)
+        self.cold_permits.pop(incarnation, None)
+        self.wanted.pop(incarnation, None)
         milli_per_s = self.table.milli_per_s(incarnation)
         self.table.entries.pop(incarnation, None)
         if milli_per_s:
@@ -170,12 +181,23 @@
 
     def is_open(self, incarnation: Incarnation, now: int) -> bool:
         """Return whether a request may be sent to an endpoint now."""
-        if not self.table.milli_per_s(incarnation):
+        is_cold = self.cold.is_cold(incarnation, now)
+        if not is_cold and not self.table.milli_per_s(incarnation):
             return True
-        permits = self.permits.get(incarnation)
-        while permits and permits[0] <= now:
-            permits.popleft()
-        return bool(permits)
+        return bool(self._valid_permits(incarnation, is_cold, now))
+
+    def _valid_permits(
+        self, incarnation: Incarnation, is_cold: bool, now: int
+    ) -> deque[int] | None:
+        """Return permits of which one can be used now, if there are any."""
+        stores = (self.cold_permits, self.permits)
+        for store in stores[:1] if is_cold else stores:
+            permits = store.get(incarnation)
+            while permits and permits[0] <= now:
+                permits.popleft()
+            if permits:
+                return permits
+        return None
 
     def take(self, incarnation: Incarnation, now: int) -> bool:
         """Use a permit for a request that is about to be sent.
@@ -183,28 +205,51 @@
         Returns:
             Whether the request may be sent.
         """
-        if not self.table.milli_per_s(incarnation):
+        is_limited = self.table.milli_per_s(incarnation) > 0
+        is_cold = self.cold.is_cold(incarnation, now)
+        if not is_limited and not is_cold:
             return True
-        if not self.is_open(incarnation, now):
+        permits = self._valid_permits(incarnation, is_cold, now)
+        if permits is None:
             return False
-        self.permits[incarnation].popleft()
-        self.sent[incarnation] = self.sent.get(incarnation, 0) + 1
-        metrics.LIMITED_REQUESTS.inc()
+        permits.popleft()
+        if is_cold:
+            self.cold.record_sent(incarnation)
+        if is_limited:
+            self.sent[incarnation] = self.sent.get(incarnation, 0) + 1
+            metrics.LIMITED_REQUESTS.inc()
         return True
 
     def want(self, incarnation: Incarnation) -> None:
         """Note that a request could have been sent with one more permit."""
-        if self.table.milli_per_s(incarnation):
-            self.wanted[incarnation] = self.wanted.get(incarnation, 0) + 1
+        self.wanted[incarnation] = self.wanted.get(incarnation, 0) + 1
 
-    def take_wanted(self) -> tuple[messages.EndpointLimit, ...]:
+    def take_wanted(self, now: int) -> tuple[messages.EndpointLimit, ...]:
         """Return the permits to ask for, and begin to count anew."""
         wanted, self.wanted = self.wanted, {}
-        return tuple(
-            self.table.entries[incarnation]._replace(permits=count)
+        requests = (
+            self._make_request(incarnation, count, now)
             for incarnation, count in wanted.items()
-            if self.table.milli_per_s(incarnation)
         )
+        return tuple(r for r in requests if r.milli_per_s or r.cold)
+
+    def _make_request(
+        self, incarnation: Incarnation, count: int, now: int
+    ) -> messages.EndpointLimit:
+        """Return a request for permits for one endpoint.
+
+        An older control instance takes one without a limit for a limit of
+        0, and issues none.
+        """
+        limit = messages.EndpointLimit(*incarnation)
+        if self.table.milli_per_s(incarnation):
+            limit = self.table.entries[incarnation]
+        if self.cold.is_cold(incarnation, now):
+            limit = limit._replace(
+                cold=True,
+                cold_since_ms=self.cold.since_ms(incarnation),
+            )
+        return limit._replace(permits=count, asked_ms=now)
 
     def add_permits(
         self, grants: tuple[messages.EndpointLimit, ...], now: int
@@ -212,15 +257,41 @@
         """Store permits that the leader granted."""
         for grant in grants:
             incarnation = limited_incarnation(grant)
-            if self.table.milli_per_s(incarnation):
+            if grant.cold:
+                self._add_cold_permits(incarnation, grant, now)
+            elif self.table.milli_per_s(incarnation):
                 self.permits.setdefault(incarnation, deque()).extend(
                     [now + PERMIT_TTL_MS] * grant.permits
                 )
 
-    def next_permit_ms(self, incarnation: Incarnation) -> int:
+    def _add_cold_permits(
+        self, incarnation: Incarnation, grant: messages.EndpointLimit, now: int
+    ) -> None:
+        """Store permits that were issued at the rate of a cold endpoint.
+
+        They were issued after they had been asked for, and then were under
+        way for at most as long as the grant says.
+        """
+        expires_at = grant.asked_ms - grant.age_ms + PERMIT_TTL_MS
+        is_known = (
+            self.table.milli_per_s(incarnation) > 0
+            or incarnation in self.cold.states
+        )
+        if not is_known or not now < expires_at <= now + PERMIT_TTL_MS:
+            return
+        self.cold.record_grant(incarnation, now)
+        permits = self.cold_permits.setdefault(incarnation, deque())
+        while permits and permits[0] <= now:
+            permits.popleft()
+        permits.extend([expires_at] * grant.permits)
+
+    def next_permit_ms(self, incarnation: Incarnation, now: int) -> int:
         """Return about how long one more permit takes, 0 if none is due."""
         milli_per_s = self.table.milli_per_s(incarnation)
-        return 1_000_000 // milli_per_s if milli_per_s else 0
+        permit_ms = 1_000_000 // milli_per_s if milli_per_s else 0
+        if self.cold.is_cold(incarnation, now):
+            return max(permit_ms, self.cold.next_request_ms(incarnation, now))
+        return permit_ms
 
 
 __all__ = [
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -303,6 +303,36 @@
     " quorum in time; it is in force, and proposed again.",
     "Check events 1201 and 1102 of the control instances.",
 )
+COLD_BEGAN = Event(
+    1531,
+    "cold-began",
+    "An endpoint counts as cold and gets requests only with permits; `cause`"
+    " is its heartbeat (`reported`, for `left_ms`), or why its process may"
+    " have started again since the last one.",
+    "If it recurs without `reported`, look for 1511 of the endpoint.",
+)
+COLD_ENDED = Event(
+    1532,
+    "cold-ended",
+    "An endpoint no longer counts as cold; `sent` counts this edge's requests"
+    " to it meanwhile.",
+    NO_ACTION,
+)
+COLD_MALFORMED = Event(
+    1533,
+    "cold-malformed",
+    "A heartbeat's time for which the endpoint stays cold is no number of 0"
+    " or more; it is taken for a heartbeat that does not say.",
+    "Report it to the owners of the endpoint's software.",
+)
+COLD_UNSERVED = Event(
+    1534,
+    "cold-unserved",
+    "The bound on requests to a cold endpoint of a service is below one a"
+    " second, so that its cold endpoints get none.",
+    "Check `cold_per_s` of the service, and `cold_excess` and `cold_slack` in"
+    " the settings.",
+)
 ORDER_SENT = Event(
     1601, "order-sent", "An order was sent to the platform.", NO_ACTION
 )
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -16,6 +16,7 @@
 from primrosehitch import balancer as balancer_module
 from primrosehitch import budget as budget_module
 from primrosehitch import clock
+from primrosehitch import coldstarts
 from primrosehitch import dialect as dialect_module
 from primrosehitch import errors
 from primrosehitch import eventframes
@@ -859,6 +860,9 @@
 
     def _report_answering(self, choice: balancer_module.Choice) -> None:
         """Report that the endpoint, and no other at its address, answers."""
+        self.balancer.cold.record_answer(
+            choice.endpoint.incarnation, clock.now_ms()
+        )
         self.shared.quarantine.report_answering(
             choice.endpoint.incarnation,
             self.shared.true_time.wall_ms_at(self.sent_at_ms),
@@ -868,6 +872,9 @@
     def _report_ended(self, choice: balancer_module.Choice) -> None:
         """Report that the endpoint's process has ended."""
         now = clock.now_ms()
+        self.balancer.cold.record_ended(
+            choice.endpoint.incarnation, coldstarts.REFUSED, now
+        )
         self.shared.quarantine.report_ended(
             choice.endpoint.incarnation,
             self.shared.true_time.wall_ms_at(now),
@@ -1087,6 +1094,10 @@
         An answer that has gone on for some time is not what crashed it,
         and an endpoint that is leaving may close its connections.
         """
+        if not choice.endpoint.is_departing:
+            self.balancer.cold.record_break(
+                choice.endpoint.incarnation, clock.now_ms()
+            )
         answering_ms = self._since(self.answer_began_at_ms)
         if (
             not choice.endpoint.is_departing
--- a/primrosehitch/instance.py
+++ b/primrosehitch/instance.py
@@ -28,6 +28,9 @@
         lease_ms: minimum time between the orders of two leaders.
         machines_lost: number of machines, with their disks, that may be
             lost at once.
+        cold_excess: requests that a cold endpoint may get in any one second,
+            relative to those that it tolerates, over all edges.
+        cold_slack: additional requests that it may get in that time.
     """
 
     retry_ratio: float = 0.1
@@ -38,6 +41,8 @@
     grace_ms: int = 8_000
     lease_ms: int = 3_000
     machines_lost: int = 1
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
 
 
 class InstanceSettings(NamedTuple):
@@ -162,6 +167,8 @@
         grace_ms=_to_ms(document.get("grace_s"), default.grace_ms),
         lease_ms=int(document.get("lease_ms", default.lease_ms)),
         machines_lost=document.get("machines_lost", default.machines_lost),
+        cold_excess=document.get("cold_excess", default.cold_excess),
+        cold_slack=document.get("cold_slack", default.cold_slack),
     )
 
 
--- a/primrosehitch/instance_check.py
+++ b/primrosehitch/instance_check.py
@@ -398,6 +398,44 @@
                         + (name_prefix or "data")
                         + ".machines_lost must be bigger than or equal to 0"
                     )
+        if "cold_excess" in data_keys:
+            data_keys.remove("cold_excess")
+            data__coldexcess = data["cold_excess"]
+            if not isinstance(
+                data__coldexcess, (int, float, Decimal)
+            ) or isinstance(data__coldexcess, bool):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".cold_excess must be number"
+                )
+            if isinstance(
+                data__coldexcess, (int, float, Decimal)
+            ) and not isinstance(data__coldexcess, bool):
+                if data__coldexcess < 0:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".cold_excess must be bigger than or equal to 0"
+                    )
+        if "cold_slack" in data_keys:
+            data_keys.remove("cold_slack")
+            data__coldslack = data["cold_slack"]
+            if not isinstance(
+                data__coldslack, (int, float, Decimal)
+            ) or isinstance(data__coldslack, bool):
+                raise ValueError(
+                    "" + (name_prefix or "data") + ".cold_slack must be number"
+                )
+            if isinstance(
+                data__coldslack, (int, float, Decimal)
+            ) and not isinstance(data__coldslack, bool):
+                if data__coldslack < 0:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".cold_slack must be bigger than or equal to 0"
+                    )
         if data_keys:
             raise ValueError(
                 ""
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1529,6 +1529,9 @@
     spot: bool = False
     leaves_ms: int = 0
     version: str = ""
+    cold_left_ms: int = 0
+    reports_cold: bool = False
+    heard_ms: int = 0
 
 
 def _write_endpoint_record(b: Any, m: EndpointRecord) -> None:
@@ -1543,6 +1546,9 @@
     b.spot = m.spot
     b.leavesMs = m.leaves_ms
     b.version = m.version
+    b.coldLeftMs = m.cold_left_ms
+    b.reportsCold = m.reports_cold
+    b.heardMs = m.heard_ms
 
 
 def _read_endpoint_record(r: Any) -> EndpointRecord:
@@ -1558,6 +1564,9 @@
         r.spot,
         r.leavesMs,
         r.version,
+        r.coldLeftMs,
+        r.reportsCold,
+        r.heardMs,
     )
 
 
@@ -1872,6 +1881,10 @@
     milli_per_s: int = 0
     said_ms: int = 0
     permits: int = 0
+    cold: bool = False
+    cold_since_ms: int = 0
+    asked_ms: int = 0
+    age_ms: int = 0
 
 
 def _write_endpoint_limit(b: Any, m: EndpointLimit) -> None:
@@ -1880,6 +1893,10 @@
     b.milliPerS = m.milli_per_s
     b.saidMs = m.said_ms
     b.permits = m.permits
+    b.cold = m.cold
+    b.coldSinceMs = m.cold_since_ms
+    b.askedMs = m.asked_ms
+    b.ageMs = m.age_ms
 
 
 def _read_endpoint_limit(r: Any) -> EndpointLimit:
@@ -1889,6 +1906,10 @@
         r.milliPerS,
         r.saidMs,
         r.permits,
+        r.cold,
+        r.coldSinceMs,
+        r.askedMs,
+        r.ageMs,
     )
 
 
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -47,6 +47,14 @@
     "primrosehitch_limited_requests",
     "Requests sent to endpoints while a limit of theirs was in force.",
 )
+COLD_ENDPOINTS = prometheus_client.Gauge(
+    "primrosehitch_cold_endpoints",
+    "Endpoints that are cold, or presumed cold since they may have restarted.",
+)
+COLD_REQUESTS = prometheus_client.Counter(
+    "primrosehitch_cold_requests",
+    "Requests sent to endpoints while they counted as cold.",
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -65,6 +73,8 @@
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
 
 __all__ = [
+    "COLD_ENDPOINTS",
+    "COLD_REQUESTS",
     "CONFIG_AGE_SECONDS",
     "CONFIG_VERSION",
     "CONTENT_TYPE",
--- a/primrosehitch/platform/calls.py
+++ b/primrosehitch/platform/calls.py
@@ -12,6 +12,7 @@
 """
 
 import json
+import math
 from typing import Any
 
 from primrosehitch import control as control_module
@@ -31,6 +32,9 @@
 STATES = {"ready": registry.READY, "draining": registry.DRAINING}
 # The range of the field in our messages.
 MAX_SLOTS = (1 << 32) - 1
+# A longer time until an endpoint is warm is taken for this one.
+MAX_COLD_LEFT_MS = 600_000
+MAX_LOGGED_VALUE = 40
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -48,6 +52,7 @@
     state = STATES.get(item.string("state"))
     if state is None:
         raise fields.FieldError("not a known state", "$.state")
+    cold_left_ms = _parse_cold_left_ms(identifier, item)
     return messages.EndpointRecord(
         id=identifier,
         # Start of the engine's process, not its first heartbeat: it
@@ -62,9 +67,28 @@
         spot=item.boolean("spot"),
         leaves_ms=int(item.number("leaves_ms", 0)),
         version=item.string("version", ""),
+        cold_left_ms=cold_left_ms or 0,
+        reports_cold=cold_left_ms is not None,
     )
 
 
+def _parse_cold_left_ms(identifier: str, item: fields.Fields) -> int | None:
+    """Return for how long an engine stays cold, None if it does not say.
+
+    A malformed value changes nothing else: without its heartbeats the engine
+    would get no requests at all.
+    """
+    if not item.has("cold_left_ms"):
+        return None
+    try:
+        cold_left_ms = item.number("cold_left_ms")
+    except fields.FieldError:
+        value = repr(item.value["cold_left_ms"])[:MAX_LOGGED_VALUE]
+        events.emit(events.COLD_MALFORMED, endpoint=identifier, value=value)
+        return None
+    return math.ceil(min(cold_left_ms, MAX_COLD_LEFT_MS))
+
+
 def _decode_json(body: bytes) -> Any:
     try:
         return jsontext.loads(body)
--- a/primrosehitch/platform/tables.py
+++ b/primrosehitch/platform/tables.py
@@ -16,6 +16,8 @@
     "non_idempotent": routes.ONCE,
     "streaming": routes.STREAM,
 }
+# Larger values of a service's fields on cold endpoints are refused.
+MAX_COLD = {"cold_start_s": 3600, "cold_per_s": 1_000_000}
 
 
 def decode(body: bytes) -> routes.RouteTable:
@@ -46,7 +48,7 @@
     try:
         return decode(body)
     except errors.PrimrosehitchError:
-        return _decode(body, jsontext.loads_accepted)
+        return _decode(body, _load_accepted)
 
 
 def _load_unambiguous(body: bytes) -> Any:
@@ -60,6 +62,23 @@
     return document
 
 
+def _load_accepted(body: bytes) -> Any:
+    """Return a document that an earlier release accepted.
+
+    Earlier releases ignored the fields on cold endpoints, so that they may
+    hold anything; what is no valid value is ignored here, too.
+    """
+    document = jsontext.loads_accepted(body)
+    services = document.get("services") if isinstance(document, dict) else None
+    for service in services if isinstance(services, list) else ():
+        for name in MAX_COLD if isinstance(service, dict) else ():
+            try:
+                _parse_cold(fields.Fields(service), name)
+            except fields.FieldError:
+                del service[name]
+    return document
+
+
 def _decode(
     body: bytes, load_json: Callable[[bytes], Any]
 ) -> routes.RouteTable:
@@ -129,9 +148,23 @@
         connections=item.integer("max_conns", 0),
         engine=engine,
         scaling=scaling,
+        cold_start_s=_parse_cold(item, "cold_start_s"),
+        cold_per_s=_parse_cold(item, "cold_per_s"),
     )
 
 
+def _parse_cold(item: fields.Fields, name: str) -> float:
+    """Return a field on cold endpoints, 0 if it is missing or null."""
+    if not item.has(name):
+        return 0.0
+    value = item.number(name)
+    if value > MAX_COLD[name]:
+        raise fields.FieldError(
+            f"greater than {MAX_COLD[name]}", f"{item.path}.{name}"
+        )
+    return float(value)
+
+
 def _parse_scaling(item: fields.Fields) -> routes.Scaling:
     prices: dict[str, float] = {}
     if item.has("zone_prices"):
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -41,6 +41,9 @@
 # How long silent and left endpoints are remembered: longer than a network
 # partition can delay any report.
 RETENTION_MS = 120_000
+# Heartbeats whose times until an endpoint is warm agree within this much say
+# the same: they are under way for different times.
+COLD_TOLERANCE_MS = 250
 
 
 class EndpointChange(NamedTuple):
@@ -133,11 +136,14 @@
             record, entry.record
         ):
             return None
+        elapsed_ms = now - entry.last_heard_at
         previous, entry.record, entry.last_heard_at = entry.record, record, now
         if previous.state != record.state:
             self.cached_digest = None
         self._assign_address(record)
-        if _is_equivalent(previous, record):
+        if _is_equivalent(previous, record) and not _changes_coldness(
+            previous, record, elapsed_ms
+        ):
             return None
         return EndpointChange(record, previous)
 
@@ -335,6 +341,29 @@
     )
 
 
+def _changes_coldness(
+    previous: messages.EndpointRecord,
+    record: messages.EndpointRecord,
+    elapsed_ms: int,
+) -> bool:
+    """Return whether a report says what the countdown does not tell.
+
+    Args:
+        previous: the report before.
+        record: the report.
+        elapsed_ms: the time between the arrivals of both here, which counts
+            if a control instance did not note its own.
+    """
+    if not record.reports_cold:
+        return False
+    if previous.heard_ms and record.heard_ms:
+        elapsed_ms = record.heard_ms - previous.heard_ms
+    expected_ms = max(0, previous.cold_left_ms - max(0, elapsed_ms))
+    if record.cold_left_ms and not previous.cold_left_ms:
+        return True
+    return abs(record.cold_left_ms - expected_ms) > COLD_TOLERANCE_MS
+
+
 __all__ = [
     "DRAINING",
     "EndpointChange",
--- a/primrosehitch/routes.py
+++ b/primrosehitch/routes.py
@@ -117,12 +117,18 @@
             together, 0 for no limit.
         engine: set for model engines only.
         scaling: set where endpoints may be ordered.
+        cold_start_s: how long an endpoint is cold after a start during
+            traffic, in seconds; 0 for not at all.
+        cold_per_s: requests a second that a cold endpoint tolerates from all
+            edges together; 0 if they are not limited.
     """
 
     name: str
     connections: int
     engine: Engine | None
     scaling: Scaling | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class ClientLimits(NamedTuple):
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -505,6 +505,12 @@
   leavesMs @9 :UInt64;
   # Of the endpoint's software; empty if it reports none.
   version @10 :Text;
+  # How long it stays cold from this report on, if it reports that.
+  coldLeftMs @11 :UInt32;
+  reportsCold @12 :Bool;
+  # True time at which a control instance received this report; 0 from an
+  # older release.
+  heardMs @13 :UInt64;
 }
 
 # whole is set if records holds every endpoint that the sender knows.
@@ -613,6 +619,15 @@
   saidMs @3 :UInt64;
   # How many requests the sender asks for or permits.
   permits @4 :UInt32;
+  # The endpoint counts as cold: the permits are asked for, or were issued, at
+  # the rate of a cold endpoint. Without a limit, saidMs is 0.
+  cold @5 :Bool;
+  # True time since which it is presumed cold; 0 if its reports say so.
+  coldSinceMs @6 :UInt64;
+  # When the permits were asked for, by the clock of the process that asks.
+  askedMs @7 :UInt64;
+  # How long ago the granted permits may have been issued.
+  ageMs @8 :UInt32;
 }
 
 # Limits that began, changed or ended.
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -64,7 +64,7 @@
 
     def _ask(self):
         for number, edge in enumerate(self.edges):
-            wanted = edge.take_wanted()
+            wanted = edge.take_wanted(self.now)
             if wanted:
                 desk = self.desks[number % INSTANCES]
                 desk.ask(f"edge {number}", wanted, self.now)
