--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -884,10 +884,9 @@
         is_from_edge = sender not in self.peers.presences
         now = clock.now_ms()
         for news in message.limits:
-            entry = self.registry.entries.get(news.endpoint)
             if (
                 not news.cold
-                or (entry and coldstarts.refutes(entry.record, news))
+                or self._later_heartbeat(news) is not None
                 or not self.cold_evidence.put(news, now)
             ):
                 continue
@@ -946,19 +945,25 @@
 
         Heartbeats that change nothing are not sent to edges otherwise.
         """
-        records = []
-        for item in request.limits:
-            entry = self.registry.entries.get(item.endpoint)
-            if (
-                entry is not None
-                and item.cold_since_ms
-                and coldstarts.refutes(entry.record, item)
-            ):
-                records.append(entry.record)
+        heartbeats = (
+            self._later_heartbeat(item)
+            for item in request.limits
+            if item.cold_since_ms
+        )
+        records = tuple(record for record in heartbeats if record is not None)
         if records:
-            update = messages.EndpointUpdate(tuple(records), False)
+            update = messages.EndpointUpdate(records, False)
             self.links.send(sender, update)
 
+    def _later_heartbeat(
+        self, news: messages.EndpointLimit
+    ) -> messages.EndpointRecord | None:
+        """Return a heartbeat that is later than evidence, if there is one."""
+        entry = self.registry.entries.get(news.endpoint)
+        if entry is None or not coldstarts.refutes(entry.record, news):
+            return None
+        return entry.record
+
     def _cold_milli_per_s(self, incarnation: endpoint.Incarnation) -> int:
         """Return the rate of permits for an endpoint while it is cold.
 
@@ -1053,7 +1058,7 @@
             messages.PartsRead(self.recent_parts.values(clock.now_ms())),
             self._quarantine_findings(),
             messages.EndpointLimits(tuple(self.limits.in_force())),
-            messages.EndpointLimits(self.cold_evidence.values(clock.now_ms())),
+            messages.EndpointLimits(self._open_evidence()),
         )
         if receiver in self.peers.presences:
             now = clock.now_ms()
@@ -1065,6 +1070,14 @@
         if all(self.links.send(receiver, message) for message in missed):
             self.lacking_updates.discard(receiver)
 
+    def _open_evidence(self) -> tuple[messages.EndpointLimit, ...]:
+        """Return which endpoints may be cold by what edges found lately."""
+        return tuple(
+            news
+            for news in self.cold_evidence.values(clock.now_ms())
+            if self._later_heartbeat(news) is None
+        )
+
     def _quarantine_findings(self) -> messages.PartFindings:
         """Return the quarantined parts, for receivers that may lack them."""
         now = clock.now_ms()
--- a/primrosehitch/endpointlimits.py
+++ b/primrosehitch/endpointlimits.py
@@ -277,7 +277,7 @@
             self.table.milli_per_s(incarnation) > 0
             or incarnation in self.cold.states
         )
-        if not is_known or not now < expires_at <= now + PERMIT_TTL_MS:
+        if not is_known or not grant.asked_ms <= now < expires_at:
             return
         self.cold.record_grant(incarnation, now)
         permits = self.cold_permits.setdefault(incarnation, deque())
