--- a/primrosehitch/coldstarts.py
+++ b/primrosehitch/coldstarts.py
@@ -321,14 +321,16 @@
         if policy is None:
             return 0
         state = self.states[incarnation]
-        cold_ms = max(0, state.cold_until - now)
+        left_ms = max(0, state.cold_until - now)
         if state.presumption is not None:
             most_ms = policy.start_ms + PRESUMED_MARGIN_MS
             since_ms = now - state.presumption.found_at
-            cold_ms = max(cold_ms, most_ms - since_ms, 0)
-        if policy.milli_per_s:
-            return min(cold_ms, 1_000_000 // policy.milli_per_s)
-        return cold_ms
+            left_ms = max(left_ms, most_ms - since_ms)
+        if not policy.milli_per_s:
+            return left_ms
+        permit_ms = 1_000_000 // policy.milli_per_s
+        # While permits arrive, it may be presumed cold for longer.
+        return min(left_ms, permit_ms) if left_ms > 0 else permit_ms
 
     def forget(self, incarnation: Incarnation) -> None:
         """Forget an endpoint that is gone."""
--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -261,6 +261,9 @@
                 scaler = self._scaler(service.name)
                 scaler.observe(records, is_warm)
                 scaler.limited_count = self._count_limited(service.name)
+                scaler.cold_spot_count = self._count_cold_spot(
+                    service.name, now
+                )
 
     def _count_limited(self, service: str) -> int:
         """Return how many ready endpoints of a service named a limit."""
@@ -275,6 +278,18 @@
             for record in self.control.registry.live_records()
         )
 
+    def _count_cold_spot(self, service: str, now: int) -> int:
+        """Return how many ready spot endpoints of a service are cold."""
+        if service not in self.control.cold_policies:
+            return 0
+        return sum(
+            entry.record.service == service
+            and entry.record.state == registry.READY
+            and entry.record.spot
+            and entry.last_heard_at + entry.record.cold_left_ms > now
+            for entry in self.control.registry.entries.values()
+        )
+
     def _scaler(self, service: str) -> scaling.Scaler:
         """Return the scaler of a service."""
         if service not in self.scalers:
--- a/primrosehitch/scaling.py
+++ b/primrosehitch/scaling.py
@@ -119,6 +119,8 @@
             endpoints, in ms, by failure domain.
         limited_count: ready endpoints that named a limit on requests; each
             is replaced, as what it turns away is demand.
+        cold_spot_count: ready spot endpoints that are cold, and serve little
+            yet.
         last_orders: count and time in ms of the last accepted order, by
             failure domain and whether it was for spot endpoints.
         undelivered_since: since when a failure domain has fewer spot
@@ -134,6 +136,7 @@
         self.first_plan_ms = -1
         self.unavailable_until: dict[str, int] = {}
         self.limited_count = 0
+        self.cold_spot_count = 0
         self.last_orders: dict[tuple[str, bool], tuple[int, int]] = {}
         self.undelivered_since: dict[str, int] = {}
 
@@ -312,9 +315,11 @@
         lacking_first = sorted(
             by_price, key=lambda d: not self._was_spot_unavailable(d, now)
         )
-        # Present ones stay until spot endpoints serve. New ones serve no
-        # sooner than spot endpoints that are ordered now.
+        # Present ones stay until spot endpoints serve, which cold ones hardly
+        # do. New ones serve no sooner than spot endpoints that are ordered
+        # now.
         spot_count = sum(counts.spot for counts in ready.values())
+        spot_count -= self.cold_spot_count
         _distribute(needed - spot_count, targets, present, lacking_first)
         missing = needed - sum(coming_spot.values())
         _distribute(missing, targets, room, lacking_first)
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -51,7 +51,6 @@
         engine: the engine that is cold at times.
         others: engines that are warm all the time.
         cold_until: until when the engine is cold.
-        reports: whether the heartbeats say how long.
         born: the start of the engine's process.
         heard: whether the engine sends heartbeats.
         answers: (status, headers) of each answer, by edge.
@@ -62,7 +61,6 @@
         self.engine = platform_engine.StandInEngine(["brief"])
         self.others = []
         self.cold_until = 0.0
-        self.reports = True
         self.born = 5
         self.heard = True
         self.answers = {}
@@ -86,6 +84,7 @@
         )
         if cold_s:
             self.become_cold(cold_s)
+        if cold_s and service["cold_per_s"]:
             await instances.wait_until(
                 lambda: self.cold_edges() == list(self.fleet.edges), 2
             )
@@ -102,11 +101,12 @@
             changes = {}
             if engine is self.engine:
                 left_s = max(0.0, self.cold_until - anyio.current_time())
-                changes = {"born": self.born}
-                if self.reports:
-                    changes["cold_left_ms"] = round(1000 * left_s)
-            elif self.reports:
-                changes = {"cold_left_ms": 0}
+                changes = {
+                    "born": self.born,
+                    "cold_left_ms": round(1000 * left_s),
+                }
+            else:
+                changes = {"cold_left_ms": 0, "zone": "z1"}
             if self.heard or engine is not self.engine:
                 with contextlib.suppress(httpcore.ConnectError):
                     await instances.send_heartbeat(
--- a/tests/test_coldstarts.py
+++ b/tests/test_coldstarts.py
@@ -229,6 +229,15 @@
     assert cold.next_request_ms(ENDPOINT, 500) == 2000
 
 
+def test_time_of_the_next_permit_counts_while_the_presumption_lasts():
+    cold = make_cold_starts(make_record())
+    cold.presume(ENDPOINT, coldstarts.REFUSED, 1000)
+    cold.record_grant(ENDPOINT, 1000 + MOST_MS)
+    for now in (1000, 1000 + MOST_MS):
+        assert cold.is_cold(ENDPOINT, now)
+        assert cold.next_request_ms(ENDPOINT, now) == 200
+
+
 def test_each_cold_time_is_logged_once(log_lines):
     cold = make_cold_starts(make_record(left_ms=2500))
     for now in range(0, 4000, 250):
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -116,6 +116,18 @@
     assert counts_by_kind(platform) == (0, 12)
 
 
+# Guards against: endpoints that serve are dismissed for ones that are cold.
+def test_on_demand_endpoints_stay_while_spot_endpoints_are_cold():
+    roomy = SCALING._replace(max_endpoints=8)
+    platform = SimulatedPlatform(on_demand=2, scaling_limits=roomy)
+    platform.scaler.cold_spot_count = 12
+    platform.run(10_000)
+    assert counts_by_kind(platform) == (6, 12)
+    platform.scaler.cold_spot_count = 0
+    platform.run(10_000)
+    assert counts_by_kind(platform) == (0, 12)
+
+
 def test_limit_covers_both_kinds_together():
     platform = SimulatedPlatform(on_demand=4)
     for _ in range(30):
