--- a/primrosehitch/endpointlimits.py
+++ b/primrosehitch/endpointlimits.py
@@ -281,8 +281,6 @@
             return
         self.cold.record_grant(incarnation, now)
         permits = self.cold_permits.setdefault(incarnation, deque())
-        while permits and permits[0] <= now:
-            permits.popleft()
         permits.extend([expires_at] * grant.permits)
 
     def next_permit_ms(self, incarnation: Incarnation, now: int) -> int:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -2,7 +2,10 @@
 
 import random
 
+import pytest
+
 from primrosehitch import balancer as balancer_module
+from primrosehitch import coldstarts
 from primrosehitch import messages
 
 RequestProfile = balancer_module.RequestProfile
@@ -410,3 +413,68 @@
         )
     short = RequestProfile("s", (PromptPart("own", 900),), 900, 100, 2000)
     assert balancer.choose(short, (), 0).endpoint is not other
+
+
+def make_cold(balancer, number, permits):
+    """Make an endpoint cold for 3 s, and grant permits for it."""
+    balancer.cold.set_policies({"s": coldstarts.ColdPolicy(3000, 5000)})
+    record = make_record(
+        number, sequence=1, cold_left_ms=3000, reports_cold=True
+    )
+    balancer.record_heartbeat(record, 0)
+    grant = messages.EndpointLimit(
+        f"e{number}", 1, permits=permits, cold=True, asked_ms=1
+    )
+    balancer.limits.add_permits((grant,), 1)
+
+
+@pytest.mark.parametrize("kv_tokens", [0, KV_TOKENS])
+def test_warm_endpoints_are_chosen_before_a_cold_one_with_permits(kv_tokens):
+    balancer = make_balancer(2, slots=4, kv_tokens=kv_tokens)
+    make_cold(balancer, 0, permits=3)
+    tokens = 900 if kv_tokens else 0
+    profile = RequestProfile("s", (), tokens, 0, 2000)
+    first = balancer.choose(profile, (), 10).endpoint
+    assert first.record.id == "e1"
+    # Under load it gets what its permits allow.
+    chosen = {
+        send_request(balancer, profile, 10).endpoint.record.id
+        for _ in range(30)
+    }
+    assert chosen == {"e0", "e1"}
+
+
+def test_cold_endpoint_without_permits_gets_nothing():
+    balancer = make_balancer(2, slots=4, kv_tokens=0)
+    make_cold(balancer, 0, permits=0)
+    for _ in range(30):
+        send_request(balancer, RequestProfile("s"), 10)
+    assert balancer.endpoints["e0"].inflight == 0
+    assert [r.endpoint for r in balancer.limits.take_wanted(20)] == ["e0"]
+    assert balancer.choose(RequestProfile("s"), ("e1",), 10) is None
+    assert balancer.availability("s", 10).cold == 1
+    # The next permit is due 200 ms after the last one, if not warm before.
+    balancer.remove_endpoint("e1")
+    assert balancer.next_available_at("s", 10) == 210
+    assert balancer.next_available_at("s", 2900) == 3000
+
+
+def test_endpoint_of_an_evacuated_domain_is_cold_after_the_evacuation():
+    balancer = make_balancer(2, domains=("za", "zb"), kv_tokens=0)
+    make_cold(balancer, 0, permits=0)
+    balancer.record_heartbeat(make_record(1, "zb", sequence=1), 0)
+    balancer.presume_cold({"zb"}, 4000)
+    assert balancer.choose(RequestProfile("s"), ("e0",), 4000) is None
+    assert balancer.choose(RequestProfile("s"), (), 4000) is not None
+
+
+def test_next_start_of_an_endpoint_loses_the_permits_of_the_last_one():
+    balancer = make_balancer(1, kv_tokens=0)
+    make_cold(balancer, 0, permits=3)
+    assert balancer.choose(RequestProfile("s"), (), 10) is not None
+    again = make_record(0, cold_left_ms=3000, reports_cold=True)
+    again = again._replace(born=2)
+    balancer.update_endpoint(again, 0)
+    balancer.record_heartbeat(again, 10)
+    assert balancer.choose(RequestProfile("s"), (), 10) is None
+    assert len(balancer.cold.states) == 1
--- a/tests/test_cold_permits.py
+++ b/tests/test_cold_permits.py
@@ -329,6 +329,28 @@
         assert not edge.take(ENDPOINT, valid_until)
 
 
+# Guards against: an edge asks while permits are on their way to its control
+# instance, and takes them for younger than they are.
+@pytest.mark.parametrize(
+    "asked_ms,age_ms", [(5000, 600), (4601, 999), (4600, None), (5601, None)]
+)
+def test_permits_are_passed_on_with_their_age(asked_ms, age_ms):
+    desk = permits.PermitDesk(random.Random(1))
+    wanted = messages.EndpointLimit(
+        *ENDPOINT, permits=2, cold=True, asked_ms=70_000
+    )
+    desk.ask("edge", (wanted,), 5500)
+    grant = messages.PermitGrant(
+        (wanted._replace(permits=1, asked_ms=asked_ms),)
+    )
+    passed_on = desk.pass_on(grant, 5600)
+    if age_ms is None:
+        assert passed_on == {}
+    else:
+        expected = wanted._replace(permits=1, age_ms=age_ms)
+        assert passed_on == {"edge": messages.PermitGrant((expected,))}
+
+
 # Guards against: a request for permits of a cold endpoint ends or names a
 # limit at a control instance of an earlier release.
 def test_earlier_release_takes_a_request_for_a_limit_of_none():
