Tell edges that lost messages which endpoints are cold

Cause: the digest of a registry covers identifiers, starts and states, so that an edge whose link broke did not learn that an endpoint had become cold.

Change: an edge that may have missed messages gets the records of cold endpoints beside those of inactive ones.

Pure tests pass.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -699,7 +699,9 @@
         self.subscribers[sender] = Subscriber(now, subscription.helpers)
         self.edges.record_heard(sender, now)
         if sender in self.lacking_updates:
-            self._send_missed(sender, self.registry.inactive_records())
+            records = self.registry.inactive_records()
+            records += self.registry.cold_records(now)
+            self._send_missed(sender, records)
         self.true_time.add_report(sender, subscription.wall_ms, now)
         status = self._make_status(now)
         self.links.send(sender, status)
@@ -1051,7 +1053,7 @@
 
         Args:
             receiver: the edge or instance.
-            records: the inactive endpoints that it should know of.
+            records: the inactive and cold endpoints that it should know of.
         """
         missed = (
             messages.EndpointUpdate(tuple(records), False),
--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -283,11 +283,8 @@
         if service not in self.control.cold_policies:
             return 0
         return sum(
-            entry.record.service == service
-            and entry.record.state == registry.READY
-            and entry.record.spot
-            and entry.last_heard_at + entry.record.cold_left_ms > now
-            for entry in self.control.registry.entries.values()
+            record.service == service and record.spot
+            for record in self.control.registry.cold_records(now)
         )
 
     def _scaler(self, service: str) -> scaling.Scaler:
--- a/primrosehitch/registry.py
+++ b/primrosehitch/registry.py
@@ -245,6 +245,18 @@
         """Return the newest records of the endpoints that have not left."""
         return [r for r in self.records() if r.state != LEFT]
 
+    def cold_records(self, now: int) -> list[messages.EndpointRecord]:
+        """Return the newest records of the ready endpoints that are cold.
+
+        No digest shows that somebody lacks what they say.
+        """
+        return [
+            entry.record
+            for entry in self.entries.values()
+            if entry.record.state == READY
+            and entry.last_heard_at + entry.record.cold_left_ms > now
+        ]
+
     def digest(self) -> int:
         """Return a hash of the endpoints that are ready or draining.
 
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -361,6 +361,31 @@
     control.record_heartbeat = record_without_cold
 
 
+# Guards against: an edge does not learn that an endpoint is cold if the
+# message is lost with a link.
+def test_edge_learns_of_a_cold_endpoint_after_a_lost_message(tmp_path):
+    async def body():
+        async with cold_fleet(tmp_path, edges=EDGES[:1]) as fleet:
+            edge = fleet.fleet.edges[EDGES[0]]
+            handle_message = edge._handle_message
+
+            def lose(sender, message):
+                if not isinstance(message, messages.EndpointUpdate):
+                    handle_message(sender, message)
+
+            edge._handle_message = lose
+            fleet.become_cold(60.0)
+            await anyio.sleep(1.0)
+            assert fleet.cold_edges() == []
+            edge._handle_message = handle_message
+            name = str(instances.address(EDGES[0], instances.LINK_PORT))
+            for control in fleet.fleet.controls.values():
+                control._note_loss(name)
+            await instances.wait_until(lambda: fleet.cold_edges(), 1)
+
+    instances.run_test(body)
+
+
 # Guards against: the limit is in force where the configuration has none.
 def test_service_without_the_rate_is_not_limited(tmp_path):
     async def body():
