--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -16,8 +16,11 @@
 
 from primrosehitch import balancer
 from primrosehitch import clock
+from primrosehitch import coldrates
+from primrosehitch import coldstarts
 from primrosehitch import containment
 from primrosehitch import edgedirectory
+from primrosehitch import endpoint
 from primrosehitch import endpointlimits
 from primrosehitch import errors
 from primrosehitch import evacuationorders
@@ -165,6 +168,10 @@
         self.origins = streamorigins.OriginTable()
         self.origins_to_peers = streamorigins.make_origin_updates()
         self.permits = permits_module.PermitDesk(self.rng)
+        self.cold_policies: dict[str, coldstarts.ColdPolicy] = {}
+        self.cold_evidence = coldstarts.EvidenceTable()
+        self.evidence_to_edges = coldstarts.make_evidence()
+        self.evidence_to_peers = coldstarts.make_evidence()
         # Edges and instances that joined or may have missed messages, until
         # they are sent what they may lack.
         self.lacking_updates: set[str] = set()
@@ -293,6 +300,9 @@
         """Use the services of a table, and prepare it for the edges."""
         decoded = self.decode_table(table.body)
         self.registry.set_services(decoded.services)
+        self.cold_policies = coldrates.policies(
+            decoded.services.values(), self.settings.bounds
+        )
         if decoded.needs_key and not decoded.customers:
             self.table_for_edges = table._replace(
                 body=self.encode_without_customers(table.body)
@@ -433,10 +443,12 @@
         Raises:
             MessageError: the record holds a value that no message carries.
         """
+        now = clock.now_ms()
+        record = record._replace(heard_ms=self.true_time.wall_ms_at(now))
         # A record that is known is sent to other instances again and again.
         messages.encode(record)
         self.refreshed_ids.add(record.id)
-        change = self.registry.apply_record(record, clock.now_ms())
+        change = self.registry.apply_record(record, now)
         if change is not None:
             self._broadcast_endpoint(change)
 
@@ -530,6 +542,16 @@
                     messages.EndpointLimits,
                     self.peers.link_names,
                 ),
+                (
+                    self.evidence_to_peers,
+                    messages.EndpointLimits,
+                    self.peers.link_names,
+                ),
+                (
+                    self.evidence_to_edges,
+                    messages.EndpointLimits,
+                    self.subscribers.keys,
+                ),
                 (
                     self.origins_to_peers,
                     messages.StreamOrigins,
@@ -737,7 +759,9 @@
         self.subscribers[sender] = Subscriber(now, subscription.helpers)
         self.edges.record_heard(sender, now)
         if sender in self.lacking_updates:
-            self._send_missed(sender, self.registry.inactive_records())
+            records = self.registry.inactive_records()
+            records += self.registry.cold_records(now)
+            self._send_missed(sender, records)
         self.true_time.add_report(sender, subscription.wall_ms, now)
         status = self._make_status(now)
         self.links.send(sender, status)
@@ -932,8 +956,26 @@
     def _on_limits(
         self, sender: str, message: messages.EndpointLimits
     ) -> None:
-        """Queue changed limits for the edges; those of edges for peers."""
-        self._merge_limits(sender, message.limits)
+        """Queue changed limits for the edges; those of edges for peers.
+
+        The same holds for endpoints that are presumed cold from now on.
+        """
+        self._merge_limits(
+            sender, tuple(n for n in message.limits if not n.cold)
+        )
+        is_from_edge = sender not in self.peers.presences
+        now = clock.now_ms()
+        for news in message.limits:
+            if (
+                not news.cold
+                or self._later_heartbeat(news) is not None
+                or not self.cold_evidence.put(news, now)
+            ):
+                continue
+            incarnation = endpointlimits.limited_incarnation(news)
+            self.evidence_to_edges.put(incarnation, news)
+            if is_from_edge:
+                self.evidence_to_peers.put(incarnation, news)
 
     def _merge_limits(
         self, sender: str, limits: tuple[messages.EndpointLimit, ...]
@@ -972,8 +1014,49 @@
 
         An instance that has restarted learns of the limits as well.
         """
-        self._merge_limits(sender, request.limits)
+        self._merge_limits(
+            sender, tuple(n for n in request.limits if n.said_ms)
+        )
         self.permits.ask(sender, request.limits, clock.now_ms())
+        self._send_later_heartbeats(sender, request)
+
+    def _send_later_heartbeats(
+        self, sender: str, request: messages.PermitRequest
+    ) -> None:
+        """Tell an edge what endpoints said after it presumed them cold.
+
+        Heartbeats that change nothing are not sent to edges otherwise.
+        """
+        heartbeats = (
+            self._later_heartbeat(item)
+            for item in request.limits
+            if item.cold_since_ms
+        )
+        records = tuple(record for record in heartbeats if record is not None)
+        if records:
+            update = messages.EndpointUpdate(records, False)
+            self.links.send(sender, update)
+
+    def _later_heartbeat(
+        self, news: messages.EndpointLimit
+    ) -> messages.EndpointRecord | None:
+        """Return a heartbeat that is later than evidence, if there is one."""
+        entry = self.registry.entries.get(news.endpoint)
+        if entry is None or not coldstarts.refutes(entry.record, news):
+            return None
+        return entry.record
+
+    def _cold_milli_per_s(self, incarnation: endpoint.Incarnation) -> int:
+        """Return the rate of permits for an endpoint while it is cold.
+
+        There are none for an endpoint that is not known, or that has started
+        again: its next start gets its own.
+        """
+        entry = self.registry.entries.get(incarnation.endpoint)
+        if entry is None or entry.record.born != incarnation.born:
+            return 0
+        policy = self.cold_policies.get(entry.record.service)
+        return policy.milli_per_s if policy is not None else 0
 
     def _on_permit_grant(
         self, sender: str, grant: messages.PermitGrant
@@ -992,7 +1075,8 @@
         async for tick in self.timers.subscribe(PERMIT_PERIOD_MS):
             leader = self.leader()
             if leader == self.name and self._has_quorum_contact(tick.now):
-                for sender, grant in self.permits.issue(tick.now).items():
+                grants = self.permits.issue(tick.now, self._cold_milli_per_s)
+                for sender, grant in grants.items():
                     self.links.send(sender, grant)
                 continue
             self.permits.stop_issuing()
@@ -1049,13 +1133,14 @@
 
         Args:
             receiver: the edge or instance.
-            records: the inactive endpoints that it should know of.
+            records: the inactive and cold endpoints that it should know of.
         """
         missed = (
             messages.EndpointUpdate(tuple(records), False),
             messages.PartsRead(self.recent_parts.values(clock.now_ms())),
             self._quarantine_findings(),
             messages.EndpointLimits(tuple(self.limits.in_force())),
+            messages.EndpointLimits(self._open_evidence()),
         )
         if receiver in self.peers.presences:
             now = clock.now_ms()
@@ -1067,6 +1152,14 @@
         if all(self.links.send(receiver, message) for message in missed):
             self.lacking_updates.discard(receiver)
 
+    def _open_evidence(self) -> tuple[messages.EndpointLimit, ...]:
+        """Return which endpoints may be cold by what edges found lately."""
+        return tuple(
+            news
+            for news in self.cold_evidence.values(clock.now_ms())
+            if self._later_heartbeat(news) is None
+        )
+
     def _quarantine_findings(self) -> messages.PartFindings:
         """Return the quarantined parts, for receivers that may lack them."""
         now = clock.now_ms()
--- a/primrosehitch/duties.py
+++ b/primrosehitch/duties.py
@@ -263,6 +263,9 @@
                 scaler.observe(records, is_warm)
                 scaler.limited_count = self._count_limited(service.name)
                 scaler.record_evacuated(evacuated, now)
+                scaler.cold_spot_count = self._count_cold_spot(
+                    service.name, now
+                )
 
     def _count_limited(self, service: str) -> int:
         """Return how many ready endpoints of a service named a limit.
@@ -282,6 +285,15 @@
             for record in self.control.registry.live_records()
         )
 
+    def _count_cold_spot(self, service: str, now: int) -> int:
+        """Return how many ready spot endpoints of a service are cold."""
+        if service not in self.control.cold_policies:
+            return 0
+        return sum(
+            record.service == service and record.spot
+            for record in self.control.registry.cold_records(now)
+        )
+
     def _scaler(self, service: str) -> scaling.Scaler:
         """Return the scaler of a service."""
         if service not in self.scalers:
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -65,6 +65,14 @@
     "primrosehitch_evacuated_domains",
     "Failure domains to whose endpoints no request is sent.",
 )
+COLD_ENDPOINTS = prometheus_client.Gauge(
+    "primrosehitch_cold_endpoints",
+    "Endpoints that are cold, or presumed cold since they may have restarted.",
+)
+COLD_REQUESTS = prometheus_client.Counter(
+    "primrosehitch_cold_requests",
+    "Requests sent to endpoints while they counted as cold.",
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -84,6 +92,8 @@
 
 __all__ = [
     "CLOSED_CONNECTIONS",
+    "COLD_ENDPOINTS",
+    "COLD_REQUESTS",
     "CONFIG_AGE_SECONDS",
     "CONFIG_VERSION",
     "CONNECTION_BYTES",
