Evacuations: mutants, and texts that the earlier ones look for

Cause: two mutants of the balancer did not find their texts once any more, which tests/test_mutants.py showed.

Change: the conditions on evacuated domains are written so that each text is there once. Six mutants of evacuations are added.

Measured: tests/test_mutants.py, test_evacuations.py and test_balancer.py pass; the five new mutants whose tests need no sockets are killed.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -274,10 +274,10 @@
         serving = [
             e
             for e in self.endpoints.values()
-            if e.record.service == service
-            and version in (None, e.record.version)
-            and not e.is_departing
+            if e.record.service == service and not e.is_departing
         ]
+        if version is not None:
+            serving = [e for e in serving if e.record.version == version]
         return bool(serving) and all(map(self.is_evacuated, serving))
 
     def usable_endpoints(
@@ -326,9 +326,9 @@
             e
             for e in endpoints
             if e.record.id not in excluded
+            and not self.is_evacuated(e)
             and version in (None, e.record.version)
             and not e.is_leaving
-            and not self.is_evacuated(e)
             and e.paused_until <= now
             and self.limits.is_open(e.incarnation, now)
             and e.has_free_connection(self.edge_count)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1005,6 +1005,49 @@
         "            if False:",
         "tests/test_settingswatch.py",
     ),
+    Mutant(
+        "an order applies only to the version on which it was decided",
+        "evacuations.py",
+        "messages.Edit(edit_id, self.version, operator, self.rows)",
+        "messages.Edit(edit_id, (1 << 64) - 1, operator, self.rows)",
+        "tests/test_evacuations.py",
+    ),
+    Mutant(
+        "an older set of evacuated domains is not applied",
+        "evacuations.py",
+        "        if version <= self.version:",
+        "        if not version:",
+        "tests/test_evacuations.py",
+    ),
+    Mutant(
+        "evacuated endpoints are in no index",
+        "balancer.py",
+        "            if self.is_evacuated(endpoint):\n"
+        "                continue\n",
+        "",
+        "tests/test_evacuations.py",
+    ),
+    Mutant(
+        "the domain is checked before a request is sent",
+        "forwarding.py",
+        "        if self.balancer.is_evacuated(choice.endpoint):",
+        "        if False:",
+        "tests/test_evacuated_forwarding.py",
+    ),
+    Mutant(
+        "evacuated endpoints are no capacity",
+        "scaling.py",
+        "        by_price = [d for d in all_domains if d not in avoided]",
+        "        by_price = all_domains",
+        "tests/test_evacuations.py",
+    ),
+    Mutant(
+        "the first table waits for a quorum",
+        "firsttable.py",
+        "        if self.is_confirmed or now",
+        "        if True or now",
+        "tests/test_evacuations.py",
+    ),
 ]
 
 
