Cold endpoints: less work per choice; a test without a majority

Each choice asks of all endpoints whether they are cold, so the check ends at once where no service limits its cold endpoints.

The new fleet test is not run yet.

--- a/primrosehitch/coldstarts.py
+++ b/primrosehitch/coldstarts.py
@@ -140,9 +140,12 @@
         """Return whether it is cold or presumed cold."""
         if now < self.cold_until:
             return True
-        if self.presumption is not None and self._is_over(policy, now):
+        if self.presumption is None:
+            return False
+        if self._is_over(policy, now):
             self.presumption = None
-        return self.presumption is not None
+            return False
+        return True
 
     def _is_over(self, policy: ColdPolicy, now: int) -> bool:
         """Return whether it need not be presumed cold any longer."""
@@ -181,15 +184,17 @@
 
     def is_cold(self, incarnation: Incarnation, now: int) -> bool:
         """Return whether an endpoint is cold or presumed cold."""
-        policy = self._policy(incarnation)
-        if policy is None:
+        # Each choice asks this of all endpoints.
+        if not self.policies:
             return False
-        return self.states[incarnation].is_cold(policy, now)
+        state = self.states.get(incarnation)
+        if state is None:
+            return False
+        policy = self.policies.get(state.service)
+        return policy is not None and state.is_cold(policy, now)
 
     def _policy(self, incarnation: Incarnation) -> ColdPolicy | None:
         """Return the policy of a known endpoint, if its service has one."""
-        if not self.policies:
-            return None
         state = self.states.get(incarnation)
         return self.policies.get(state.service) if state else None
 
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -286,6 +286,23 @@
     instances.run_test(body)
 
 
+# Guards against: an instance without a quorum issues permits.
+def test_cold_endpoint_gets_nothing_without_a_majority(tmp_path):
+    async def body():
+        async with cold_fleet(
+            tmp_path, edges=EDGES[:2], others=1, cold_s=60.0
+        ) as fleet:
+            for number in instances.SEEDS[:2]:
+                await fleet.fleet.kill(number)
+            await anyio.sleep(4)
+            sent = len(fleet.engine.arrivals)
+            await fleet.press(EDGES[:2], 0.03, 2)
+            assert len(fleet.engine.arrivals) == sent
+            assert set(fleet.statuses()) == {200}
+
+    instances.run_test(body)
+
+
 # Guards against: an edge that is cut off sends without permits, or loses the
 # endpoint for good.
 def test_cut_off_edge_sends_nothing_until_the_endpoint_is_warm(tmp_path):
