Count what is buffered of an unread stream in its endpoint's connection

Cause: a stream that its caller does not read keeps up to 64 kB in the connection to the endpoint, which did not count in the sum.

--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -50,6 +50,9 @@
 # with this many headers at most are not counted once they are complete.
 HEADER_COST_BYTES = 150
 MAX_UNCOUNTED_HEADERS = 64
+# What may be buffered of an endpoint's response that its caller does not
+# read, in the connection to the endpoint.
+ENDPOINT_BUFFER_BYTES = 65_536
 # How long input is read and discarded after a final response, so that the
 # caller receives the response before the connection closes.
 LINGERING_CLOSE_MS = 1000
@@ -708,6 +711,8 @@
         if self.writable_event is not None and self.transport is not None:
             unread = self.transport.get_write_buffer_size()
             unread += self.server.kernel_buffer_bytes
+            if self.busy:
+                unread += ENDPOINT_BUFFER_BYTES
         self._hold(unread - self.unread_bytes)
         self.unread_bytes = unread
         if self.server.memory.is_exceeded:
