Keep nothing of a head that was refused

Cause: the parser goes on through the bytes that it has, and its callbacks collected up to 3000 headers of a refused head until the lingering close ended.

--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -510,6 +510,9 @@
                 self.refuse(400, f"malformed HTTP request: {exc}")
         else:
             self._check_unparsed_bytes()
+        if self.discarding_input:
+            # The parser has gone on after the refusal.
+            self.reset_request()
 
     def _parse(self, data: bytes | memoryview) -> None:
         """Feed the parser; ignore requests to change the protocol.
--- a/tests/test_uncontrolled_clients.py
+++ b/tests/test_uncontrolled_clients.py
@@ -342,6 +342,8 @@
         written = connection.transport.written
         assert written.startswith(b"HTTP/1.1 431 ")
         assert written.count(b"HTTP/1.1") == 1
+        assert not connection.headers
+        assert connection.held_bytes == 0
 
     run(body)
 
