--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -50,6 +50,9 @@
 # with this many headers at most are not counted once they are complete.
 HEADER_COST_BYTES = 150
 MAX_UNCOUNTED_HEADERS = 64
+# What may be buffered of an endpoint's response that its caller does not
+# read, in the connection to the endpoint.
+ENDPOINT_BUFFER_BYTES = 65_536
 # How long input is read and discarded after a final response, so that the
 # caller receives the response before the connection closes.
 LINGERING_CLOSE_MS = 1000
@@ -507,6 +510,9 @@
                 self.refuse(400, f"malformed HTTP request: {exc}")
         else:
             self._check_unparsed_bytes()
+        if self.discarding_input:
+            # The parser has gone on after the refusal.
+            self.reset_request()
 
     def _parse(self, data: bytes | memoryview) -> None:
         """Feed the parser; ignore requests to change the protocol.
@@ -708,6 +714,8 @@
         if self.writable_event is not None and self.transport is not None:
             unread = self.transport.get_write_buffer_size()
             unread += self.server.kernel_buffer_bytes
+            if self.busy:
+                unread += ENDPOINT_BUFFER_BYTES
         self._hold(unread - self.unread_bytes)
         self.unread_bytes = unread
         if self.server.memory.is_exceeded:
