Use the pace that endpoints state with their load

A Server-Load header with four figures was ignored, so that edges knew neither the load nor the slowness of such endpoints. The fourth figure is now read, smoothed by the time between figures, and multiplies the predicted times of first events and plain calls. Malformed headers change nothing but a log line (1421), once in 10 s for each endpoint.

The mean call time of an endpoint that states its pace is kept at the usual pace and returns to the mean of its service without answers. Before, an endpoint that had been slow for 3 s got no request in the next 4 s.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -20,6 +20,7 @@
 from primrosehitch import gathering
 from primrosehitch import loads as loads_module
 from primrosehitch import messages
+from primrosehitch import pace as pace_module
 from primrosehitch import reachability
 from primrosehitch import registry
 from primrosehitch.endpoint import Choice
@@ -46,6 +47,13 @@
 RATE_DECREASE_WEIGHT = 0.01
 # EWMA weight of one answer in an endpoint's mean call time and slowness.
 EWMA_WEIGHT = 0.2
+# EWMA weight of one answer in the mean call time of a service, which covers
+# the endpoints that state their pace. While such an endpoint does not answer,
+# the excess of its own mean over that of the service halves in this time. A
+# smaller excess than the tolerance is taken for chance.
+SERVICE_EWMA_WEIGHT = 0.05
+CALL_HALF_LIFE_MS = 1000.0
+CALL_TOLERANCE = 0.5
 # Time for which part updates are batched before they are sent. It is short
 # beside the prefill of a shared part, which takes some hundred ms.
 PART_UPDATES_DELAY_S = 0.03
@@ -154,6 +162,8 @@
         ready_by_service: endpoints in the ready state by service.
         silent_by_service: endpoints in the silent state by service.
         prefill_tokens_per_ms: prefill rate of an engine by service.
+        usual_call_ms: mean time of plain calls at the usual pace, by
+            service, over the endpoints that state their pace.
         gap_sensitive_share: fraction of the engine time that
             gap-sensitive streams take, by service.
         recent_failures: time of the last failure by failure domain and
@@ -174,6 +184,7 @@
         self.ready_by_service: dict[str, list[Endpoint]] = {}
         self.silent_by_service: dict[str, list[Endpoint]] = {}
         self.prefill_tokens_per_ms: dict[str, float] = {}
+        self.usual_call_ms: dict[str, float] = {}
         self.gap_sensitive_share: dict[str, float] = {}
         self.recent_failures: dict[str, dict[str, int]] = {}
         self.limits = endpointlimits.EndpointLimits()
@@ -528,15 +539,16 @@
                 if profile.prompt_tokens
                 else NEW_CONNECTION_CALL_FRACTION * endpoint.mean_call_ms
             )
+        pace = endpoint.pace_factor(now)
         if not profile.prompt_tokens:
             queue_ratio = max(0.0, load + 1 - slots) / slots
             utilisation = load / slots
-            wait_ms = endpoint.mean_call_ms * (
+            wait_ms = self._expected_call_ms(endpoint, now) * (
                 1 + queue_ratio + 0.5 * utilisation
             )
             jitter_ms = self.rng.random()
             cost_ms = wait_ms + penalty_ms + jitter_ms
-            return Choice(endpoint, cost_ms, 0, wait_ms)
+            return Choice(endpoint, cost_ms, 0, wait_ms, pace)
         cached_tokens = endpoint.expected_cached_tokens(
             profile.parts, presumed_depth
         )
@@ -550,14 +562,20 @@
         prefill_ms = (uncached_tokens + queued_tokens) / prefill_rate
         slot_wait_ms = max(0.0, load + 1 - slots) * FIRST_EVENT_BASE_MS
         contention_ms = load * RUNNING_REQUEST_MS
-        first_byte_ms = (
+        first_byte_ms = pace * (
             FIRST_EVENT_BASE_MS + prefill_ms + contention_ms + slot_wait_ms
         )
         total_cost_ms = first_byte_ms * self._relative_slowness(endpoint)
-        total_cost_ms += uncached_tokens / prefill_rate * PREFILL_DELAY_FACTOR
+        total_cost_ms += (
+            pace * uncached_tokens / prefill_rate * PREFILL_DELAY_FACTOR
+        )
         total_cost_ms += penalty_ms + self._memory_wait_ms(endpoint, profile)
         return Choice(
-            endpoint, total_cost_ms, int(uncached_tokens), first_byte_ms
+            endpoint,
+            total_cost_ms,
+            int(uncached_tokens),
+            first_byte_ms,
+            pace,
         )
 
     def _memory_wait_ms(
@@ -658,15 +676,45 @@
         endpoint.consecutive_failures = 0
         endpoint.error_rate -= ERROR_EWMA_WEIGHT * endpoint.error_rate
         if not profile.prompt_tokens:
-            endpoint.mean_call_ms += EWMA_WEIGHT * (
-                took_ms - endpoint.mean_call_ms
-            )
+            self._record_call(choice, profile.service, took_ms)
             return
         first_byte_ms = max(FIRST_EVENT_BASE_MS, choice.expected_ms)
         ratio = min(MAX_SLOW_RATIO, max(0.25, took_ms / first_byte_ms))
         endpoint.slowness += EWMA_WEIGHT * (ratio - endpoint.slowness)
         self._update_prefill_rate(choice, profile, took_ms)
 
+    def _record_call(
+        self, choice: Choice, service: str, took_ms: float
+    ) -> None:
+        """Update the mean call time of an endpoint and of its service."""
+        endpoint = choice.endpoint
+        usual_ms = took_ms / max(choice.pace, endpoint.stated_pace)
+        endpoint.mean_call_ms += EWMA_WEIGHT * (
+            usual_ms - endpoint.mean_call_ms
+        )
+        if endpoint.pace is not None:
+            mean_ms = self.usual_call_ms.get(service, endpoint.mean_call_ms)
+            self.usual_call_ms[service] = mean_ms + SERVICE_EWMA_WEIGHT * (
+                usual_ms - mean_ms
+            )
+
+    def _expected_call_ms(self, endpoint: Endpoint, now: int) -> float:
+        """Return the expected time of a plain call without a queue.
+
+        The mean of an endpoint that states its pace returns to that of its
+        service while no answer comes, so that an endpoint which was slow is
+        tried again.
+        """
+        mean_ms = endpoint.mean_call_ms
+        if endpoint.pace is None or not pace_module.PACE_ENABLED:
+            return mean_ms
+        usual_ms = self.usual_call_ms.get(endpoint.record.service, mean_ms)
+        age_ms = max(0, now - endpoint.pace.updated_at)
+        excess_ms = (mean_ms - usual_ms) * 0.5 ** (age_ms / CALL_HALF_LIFE_MS)
+        if excess_ms < CALL_TOLERANCE * usual_ms:
+            excess_ms = 0.0
+        return (usual_ms + excess_ms) * endpoint.pace_factor(now)
+
     def _update_prefill_rate(
         self, choice: Choice, profile: RequestProfile, took_ms: float
     ) -> None:
@@ -806,7 +854,7 @@
         self, endpoint: Endpoint, reported_load: ReportedLoad
     ) -> None:
         """Store the load that an endpoint reported with an answer."""
-        endpoint.reported_load = reported_load
+        endpoint.record_reported_load(reported_load)
 
 
 def _hash_part(part: PromptPart) -> int:
--- a/primrosehitch/dialect.py
+++ b/primrosehitch/dialect.py
@@ -122,6 +122,10 @@
             the answer has no load report.
         waiting: the number of requests queued at the endpoint.
         slots: the number of requests that it runs concurrently.
+        pace: how long its work takes now, 1.0 is usual; 0 if it does not
+            say.
+        malformed_load: the load report, if it is malformed; such an answer
+            says nothing of the load.
     """
 
     not_run: bool
@@ -134,6 +138,8 @@
     running: int
     waiting: int
     slots: int
+    pace: float = 0.0
+    malformed_load: str = ""
 
 
 class Dialect(Protocol):
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from primrosehitch import messages
+from primrosehitch import pace as pace_module
 from primrosehitch import registry
 
 # Assumed duration of a plain call before the first answer.
@@ -110,12 +111,15 @@
         waiting: requests queued at the endpoint.
         slots: requests that the endpoint processes at a time.
         received_at: time at which the report arrived, in ms.
+        pace: how long its work takes now, 1.0 is usual; 0 if it does not
+            say.
     """
 
     running: int
     waiting: int
     slots: int
     received_at: int
+    pace: float = 0.0
 
 
 class Endpoint:
@@ -137,12 +141,14 @@
         inflight_tokens: prompt and expected output tokens of this edge's
             requests under way.
         reported_load: load that the endpoint reported last.
+        pace: smoothed pace, None if the endpoint never stated one.
         remote_inflight: requests of other edges under way.
         remote_prefill_tokens: as pending_prefill_tokens, of other edges.
         published_inflight: inflight as last sent to the other edges.
         published_prefill_tokens: pending_prefill_tokens as last sent to
             the other edges.
-        mean_call_ms: mean time to first byte of plain calls.
+        mean_call_ms: mean time to first byte of plain calls, at the usual
+            pace.
         slowness: mean ratio of the measured to the expected time to first
             byte.
         last_heard_at: time of the last bytes received, in ms, or -1.
@@ -173,6 +179,7 @@
         self.pending_prefill_tokens = 0
         self.inflight_tokens = 0
         self.reported_load: ReportedLoad | None = None
+        self.pace: pace_module.PaceEstimate | None = None
         self.remote_inflight = 0
         self.remote_prefill_tokens = 0
         self.published_inflight = 0
@@ -232,7 +239,8 @@
         if self.kv_tokens:
             return silent_for_ms > PREFILL_SILENCE_MS
         return silent_for_ms > max(
-            MIN_CALL_SILENCE_MS, CALL_SILENCE_FACTOR * self.mean_call_ms
+            MIN_CALL_SILENCE_MS,
+            CALL_SILENCE_FACTOR * self.mean_call_ms * self.pace_factor(now),
         )
 
     def is_answering(self, now: int) -> bool:
@@ -245,6 +253,27 @@
             since <= registry.HEARTBEAT_TIMEOUT_MS
         )
 
+    def record_reported_load(self, reported_load: ReportedLoad) -> None:
+        """Store the load that the endpoint reported with an answer."""
+        self.reported_load = reported_load
+        if reported_load.pace > 0:
+            if self.pace is None:
+                self.pace = pace_module.PaceEstimate()
+            self.pace.record(reported_load.pace, reported_load.received_at)
+
+    def pace_factor(self, now: int) -> float:
+        """Return the factor of the endpoint's pace on predicted times."""
+        if self.pace is None:
+            return pace_module.USUAL_PACE
+        return self.pace.factor(now)
+
+    @property
+    def stated_pace(self) -> float:
+        """The factor of the endpoint's pace at its last answer."""
+        if self.pace is None:
+            return pace_module.USUAL_PACE
+        return self.pace.factor(self.pace.updated_at)
+
     def estimated_load(self, now: int) -> float:
         """Return the estimated number of requests at the endpoint."""
         known = self.inflight + self.remote_inflight
@@ -309,12 +338,14 @@
         prefill_tokens: prompt tokens that the endpoint has to prefill.
         expected_ms: predicted time to first byte without penalties, at
             an engine that is not slow.
+        pace: the factor of the endpoint's pace in expected_ms.
     """
 
     endpoint: Endpoint
     cost_ms: float
     prefill_tokens: int
     expected_ms: float = 0.0
+    pace: float = 1.0
 
 
 __all__ = [
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -198,6 +198,13 @@
     " the service by what ruled them out.",
     "If it persists, look for 1501 of the service's endpoints.",
 )
+LOAD_MALFORMED = Event(
+    1421,
+    "load-malformed",
+    "An endpoint's answer states its load in a form that is not known; it"
+    " changes nothing. `left_out` counts the like since the last line.",
+    "Report it to the owners of the endpoint's software.",
+)
 ENDPOINT_CHANGED = Event(
     1501,
     "endpoint-changed",
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -18,6 +18,7 @@
 from primrosehitch import helpers as helpers_module
 from primrosehitch import httpclient
 from primrosehitch import httpserver
+from primrosehitch import linelimit
 from primrosehitch import metering
 from primrosehitch import metrics
 from primrosehitch import overload
@@ -37,6 +38,8 @@
 # An edge that has just started receives its route table within this time,
 # unless no control instance can be reached.
 FIRST_TABLE_WAIT_MS = 900
+# A malformed load report of an endpoint is logged once in this time.
+MALFORMED_LOAD_PERIOD_MS = 10_000
 
 
 class Forwarder:
@@ -64,6 +67,7 @@
         ended: whether ``end_requests`` was called.
         waiting: the requests that wait for an endpoint.
         edge_token: by which requests of other edges are known.
+        malformed_loads: limits the log lines on malformed load reports.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         self.helpers = helpers
         self.contact = contact
         self.waiting = waiting.WaitingLine()
+        self.malformed_loads = linelimit.LineLimit(MALFORMED_LOAD_PERIOD_MS)
         self.edge_token = helpers_module.make_token()
 
     async def serve(
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -24,6 +24,7 @@
 from primrosehitch import helpers as helpers_module
 from primrosehitch import httpclient
 from primrosehitch import httpserver
+from primrosehitch import linelimit
 from primrosehitch import messages
 from primrosehitch import metering
 from primrosehitch import metrics
@@ -204,6 +205,7 @@
     routing_changed: anyio.Event
     helpers: helpers_module.HelperDirectory
     waiting: waiting.WaitingLine
+    malformed_loads: linelimit.LineLimit
 
     def is_from_edge(self, call: dialect_module.CallInfo) -> bool:
         """Return whether another edge sends a request for its caller."""
@@ -1138,12 +1140,32 @@
         endpoint: balancer_module.Endpoint,
         info: dialect_module.AnswerInfo,
     ) -> None:
+        if info.malformed_load:
+            self._report_malformed_load(endpoint, info.malformed_load)
         if info.running >= 0:
             reported_load = balancer_module.ReportedLoad(
-                info.running, info.waiting, info.slots, clock.now_ms()
+                info.running,
+                info.waiting,
+                info.slots,
+                clock.now_ms(),
+                info.pace,
             )
             self.balancer.record_reported_load(endpoint, reported_load)
 
+    def _report_malformed_load(
+        self, endpoint: balancer_module.Endpoint, value: str
+    ) -> None:
+        """Log a malformed load report, unless that was just done."""
+        limit = self.shared.malformed_loads
+        left_out = limit.take(endpoint.record.id, clock.now_ms())
+        if left_out is not None:
+            events.emit(
+                events.LOAD_MALFORMED,
+                endpoint=endpoint.record.id,
+                value=value,
+                left_out=left_out,
+            )
+
     def _record_limit(
         self,
         endpoint: balancer_module.Endpoint,
--- a/primrosehitch/platform/dialect.py
+++ b/primrosehitch/platform/dialect.py
@@ -7,6 +7,7 @@
 
 import math
 import re
+from typing import NamedTuple
 
 from primrosehitch import balancer
 from primrosehitch import dialect as dialect_module
@@ -44,6 +45,10 @@
 # A number with more digits is malformed: none of our messages carries it.
 COUNT = re.compile(rb"[0-9]{1,9}")
 MAX_DEADLINE_MS = 10**9
+# Work takes its usual time at this pace. A larger pace than the maximum is
+# taken for a malformed one.
+USUAL_PACE_PERCENT = 100.0
+MAX_PACE_PERCENT = 100_000.0
 
 # Headers that are not copied from a caller's request to an engine: either
 # only the edge may set them, or it replaces their value.
@@ -70,6 +75,18 @@
 INTERNAL_HEADERS = frozenset((SERVER_LEAVING, SERVER_LIMIT, SERVER_LOAD))
 
 
+class ServerLoad(NamedTuple):
+    """The figures of a load report; ``running`` is -1 without a report."""
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float
+
+
+NO_LOAD = ServerLoad(-1, 0, 0, 0.0)
+
+
 class PlatformDialect:
     """Reads and writes the platform's headers."""
 
@@ -136,11 +153,7 @@
     ) -> dialect_module.AnswerInfo:
         """Return the decoded headers of an engine's answer."""
         address_reassigned = head.status == MISDIRECTED_STATUS
-        load_values = (head.header(SERVER_LOAD) or b"").split(b",")
-        load = [_parse_count(value) for value in load_values]
-        running, waiting, slots = -1, 0, 0
-        if len(load) == 3 and None not in load:
-            running, waiting, slots = (n or 0 for n in load)
+        load, malformed_load = _parse_load(head)
         limit_per_s, malformed_limit = _parse_limit(head)
         return dialect_module.AnswerInfo(
             not_run=head.header(NOT_RUN) is not None,
@@ -150,9 +163,11 @@
             pause_ms=_parse_pause_ms(head),
             limit_per_s=limit_per_s,
             malformed_limit=malformed_limit,
-            running=running,
-            waiting=waiting,
-            slots=slots,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            pace=load.pace,
+            malformed_load=malformed_load,
         )
 
     def returned_headers(self, head: httpclient.ResponseHead) -> list[Header]:
@@ -254,6 +269,36 @@
     return 0.0, shown or "(empty)"
 
 
+def _parse_load(head: httpclient.ResponseHead) -> tuple[ServerLoad, str]:
+    """Return the load that an engine states with an answer.
+
+    The value is ``running,waiting,slots`` or ``running,waiting,slots,pace``
+    with a pace in percent. Any other is malformed as a whole; it is returned
+    as the second item, shortened.
+    """
+    values = [value for name, value in head.headers if name == SERVER_LOAD]
+    if not values:
+        return NO_LOAD, ""
+    text = b",".join(values).strip()
+    figures = text.split(b",")
+    counts = [_parse_count(value) for value in figures[:3]]
+    pace_percent = USUAL_PACE_PERCENT
+    if len(figures) == 4:
+        percent = figures[3].strip()
+        is_decimal = DECIMAL.fullmatch(percent)
+        pace_percent = float(percent) if is_decimal else 0.0
+    if (
+        len(figures) not in (3, 4)
+        or None in counts
+        or not 0 < pace_percent <= MAX_PACE_PERCENT
+    ):
+        shown = text[:MAX_LOGGED_LIMIT_BYTES].decode("latin-1")
+        return NO_LOAD, shown or "(empty)"
+    running, waiting, slots = (n or 0 for n in counts)
+    pace = pace_percent / 100 if len(figures) == 4 else 0.0
+    return ServerLoad(running, waiting, slots, pace), ""
+
+
 def _parse_token_count(value: bytes) -> tuple[int, int]:
     """Return the prompt's and the maximum output's length, in tokens.
 
