Refuse at once what endpoints cannot answer in time

A request that finds a queue while places are scarce is now refused as not run if its first event is predicted later than its limit and times measured at this edge agree. Each tier sees the room that the demand of more urgent tiers leaves; of ten consecutive requests of a tier at an edge, one is sent in any case. Edges learn the demand of the others with the load reports (TierDemand).

overloadcontrol.REFUSAL_ENABLED switches the refusals off.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -543,12 +543,12 @@
         if not profile.prompt_tokens:
             queue_ratio = max(0.0, load + 1 - slots) / slots
             utilisation = load / slots
-            wait_ms = self._expected_call_ms(endpoint, now) * (
-                1 + queue_ratio + 0.5 * utilisation
-            )
+            call_ms = self._expected_call_ms(endpoint, now)
+            wait_ms = call_ms * (1 + queue_ratio + 0.5 * utilisation)
             jitter_ms = self.rng.random()
             cost_ms = wait_ms + penalty_ms + jitter_ms
-            return Choice(endpoint, cost_ms, 0, wait_ms, pace)
+            queue_ms = call_ms * queue_ratio
+            return Choice(endpoint, cost_ms, 0, wait_ms, pace, load, queue_ms)
         cached_tokens = endpoint.expected_cached_tokens(
             profile.parts, presumed_depth
         )
@@ -576,6 +576,8 @@
             int(uncached_tokens),
             first_byte_ms,
             pace,
+            load,
+            pace * slot_wait_ms,
         )
 
     def _memory_wait_ms(
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -421,6 +421,9 @@
             self._on_endpoints(message)
         elif isinstance(message, messages.LoadReport):
             self.balancer.apply_load_totals(message)
+            self.forwarder.overload.demand.apply_totals(
+                message.tiers, clock.now_ms()
+            )
         elif isinstance(message, messages.PartsRead):
             self.balancer.apply_part_updates(message)
         elif isinstance(message, messages.PartFindings):
@@ -461,6 +464,7 @@
         edge_count = max(1, int(self.edge_counts.peak(now)))
         self.budget.set_edge_count(edge_count)
         self.balancer.edge_count = edge_count
+        self.forwarder.overload.demand.edge_count = edge_count
         if status.incarnation != self.control_incarnation:
             self.control_incarnation = status.incarnation
             self._send(self.meter.all_totals())
@@ -580,6 +584,7 @@
                 for service, count in in_flight.items()
             ),
             self.balancer.publish_loads(),
+            self.forwarder.overload.demand.publish(clock.now_ms()),
         )
         self._send(report)
 
--- a/primrosehitch/endpoint.py
+++ b/primrosehitch/endpoint.py
@@ -339,6 +339,8 @@
         expected_ms: predicted time to first byte without penalties, at
             an engine that is not slow.
         pace: the factor of the endpoint's pace in expected_ms.
+        load: estimated number of requests at the endpoint.
+        queue_ms: the part of expected_ms that is a wait for a slot.
     """
 
     endpoint: Endpoint
@@ -346,6 +348,8 @@
     prefill_tokens: int
     expected_ms: float = 0.0
     pace: float = 1.0
+    load: float = 0.0
+    queue_ms: float = 0.0
 
 
 __all__ = [
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -205,6 +205,28 @@
     " changes nothing. `left_out` counts the like since the last line.",
     "Report it to the owners of the endpoint's software.",
 )
+OVERLOAD_REFUSED = Event(
+    1422,
+    "overload-refused",
+    "A request was refused as not run, since its first event was predicted"
+    " too late; `taken` gives the part of all places that the demand of each"
+    " tier takes, as tier:part.",
+    "If it recurs, the service needs more endpoints; see docs/OPERATIONS.md.",
+)
+SCARCITY_BEGAN = Event(
+    1423,
+    "scarcity-began",
+    "More requests wait at a service's endpoints than places are free;"
+    " requests that would be late are refused from now on.",
+    "If it lasts, look at 1601 and 1602 at the leader.",
+)
+SCARCITY_ENDED = Event(
+    1424,
+    "scarcity-ended",
+    "There is room again at a service's endpoints; `since_ms` says how long"
+    " there was none.",
+    NO_ACTION,
+)
 ENDPOINT_CHANGED = Event(
     1501,
     "endpoint-changed",
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -22,7 +22,9 @@
 from primrosehitch import metering
 from primrosehitch import metrics
 from primrosehitch import overload
+from primrosehitch import overloadcontrol
 from primrosehitch import quarantine as quarantine_module
+from primrosehitch import room as room_module
 from primrosehitch import routes
 from primrosehitch import settings as settings_module
 from primrosehitch import streamorigins
@@ -67,6 +69,7 @@
         ended: whether ``end_requests`` was called.
         waiting: the requests that wait for an endpoint.
         edge_token: by which requests of other edges are known.
+        overload: refuses requests for which there is no room in time.
         malformed_loads: limits the log lines on malformed load reports.
     """
 
@@ -102,6 +105,10 @@
         self.helpers = helpers
         self.contact = contact
         self.waiting = waiting.WaitingLine()
+        self.overload = overloadcontrol.OverloadControl(
+            rng, self._measure_room
+        )
+        self.overload.on_scarcity = self._report_scarcity
         self.malformed_loads = linelimit.LineLimit(MALFORMED_LOAD_PERIOD_MS)
         self.edge_token = helpers_module.make_token()
 
@@ -219,6 +226,29 @@
             control=self.contact.control,
         )
 
+    def _measure_room(
+        self, service: str, now: int, counts_remote: bool
+    ) -> room_module.Room:
+        """Return the room at the endpoints of a service."""
+        endpoints = self.balancer.usable_endpoints(service, (), now)
+        return room_module.measure_room(endpoints, now, counts_remote)
+
+    def _report_scarcity(self, service: str, now: int) -> None:
+        """Log that places became scarce or no longer are."""
+        scarcity = self.overload.scarcity[service]
+        room = scarcity.room
+        metrics.SCARCE_SERVICE.labels(service).set(scarcity.is_scarce)
+        events.emit(
+            events.SCARCITY_BEGAN
+            if scarcity.is_scarce
+            else events.SCARCITY_ENDED,
+            service=service,
+            places=room.places if room else 0,
+            free=room.free if room else 0,
+            waiting=room.waiting if room else 0,
+            since_ms=now - scarcity.began_at,
+        )
+
     def connection_pool(self, address: str) -> httpclient.ConnectionPool:
         """Return the connection pool of an endpoint's address."""
         pool = self.pools.get(address)
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -29,7 +29,9 @@
 from primrosehitch import metering
 from primrosehitch import metrics
 from primrosehitch import overload
+from primrosehitch import overloadcontrol
 from primrosehitch import quarantine as quarantine_module
+from primrosehitch import room as room_module
 from primrosehitch import routes
 from primrosehitch import streamorigins
 from primrosehitch import truetime as truetime_module
@@ -94,6 +96,8 @@
 # Outcomes of attempts in which nothing was sent.
 UNSENT_REASONS = (UNREACHABLE_REASON, RATE_LIMITED_REASON)
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
+# Outcome of a request that no endpoint can answer in time.
+OVERLOADED_REASON = "overloaded"
 # Statuses that tell a caller that the request has not run and will not.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -206,6 +210,7 @@
     helpers: helpers_module.HelperDirectory
     waiting: waiting.WaitingLine
     malformed_loads: linelimit.LineLimit
+    overload: overloadcontrol.OverloadControl
 
     def is_from_edge(self, call: dialect_module.CallInfo) -> bool:
         """Return whether another edge sends a request for its caller."""
@@ -272,6 +277,9 @@
         trail: each attempt's endpoint and outcome, for the log.
         scope: cancelled at the deadline, or when the request is ended.
         end_reason: why the scope was cancelled.
+        counted_at_ms: when its current attempt was counted as demand.
+        is_decided: whether it was decided if there is room for it.
+        refusal: why it was refused for lack of room, if it was.
     """
 
     def __init__(
@@ -330,6 +338,9 @@
         self.trail: list[str] = []
         self.scope = anyio.CancelScope()
         self.end_reason = "timeout"
+        self.is_decided = False
+        self.counted_at_ms = -1
+        self.refusal: overloadcontrol.Refusal | None = None
 
     async def run(self) -> None:
         """Forward the request until the caller has its final response."""
@@ -444,6 +455,8 @@
             if part is not None:
                 reason = _quarantine_reason(part)
                 return self._respond_with_failure(NotRun(reason))
+            if self._refuse_for_overload(choice):
+                return OVERLOADED_REASON
             outcome = await self._attempt(choice)
             self._record_attempt(choice.endpoint.record.id, outcome)
             if isinstance(outcome, Passed):
@@ -451,6 +464,33 @@
             if not self._acquire_retry(outcome):
                 return self._respond_with_failure(outcome)
 
+    def _refuse_for_overload(self, choice: balancer_module.Choice) -> bool:
+        """Refuse the request if there is no room for it in time.
+
+        Returns:
+            Whether it was refused.
+        """
+        if self.is_decided:
+            return False
+        self.is_decided = True
+        arrival = overloadcontrol.Arrival(
+            self.ask.service,
+            self.priority,
+            self.customer,
+            self.request.started_ms,
+            self.deadline_at_ms,
+            self.route.objective_ms,
+            self.ask.prompt_tokens > 0,
+            self.is_from_edge or self.is_resumption or bool(self.trail),
+        )
+        refusal = self.shared.overload.decide(arrival, choice, clock.now_ms())
+        if refusal is None:
+            return False
+        self.refusal = refusal
+        self.trail.append(f"{choice.endpoint.record.id}:Refused")
+        self._send_local_reply(503, OVERLOADED_REASON, refusal.retry_after_s)
+        return True
+
     def _record_attempt(self, target: str, outcome: Outcome) -> None:
         """Record how an attempt at an endpoint or another edge ended."""
         self.earlier_may_have_run |= isinstance(outcome, Broken | Failed)
@@ -794,6 +834,9 @@
         metrics.REQUESTS.labels(outcome).inc()
         if self.first_ms >= 0:
             metrics.FIRST_TOKEN_SECONDS.observe(self.first_ms / 1000)
+        if self.refusal is not None:
+            self._record_refusal(self.refusal)
+            return
         events.emit(
             events.FORWARDED,
             request_id=self.call.identifier.decode("latin-1"),
@@ -810,6 +853,35 @@
             after_event=self.call.last_event_id.decode("latin-1"),
         )
 
+    def _record_refusal(self, refusal: overloadcontrol.Refusal) -> None:
+        """Record why there was no room for the request."""
+        metrics.OVERLOAD_REFUSALS.labels(
+            self.ask.service, str(self.priority), refusal.cause
+        ).inc()
+        forecast = refusal.forecast
+        events.emit(
+            events.OVERLOAD_REFUSED,
+            request_id=self.call.identifier.decode("latin-1"),
+            route=self.route.name,
+            service=self.ask.service,
+            customer=self.customer,
+            priority=self.priority,
+            cause=refusal.cause,
+            taken=refusal.taken,
+            left=round(forecast.left, 2),
+            endpoints=" ".join(self.trail),
+            queue=round(forecast.queue),
+            places=round(forecast.places),
+            wait_ms=round(forecast.wait_ms),
+            predicted_ms=round(forecast.first_ms),
+            limit_ms=round(forecast.limit_ms),
+            measured_ms=round(forecast.measured_ms),
+            objective_ms=self.route.objective_ms,
+            remaining_ms=self.deadline_at_ms - clock.now_ms(),
+            retry_after_ms=round(1000 * refusal.retry_after_s),
+            took_ms=clock.now_ms() - self.request.started_ms,
+        )
+
     async def _attempt(self, choice: balancer_module.Choice) -> Outcome:
         """Send the request to one endpoint and relay its response."""
         record = choice.endpoint.record
@@ -844,7 +916,12 @@
             self.tried_endpoints.remove(record.id)
             return NotRun(RATE_LIMITED_REASON)
         response_began = [False]
+        queue = room_module.queue_at(choice, now)
         self.balancer.record_start(choice, self.ask, now)
+        self.counted_at_ms = now
+        self.shared.overload.demand.record_sent(
+            self.ask.service, self.priority, now
+        )
         try:
             self._send_request(connection, choice)
             return await self._relay_response(
@@ -855,10 +932,36 @@
             if not response_began[0]:
                 self._report_abandoned(choice)
             self.balancer.record_finish(choice, self.ask, response_began[0])
+            self._record_times(choice, queue, response_began[0])
             pool.release(connection)
             if self.shared.waiting.tickets:
                 self.shared.notify_routing_change()
 
+    def _record_times(
+        self,
+        choice: balancer_module.Choice,
+        queue: room_module.Queue,
+        response_began: bool,
+    ) -> None:
+        """Record how long the attempt took, for later decisions.
+
+        Args:
+            choice: the choice with which it was sent.
+            queue: what it found at the endpoint when it was sent.
+            response_began: whether a first byte came.
+        """
+        demand = self.shared.overload.demand
+        service, tier, now = self.ask.service, self.priority, clock.now_ms()
+        if not response_began:
+            demand.record_unanswered(service, tier, self.counted_at_ms, now)
+            return
+        first_ms = self.answer_began_at_ms - self.sent_at_ms
+        rest_ms = now - self.answer_began_at_ms
+        hold_ms = room_module.estimate_hold_ms(
+            choice, queue, first_ms, rest_ms, self.ask.prompt_tokens > 0
+        )
+        demand.record_end(service, tier, hold_ms, rest_ms, now)
+
     def _report_answering(self, choice: balancer_module.Choice) -> None:
         """Report that the endpoint, and no other at its address, answers."""
         self.shared.quarantine.report_answering(
@@ -1211,6 +1314,9 @@
             self.balancer.record_first_byte(
                 choice, self.ask, first_byte_latency_ms
             )
+            self.shared.overload.demand.record_first(
+                self.ask.service, self.priority, self.counted_at_ms, now
+            )
         if self.first_ms < 0:
             self.first_ms = now - self.request.started_ms
         if self.usage_counted or not self.customer:
--- a/primrosehitch/loads.py
+++ b/primrosehitch/loads.py
@@ -55,6 +55,7 @@
         names = self.reports if senders is None else senders
         demands: dict[str, int] = {}
         loads: dict[str, list[int]] = {}
+        tiers: dict[tuple[str, int], list[int]] = {}
         for name in names:
             item = self.reports.get(name)
             if item is None:
@@ -66,6 +67,10 @@
                 sums = loads.setdefault(load.id, [0, 0])
                 sums[0] += load.running
                 sums[1] += load.reading
+            for tier in item[1].tiers:
+                sums = tiers.setdefault((tier.service, tier.tier), [0, 0])
+                sums[0] += tier.milli_work
+                sums[1] += tier.unanswered
         self.sequence += 1
         return messages.LoadReport(
             self.sequence,
@@ -79,6 +84,12 @@
                 )
                 for i, (running, reading) in loads.items()
             ),
+            tuple(
+                messages.TierDemand(
+                    s, tier, min(work, MAX_LOAD), min(unanswered, MAX_LOAD)
+                )
+                for (s, tier), (work, unanswered) in tiers.items()
+            ),
         )
 
 
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1770,6 +1770,7 @@
     sequence: int = 0
     demands: tuple["ServiceDemand", ...] = ()
     loads: tuple["EndpointLoad", ...] = ()
+    tiers: tuple["TierDemand", ...] = ()
 
 
 def _write_load_report(b: Any, m: LoadReport) -> None:
@@ -1780,6 +1781,9 @@
     items = b.init("loads", len(m.loads))
     for i, item in enumerate(m.loads):
         _write_endpoint_load(items[i], item)
+    items = b.init("tiers", len(m.tiers))
+    for i, item in enumerate(m.tiers):
+        _write_tier_demand(items[i], item)
 
 
 def _read_load_report(r: Any) -> LoadReport:
@@ -1787,6 +1791,7 @@
         r.sequence,
         tuple(_read_service_demand(x) for x in r.demands),
         tuple(_read_endpoint_load(x) for x in r.loads),
+        tuple(_read_tier_demand(x) for x in r.tiers),
     )
 
 
@@ -2101,6 +2106,31 @@
     )
 
 
+class TierDemand(NamedTuple):
+    """Message ``TierDemand`` of the schema."""
+
+    service: str = ""
+    tier: int = 0
+    milli_work: int = 0
+    unanswered: int = 0
+
+
+def _write_tier_demand(b: Any, m: TierDemand) -> None:
+    b.service = m.service
+    b.tier = m.tier
+    b.milliWork = m.milli_work
+    b.unanswered = m.unanswered
+
+
+def _read_tier_demand(r: Any) -> TierDemand:
+    return TierDemand(
+        r.service,
+        r.tier,
+        r.milliWork,
+        r.unanswered,
+    )
+
+
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -2300,6 +2330,7 @@
     HelperReply: (_capnp.HelperReply, _write_helper_reply, _read_helper_reply),
     KnownEdge: (_capnp.KnownEdge, _write_known_edge, _read_known_edge),
     KnownEdges: (_capnp.KnownEdges, _write_known_edges, _read_known_edges),
+    TierDemand: (_capnp.TierDemand, _write_tier_demand, _read_tier_demand),
 }
 
 KINDS: dict[int, type] = {
@@ -2385,6 +2416,7 @@
     80: HelperReply,
     81: KnownEdge,
     82: KnownEdges,
+    83: TierDemand,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -2509,6 +2541,7 @@
     "Table",
     "TableResult",
     "TallyBatch",
+    "TierDemand",
     "UsageBatch",
     "UsageRow",
     "VoteReply",
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -47,6 +47,16 @@
     "primrosehitch_limited_requests",
     "Requests sent to endpoints while a limit of theirs was in force.",
 )
+OVERLOAD_REFUSALS = prometheus_client.Counter(
+    "primrosehitch_overload_refusals",
+    "Requests refused for lack of room, by the limit that was exceeded.",
+    ["service", "tier", "cause"],
+)
+SCARCE_SERVICE = prometheus_client.Gauge(
+    "primrosehitch_scarce_service",
+    "1 while this edge finds no room at a service's endpoints, else 0.",
+    ["service"],
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -76,8 +86,10 @@
     "LINK_BYTES",
     "LINK_MESSAGES",
     "OUTPUT_TOKENS",
+    "OVERLOAD_REFUSALS",
     "QUARANTINED_PARTS",
     "QUARANTINED_REQUESTS",
     "REQUESTS",
+    "SCARCE_SERVICE",
     "exposition",
 ]
--- /dev/null
+++ b/primrosehitch/overloadcontrol.py
@@ -0,0 +1,448 @@
+"""Refusal of requests that endpoints cannot answer in time.
+
+Does no I/O; the caller passes the current time in ms. A request that finds a
+queue at the best endpoint, while places are scarce at all of them, waits for
+the requests that are no less urgent. The time is predicted from the queue,
+from how long requests hold a place, and from the part of the places that the
+demand of more urgent tiers leaves. A request whose prediction exceeds its
+limit is refused, if times measured lately at this edge agree.
+
+No tier is starved: of any ``MAX_CONSECUTIVE_REFUSALS + 1`` consecutive
+requests of a tier for a service at least one is admitted here, and so is one
+that arrives ``MAX_REFUSAL_MS`` or more after the last admitted one.
+"""
+
+import random
+from typing import Callable
+from typing import NamedTuple
+
+from primrosehitch import demand as demand_module
+from primrosehitch import room as room_module
+from primrosehitch.endpoint import Choice
+
+# Whether requests are refused by prediction. Off, everything is measured and
+# nothing is refused.
+REFUSAL_ENABLED = True
+# A request is refused if its first event is predicted later than this
+# fraction of the time that is left to it for the first event.
+DEADLINE_FRACTION = 0.8
+# Of the measured time from the first event to the end, this fraction has to
+# remain after the first event; outputs differ in length.
+REST_FRACTION = 0.5
+# A request is also refused if its first event is predicted later than so
+# many times its objective, but not if that is a small part of its time.
+OBJECTIVE_FACTOR = 2.0
+MIN_LIMIT_FRACTION = 0.1
+# The mean of the measured times must be at least this fraction of the limit,
+# over so many events.
+EVIDENCE_FRACTION = 0.5
+MIN_EVIDENCE = 3.0
+# A tier that is refused is admitted again below this fraction of its limit.
+RELEASE_FRACTION = 0.7
+# Where endpoints serve their queue in the order of arrival, a tier's limit is
+# at most this fraction of that of each more urgent tier which had a request
+# without room lately.
+TIER_FRACTION = 0.7
+LIMIT_TTL_MS = 3000
+# The demand exceeds the places if its work is at least this part of them.
+OVERLOAD_WORK = 0.95
+# A tier sees at least this part of the places, however much the more urgent
+# ones demand; an edge that does not know the demand of others sees more, as
+# its own may not be like theirs.
+MIN_ROOM = 0.1
+MIN_ROOM_ALONE = 0.5
+MAX_CONSECUTIVE_REFUSALS = 9
+MAX_REFUSAL_MS = 5000
+# No request is refused that has been here for longer than this fraction of
+# its objective.
+REFUSAL_TIME_FRACTION = 0.2
+# Callers are told to return within this fraction of the time that they have
+# left; they do not wait longer. Those beyond it are spread over its end.
+RETRY_FRACTION = 1 / 3
+RETRY_SPREAD = 0.4
+MIN_RETRY_AFTER_MS = 50
+MIN_RETURNS_PER_S = 0.5
+# Returns are planned no further ahead than this.
+MAX_PLANNED_MS = 30_000
+
+
+class Arrival(NamedTuple):
+    """A request about which is decided.
+
+    Attributes:
+        service: the service.
+        tier: its tier, 0 is the most urgent.
+        customer: the customer, empty on public routes.
+        arrived_at: when it arrived, in ms.
+        deadline_at: when the caller gives up, in ms.
+        objective_ms: objective for its first event or answer.
+        is_ordered: whether endpoints serve their queue in the order of
+            tiers; engines do.
+        is_exempt: whether it is sent in any case.
+    """
+
+    service: str
+    tier: int
+    customer: str
+    arrived_at: int
+    deadline_at: int
+    objective_ms: float
+    is_ordered: bool = False
+    is_exempt: bool = False
+
+
+class Forecast(NamedTuple):
+    """What is predicted for a request.
+
+    Attributes:
+        wait_ms: wait for a place.
+        first_ms: time to the first event, the wait included.
+        limit_ms: latest time at which the first event is of use.
+        measured_ms: mean time to first events measured lately.
+        left: part of the places that more urgent tiers leave.
+        queue: requests ahead at the best endpoint, of all tiers.
+        places: places of that endpoint.
+    """
+
+    wait_ms: float
+    first_ms: float
+    limit_ms: float
+    measured_ms: float
+    left: float
+    queue: float
+    places: float
+
+
+class Refusal(NamedTuple):
+    """Refusal of a request, which has not run.
+
+    Attributes:
+        cause: "deadline" or "objective", whichever limit is exceeded.
+        retry_after_s: when the caller may return.
+        forecast: what was predicted.
+        taken: the demand that took the room: the part of all places by
+            tier, the most urgent first, as text.
+    """
+
+    cause: str
+    retry_after_s: float
+    forecast: Forecast
+    taken: str
+
+
+class SampledWork(NamedTuple):
+    """Work by tier, with the time of the sample to which it belongs."""
+
+    sampled_at: int
+    by_tier: dict[int, float]
+
+
+class TierState:
+    """Refusals of one tier for a service at this edge.
+
+    Attributes:
+        is_refusing: whether the last request without room was refused.
+        consecutive: refusals since the last admitted request.
+        admitted_at: when that one was admitted, in ms, or -1.
+        return_at: until when returns of refused callers are planned, in ms.
+        limit_ms: the last limit on the predicted time to the first event.
+        shared_ms: as limit_ms, with regard to more urgent tiers.
+        limit_at: when the limits were set, in ms, or -1.
+    """
+
+    __slots__ = (
+        "admitted_at",
+        "consecutive",
+        "is_refusing",
+        "limit_at",
+        "limit_ms",
+        "return_at",
+        "shared_ms",
+    )
+
+    def __init__(self) -> None:
+        self.is_refusing = False
+        self.consecutive = 0
+        self.admitted_at = -1
+        self.return_at = 0.0
+        self.limit_ms = 0.0
+        self.shared_ms = 0.0
+        self.limit_at = -1
+
+    def record_admission(self, now: int) -> None:
+        """Record that a request is admitted."""
+        self.consecutive = 0
+        self.admitted_at = now
+
+    def is_floor_due(self, now: int) -> bool:
+        """Return whether the next request must not be refused."""
+        return (
+            self.consecutive >= MAX_CONSECUTIVE_REFUSALS
+            or self.admitted_at < 0
+            or now - self.admitted_at >= MAX_REFUSAL_MS
+        )
+
+
+MeasureRoom = Callable[[str, int, bool], room_module.Room]
+
+
+class OverloadControl:
+    """Decides which requests are refused for lack of room.
+
+    Args:
+        rng: spreads the returns of refused callers.
+        measure_room: returns the room at a service's endpoints at a time in
+            ms, with or without the loads of other edges.
+        enabled: whether requests are refused at all.
+        objective_factor: refuse if the first event is predicted later than
+            so many times the objective; infinity for the deadline only.
+
+    Attributes:
+        demand: the measured demand.
+        scarcity: whether places are scarce, by service.
+        states: refusals by service and tier.
+        works: the part of the places that each tier's demand takes, by
+            service.
+        on_scarcity: called with the service when scarcity begins or ends.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        measure_room: MeasureRoom,
+        enabled: bool = REFUSAL_ENABLED,
+        objective_factor: float = OBJECTIVE_FACTOR,
+    ):
+        self.rng = rng
+        self.measure_room = measure_room
+        self.enabled = enabled
+        self.objective_factor = objective_factor
+        self.demand = demand_module.Demand()
+        self.scarcity: dict[str, room_module.Scarcity] = {}
+        self.states: dict[tuple[str, int], TierState] = {}
+        self.works: dict[str, SampledWork] = {}
+        self.on_scarcity: Callable[[str, int], None] = lambda service, now: (
+            None
+        )
+
+    def decide(
+        self, arrival: Arrival, choice: Choice, now: int
+    ) -> Refusal | None:
+        """Count a request; return its refusal, or None to send it.
+
+        One that is sent while a queue exists waits in that of the endpoint.
+        It has to be called once for a request, with the balancer's choice
+        for the first attempt.
+
+        Args:
+            arrival: the request.
+            choice: the best endpoint.
+            now: the current time in ms.
+        """
+        demand = self.demand.tier(arrival.service, arrival.tier)
+        demand.arrivals.add(1, now)
+        state = self._state(arrival.service, arrival.tier)
+        refusal = None
+        if self.enabled and not arrival.is_exempt:
+            refusal = self._find_refusal(arrival, choice, state, now)
+        if refusal is None:
+            state.record_admission(now)
+            return None
+        state.consecutive += 1
+        return refusal
+
+    def _find_refusal(
+        self, arrival: Arrival, choice: Choice, state: TierState, now: int
+    ) -> Refusal | None:
+        queue = room_module.queue_at(choice, now)
+        if queue.length <= 0:
+            return None
+        scarcity = self._sample_scarcity(arrival.service, now)
+        waited_ms = now - arrival.arrived_at
+        if (
+            not scarcity.allows_refusals
+            or waited_ms > REFUSAL_TIME_FRACTION * arrival.objective_ms
+        ):
+            state.is_refusing = False
+            return None
+        forecast = self._forecast(arrival, choice, queue, scarcity, now)
+        state.limit_ms = forecast.limit_ms
+        state.limit_at = now
+        limit_ms = self._shared_limit_ms(arrival, forecast, now)
+        forecast = forecast._replace(limit_ms=limit_ms)
+        if state.is_refusing:
+            limit_ms *= RELEASE_FRACTION
+        state.is_refusing = (
+            forecast.first_ms > limit_ms
+            and forecast.measured_ms >= EVIDENCE_FRACTION * limit_ms
+        )
+        if not state.is_refusing or state.is_floor_due(now):
+            return None
+        retry_after_ms = self._plan_return(arrival, forecast, state, now)
+        remaining_ms = arrival.deadline_at - now
+        is_doomed = forecast.first_ms > DEADLINE_FRACTION * remaining_ms
+        return Refusal(
+            "deadline" if is_doomed else "objective",
+            retry_after_ms / 1000,
+            forecast,
+            self._describe_demand(arrival.service, scarcity, now),
+        )
+
+    def _shared_limit_ms(
+        self, arrival: Arrival, forecast: Forecast, now: int
+    ) -> float:
+        """Return the limit of a request with regard to more urgent ones.
+
+        Where all wait in one queue, a less urgent request must not make it
+        longer than more urgent ones can wait.
+        """
+        own = self._state(arrival.service, arrival.tier)
+        limit_ms = own.limit_ms
+        own.shared_ms = limit_ms
+        if arrival.is_ordered or forecast.left >= 1:
+            return limit_ms
+        tiers = self.demand.tiers[arrival.service]
+        for tier in sorted(t for t in tiers if t < arrival.tier):
+            state = self._state(arrival.service, tier)
+            if state.limit_at >= 0 and now - state.limit_at <= LIMIT_TTL_MS:
+                limit_ms = min(limit_ms, TIER_FRACTION * state.shared_ms)
+        own.shared_ms = limit_ms
+        return limit_ms
+
+    def _forecast(
+        self,
+        arrival: Arrival,
+        choice: Choice,
+        queue: room_module.Queue,
+        scarcity: room_module.Scarcity,
+        now: int,
+    ) -> Forecast:
+        """Predict the time to the first event, and set its limit."""
+        demand = self.demand
+        service, tier = arrival.service, arrival.tier
+        ends = demand.ends.get(service)
+        hold_ms = ends.mean if ends else 0.0
+        if ends is None or ends.count_at(now) < MIN_EVIDENCE:
+            hold_ms = 0.0
+        left = self._room_left(service, tier, scarcity, now)
+        share = 1.0
+        if arrival.is_ordered:
+            share = demand.unanswered_share(service, tier, now)
+        wait_ms = share * queue.length * hold_ms / queue.places / left
+        unqueued_ms = max(0.0, choice.expected_ms - choice.queue_ms)
+        if not arrival.is_ordered:
+            # The balancer's mean of plain calls includes their waits.
+            unqueued_ms = min(unqueued_ms, hold_ms)
+        remaining_ms = arrival.deadline_at - now
+        rest_ms = demand.tier(service, tier).rests.mean
+        deadline_ms = DEADLINE_FRACTION * (
+            remaining_ms - REST_FRACTION * rest_ms
+        )
+        objective_ms = max(
+            self.objective_factor * arrival.objective_ms,
+            MIN_LIMIT_FRACTION * remaining_ms,
+        )
+        return Forecast(
+            wait_ms,
+            wait_ms + unqueued_ms,
+            max(0.0, min(deadline_ms, objective_ms)),
+            demand.measured_first(service, tier, MIN_EVIDENCE, now),
+            left,
+            queue.length,
+            queue.places,
+        )
+
+    def _room_left(
+        self,
+        service: str,
+        tier: int,
+        scarcity: room_module.Scarcity,
+        now: int,
+    ) -> float:
+        """Return the part of the places that more urgent tiers leave.
+
+        Places may be scarce for a moment although the demand does not exceed
+        them. More urgent tiers then leave enough.
+        """
+        works = self._works(service, scarcity, now)
+        if sum(works.values()) < OVERLOAD_WORK:
+            return 1.0
+        taken = sum(work for t, work in works.items() if t < tier)
+        shared = self.demand.has_totals(now)
+        return max(MIN_ROOM if shared else MIN_ROOM_ALONE, 1 - taken)
+
+    def _plan_return(
+        self, arrival: Arrival, forecast: Forecast, state: TierState, now: int
+    ) -> float:
+        """Return when a refused caller may return, in ms from now.
+
+        Returns begin when the prediction is within the limit again, and are
+        spaced by the rate at which places become free to the tier here. Each
+        refusal thus comes after earlier ones of its tier.
+        """
+        room_in_ms = max(
+            0.0, forecast.first_ms - RELEASE_FRACTION * forecast.limit_ms
+        )
+        ends = self.demand.ends.get(arrival.service)
+        returns_per_s = max(
+            MIN_RETURNS_PER_S,
+            (ends.per_second(now) if ends else 0.0) * forecast.left,
+        )
+        spacing_ms = 1000 / returns_per_s * self.rng.uniform(0.5, 1.5)
+        planned_at = max(state.return_at, now + room_in_ms) + spacing_ms
+        state.return_at = min(planned_at, now + MAX_PLANNED_MS)
+        remaining_ms = max(0, arrival.deadline_at - now)
+        longest_ms = RETRY_FRACTION * remaining_ms
+        delay_ms = max(min(MIN_RETRY_AFTER_MS, longest_ms), planned_at - now)
+        if delay_ms <= longest_ms or room_in_ms > remaining_ms:
+            return delay_ms
+        return longest_ms * (1 - RETRY_SPREAD * self.rng.random())
+
+    def _describe_demand(
+        self, service: str, scarcity: room_module.Scarcity, now: int
+    ) -> str:
+        works = self._works(service, scarcity, now)
+        return " ".join(
+            f"{tier}:{work:.2f}" for tier, work in sorted(works.items())
+        )
+
+    def _works(
+        self, service: str, scarcity: room_module.Scarcity, now: int
+    ) -> dict[int, float]:
+        """Return the work by tier, as of the last sample of the room."""
+        known = self.works.get(service)
+        if known is None or known.sampled_at != scarcity.sampled_at:
+            places = scarcity.room.places if scarcity.room else 0
+            works = self.demand.work_by_tier(service, places, now)
+            known = SampledWork(scarcity.sampled_at, works)
+            self.works[service] = known
+        return known.by_tier
+
+    def _sample_scarcity(self, service: str, now: int) -> room_module.Scarcity:
+        """Return whether places are scarce, counted a moment ago."""
+        scarcity = self.scarcity.get(service)
+        if scarcity is None:
+            scarcity = self.scarcity[service] = room_module.Scarcity()
+        if scarcity.is_due(now):
+            has_totals = self.demand.has_totals(now)
+            room = self.measure_room(service, now, has_totals)
+            if scarcity.update(room, now):
+                self.on_scarcity(service, now)
+        return scarcity
+
+    def _state(self, service: str, tier: int) -> TierState:
+        state = self.states.get((service, tier))
+        if state is None:
+            state = self.states[service, tier] = TierState()
+        return state
+
+
+__all__ = [
+    "Arrival",
+    "Forecast",
+    "MAX_CONSECUTIVE_REFUSALS",
+    "MAX_REFUSAL_MS",
+    "OverloadControl",
+    "Refusal",
+    "TierState",
+]
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -572,6 +572,7 @@
   sequence @0 :UInt64;
   demands @1 :List(ServiceDemand);
   loads @2 :List(EndpointLoad);
+  tiers @3 :List(TierDemand);
 }
 
 # What an edge found of prompt parts and of requests, known by a fingerprint
@@ -680,3 +681,13 @@
 struct KnownEdges {
   edges @0 :List(KnownEdge);
 }
+
+# The demand of one tier for a service: the places of endpoints that its
+# arrivals hold on average, in thousandths, and its requests without a first
+# event.
+struct TierDemand {
+  service @0 :Text;
+  tier @1 :UInt32;
+  milliWork @2 :UInt32;
+  unanswered @3 :UInt32;
+}
