Bound the floor of refused tiers by answers, and hopeless returns

The floor let in one of ten consecutive requests. It is now bound to answers that end at the edge and to time.

Where tiers wait in one queue, the time until there is room no longer contains the demand of more urgent ones, as it does not overtake. A caller whose return is planned much later than its time left is told the true time.

--- a/primrosehitch/demand.py
+++ b/primrosehitch/demand.py
@@ -143,6 +143,7 @@
     Attributes:
         tiers: demand at this edge by service and tier.
         ends: how long requests held a place, by service.
+        ended: number of answers that ended, by service.
         totals: demand at the other edges by service and tier.
         totals_at: when the totals arrived, in ms, or -1.
         published: what this edge last told, by service and tier.
@@ -152,6 +153,7 @@
     def __init__(self) -> None:
         self.tiers: dict[str, dict[int, TierDemand]] = {}
         self.ends: dict[str, DecayingMean] = {}
+        self.ended: dict[str, int] = {}
         self.totals: dict[str, dict[int, TierTotal]] = {}
         self.totals_at = -1
         self.published: dict[tuple[str, int], TierTotal] = {}
@@ -222,6 +224,7 @@
         demand.holds.add(hold_ms, now)
         demand.rests.add(rest_ms, now)
         self.ends.setdefault(service, DecayingMean()).add(hold_ms, now)
+        self.ended[service] = self.ended.get(service, 0) + 1
 
     def publish(self, now: int) -> tuple[messages.TierDemand, ...]:
         """Return this edge's demand, to be sent to other edges."""
--- a/primrosehitch/overloadcontrol.py
+++ b/primrosehitch/overloadcontrol.py
@@ -7,9 +7,11 @@
 demand of more urgent tiers leaves. A request whose prediction exceeds its
 limit is refused, if times measured lately at this edge agree.
 
-No tier is starved: of any ``MAX_CONSECUTIVE_REFUSALS + 1`` consecutive
-requests of a tier for a service at least one is admitted here, and so is one
-that arrives ``MAX_REFUSAL_MS`` or more after the last admitted one.
+No tier is starved: after a request of a tier was admitted here, the next one
+is admitted that arrives after ``MAX_REFUSAL_MS``, or after ``MAX_ENDS``
+answers of the service ended here if it can be answered before its deadline.
+Refused requests that return do not count, so that the part of the places
+which this takes does not grow with them.
 """
 
 import random
@@ -51,7 +53,7 @@
 # its own may not be like theirs.
 MIN_ROOM = 0.1
 MIN_ROOM_ALONE = 0.5
-MAX_CONSECUTIVE_REFUSALS = 9
+MAX_ENDS = 10
 MAX_REFUSAL_MS = 5000
 # No request is refused that has been here for longer than this fraction of
 # its objective.
@@ -62,6 +64,10 @@
 RETRY_SPREAD = 0.4
 MIN_RETRY_AFTER_MS = 50
 MIN_RETURNS_PER_S = 0.5
+# Room comes too late for a caller whose return is planned later than so many
+# times its time left. Callers that return again and again take the room of
+# others, with little time left for an answer.
+HOPELESS_FACTOR = 40.0
 # Returns are planned no further ahead than this.
 MAX_PLANNED_MS = 30_000
 
@@ -97,6 +103,8 @@
     Attributes:
         wait_ms: wait for a place.
         first_ms: time to the first event, the wait included.
+        queued_ms: as first_ms, but without what more urgent requests take
+            where they do not overtake it in the queue.
         limit_ms: latest time at which the first event is of use.
         measured_ms: mean time to first events measured lately.
         left: part of the places that more urgent tiers leave.
@@ -106,6 +114,7 @@
 
     wait_ms: float
     first_ms: float
+    queued_ms: float
     limit_ms: float
     measured_ms: float
     left: float
@@ -142,8 +151,8 @@
 
     Attributes:
         is_refusing: whether the last request without room was refused.
-        consecutive: refusals since the last admitted request.
-        admitted_at: when that one was admitted, in ms, or -1.
+        admitted_at: when a request was last admitted, in ms, or -1.
+        ended: answers of the service that had ended here by then.
         return_at: until when returns of refused callers are planned, in ms.
         limit_ms: the last limit on the predicted time to the first event.
         shared_ms: as limit_ms, with regard to more urgent tiers.
@@ -152,7 +161,7 @@
 
     __slots__ = (
         "admitted_at",
-        "consecutive",
+        "ended",
         "is_refusing",
         "limit_at",
         "limit_ms",
@@ -162,23 +171,30 @@
 
     def __init__(self) -> None:
         self.is_refusing = False
-        self.consecutive = 0
         self.admitted_at = -1
+        self.ended = 0
         self.return_at = 0.0
         self.limit_ms = 0.0
         self.shared_ms = 0.0
         self.limit_at = -1
 
-    def record_admission(self, now: int) -> None:
+    def record_admission(self, ended: int, now: int) -> None:
         """Record that a request is admitted."""
-        self.consecutive = 0
+        self.ended = ended
         self.admitted_at = now
 
-    def is_floor_due(self, now: int) -> bool:
-        """Return whether the next request must not be refused."""
+    def is_floor_due(self, ended: int, is_doomed: bool, now: int) -> bool:
+        """Return whether the next request must not be refused.
+
+        Args:
+            ended: answers of the service that have ended here.
+            is_doomed: whether its first event is predicted after the
+                deadline; another request is better sent then.
+            now: the current time in ms.
+        """
         return (
-            self.consecutive >= MAX_CONSECUTIVE_REFUSALS
-            or self.admitted_at < 0
+            self.admitted_at < 0
+            or (ended - self.ended >= MAX_ENDS and not is_doomed)
             or now - self.admitted_at >= MAX_REFUSAL_MS
         )
 
@@ -196,6 +212,9 @@
         enabled: whether requests are refused at all.
         objective_factor: refuse if the first event is predicted later than
             so many times the objective; infinity for the deadline only.
+        hopeless_factor: a caller whose return is planned later than so many
+            times its time left is told that time, and others are told to
+            return within a third of their time; infinity if all are.
 
     Attributes:
         demand: the measured demand.
@@ -212,11 +231,13 @@
         measure_room: MeasureRoom,
         enabled: bool = REFUSAL_ENABLED,
         objective_factor: float = OBJECTIVE_FACTOR,
+        hopeless_factor: float = HOPELESS_FACTOR,
     ):
         self.rng = rng
         self.measure_room = measure_room
         self.enabled = enabled
         self.objective_factor = objective_factor
+        self.hopeless_factor = hopeless_factor
         self.demand = demand_module.Demand()
         self.scarcity: dict[str, room_module.Scarcity] = {}
         self.states: dict[tuple[str, int], TierState] = {}
@@ -246,9 +267,8 @@
         if self.enabled and not arrival.is_exempt:
             refusal = self._find_refusal(arrival, choice, state, now)
         if refusal is None:
-            state.record_admission(now)
-            return None
-        state.consecutive += 1
+            ended = self.demand.ended.get(arrival.service, 0)
+            state.record_admission(ended, now)
         return refusal
 
     def _find_refusal(
@@ -276,11 +296,12 @@
             forecast.first_ms > limit_ms
             and forecast.measured_ms >= EVIDENCE_FRACTION * limit_ms
         )
-        if not state.is_refusing or state.is_floor_due(now):
+        remaining_ms = arrival.deadline_at - now
+        is_doomed = forecast.queued_ms > DEADLINE_FRACTION * remaining_ms
+        ended = self.demand.ended.get(arrival.service, 0)
+        if not state.is_refusing or state.is_floor_due(ended, is_doomed, now):
             return None
         retry_after_ms = self._plan_return(arrival, forecast, state, now)
-        remaining_ms = arrival.deadline_at - now
-        is_doomed = forecast.first_ms > DEADLINE_FRACTION * remaining_ms
         return Refusal(
             "deadline" if is_doomed else "objective",
             retry_after_ms / 1000,
@@ -345,6 +366,7 @@
         return Forecast(
             wait_ms,
             wait_ms + unqueued_ms,
+            wait_ms * (1 if arrival.is_ordered else left) + unqueued_ms,
             max(0.0, min(deadline_ms, objective_ms)),
             demand.measured_first(service, tier, MIN_EVIDENCE, now),
             left,
@@ -381,7 +403,7 @@
         refusal thus comes after earlier ones of its tier.
         """
         room_in_ms = max(
-            0.0, forecast.first_ms - RELEASE_FRACTION * forecast.limit_ms
+            0.0, forecast.queued_ms - RELEASE_FRACTION * forecast.limit_ms
         )
         ends = self.demand.ends.get(arrival.service)
         returns_per_s = max(
@@ -394,7 +416,11 @@
         remaining_ms = max(0, arrival.deadline_at - now)
         longest_ms = RETRY_FRACTION * remaining_ms
         delay_ms = max(min(MIN_RETRY_AFTER_MS, longest_ms), planned_at - now)
-        if delay_ms <= longest_ms or room_in_ms > remaining_ms:
+        is_hopeless = (
+            room_in_ms > remaining_ms
+            or delay_ms > self.hopeless_factor * remaining_ms
+        )
+        if delay_ms <= longest_ms or is_hopeless:
             return delay_ms
         return longest_ms * (1 - RETRY_SPREAD * self.rng.random())
 
@@ -440,7 +466,7 @@
 __all__ = [
     "Arrival",
     "Forecast",
-    "MAX_CONSECUTIVE_REFUSALS",
+    "MAX_ENDS",
     "MAX_REFUSAL_MS",
     "OverloadControl",
     "Refusal",
