Keep the places of a tier from one customer's surge under scarcity

The queue of a tier serves whoever sends most, so that a customer with six times its usual traffic took the places of the others. While the demand exceeds the places and places are scarce, a customer above its share is now refused at a quarter of the limit of its tier.

overloadcontrol.SHARES_ENABLED switches shares off.

Tests: test_customershares and test_overloadcontrol pass.

--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -210,7 +210,8 @@
     "overload-refused",
     "A request was refused as not run, since its first event was predicted"
     " too late; `taken` gives the part of all places that the demand of each"
-    " tier takes, as tier:part.",
+    " tier takes, as tier:part, and `share` the requests that the customer"
+    " got of the tier at this edge lately, and how many are its share.",
     "If it recurs, the service needs more endpoints; see docs/OPERATIONS.md.",
 )
 SCARCITY_BEGAN = Event(
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -868,6 +868,7 @@
             priority=self.priority,
             cause=refusal.cause,
             taken=refusal.taken,
+            share=refusal.share,
             left=round(forecast.left, 2),
             endpoints=" ".join(self.trail),
             queue=round(forecast.queue),
--- a/primrosehitch/overloadcontrol.py
+++ b/primrosehitch/overloadcontrol.py
@@ -14,10 +14,12 @@
 which this takes does not grow with them.
 """
 
+import math
 import random
 from typing import Callable
 from typing import NamedTuple
 
+from primrosehitch import customershares
 from primrosehitch import demand as demand_module
 from primrosehitch import room as room_module
 from primrosehitch.endpoint import Choice
@@ -48,6 +50,13 @@
 LIMIT_TTL_MS = 3000
 # The demand exceeds the places if its work is at least this part of them.
 OVERLOAD_WORK = 0.95
+# Whether customers above their share are refused before others of their tier,
+# at this fraction of the limit.
+SHARES_ENABLED = True
+ABOVE_SHARE_FRACTION = 0.25
+# Of their many refused callers, those whose return is planned later than so
+# many times their time left are told that time.
+ABOVE_SHARE_HOPELESS = 8.0
 # A tier sees at least this part of the places, however much the more urgent
 # ones demand; an edge that does not know the demand of others sees more, as
 # its own may not be like theirs.
@@ -121,22 +130,32 @@
     queue: float
     places: float
 
+    def is_beyond(self, limit_ms: float) -> bool:
+        """Return whether the first event is predicted and measured later."""
+        return (
+            self.first_ms > limit_ms
+            and self.measured_ms >= EVIDENCE_FRACTION * limit_ms
+        )
+
 
 class Refusal(NamedTuple):
     """Refusal of a request, which has not run.
 
     Attributes:
-        cause: "deadline" or "objective", whichever limit is exceeded.
+        cause: "deadline" or "objective", whichever limit is exceeded, or
+            "share" if the customer got more than its share.
         retry_after_s: when the caller may return.
         forecast: what was predicted.
         taken: the demand that took the room: the part of all places by
             tier, the most urgent first, as text.
+        share: what the customer got of the tier and its share, as text.
     """
 
     cause: str
     retry_after_s: float
     forecast: Forecast
     taken: str
+    share: str
 
 
 class SampledWork(NamedTuple):
@@ -146,6 +165,23 @@
     by_tier: dict[int, float]
 
 
+class ReturnPlan:
+    """Planned returns of refused callers.
+
+    Args:
+        max_hopeless: bound on the ``hopeless_factor`` of these callers.
+
+    Attributes:
+        until: until when returns are planned, in ms.
+    """
+
+    __slots__ = ("max_hopeless", "until")
+
+    def __init__(self, max_hopeless: float = math.inf):
+        self.max_hopeless = max_hopeless
+        self.until = 0.0
+
+
 class TierState:
     """Refusals of one tier for a service at this edge.
 
@@ -153,7 +189,10 @@
         is_refusing: whether the last request without room was refused.
         admitted_at: when a request was last admitted, in ms, or -1.
         ended: answers of the service that had ended here by then.
-        return_at: until when returns of refused callers are planned, in ms.
+        within_share: planned returns of refused callers.
+        above_share: likewise, of customers above their share, so that they
+            do not delay the others.
+        shares: the shares of the tier's customers.
         limit_ms: the last limit on the predicted time to the first event.
         shared_ms: as limit_ms, with regard to more urgent tiers.
         limit_at: when the limits were set, in ms, or -1.
@@ -165,15 +204,19 @@
         "is_refusing",
         "limit_at",
         "limit_ms",
-        "return_at",
+        "above_share",
         "shared_ms",
+        "shares",
+        "within_share",
     )
 
     def __init__(self) -> None:
         self.is_refusing = False
         self.admitted_at = -1
         self.ended = 0
-        self.return_at = 0.0
+        self.within_share = ReturnPlan()
+        self.above_share = ReturnPlan(ABOVE_SHARE_HOPELESS)
+        self.shares = customershares.CustomerShares()
         self.limit_ms = 0.0
         self.shared_ms = 0.0
         self.limit_at = -1
@@ -183,18 +226,19 @@
         self.ended = ended
         self.admitted_at = now
 
-    def is_floor_due(self, ended: int, is_doomed: bool, now: int) -> bool:
+    def is_floor_due(self, ended: int, is_passed: bool, now: int) -> bool:
         """Return whether the next request must not be refused.
 
         Args:
             ended: answers of the service that have ended here.
-            is_doomed: whether its first event is predicted after the
-                deadline; another request is better sent then.
+            is_passed: whether another request is better sent, since the
+                first event is predicted after the deadline of this one, or
+                its customer is above its share.
             now: the current time in ms.
         """
         return (
             self.admitted_at < 0
-            or (ended - self.ended >= MAX_ENDS and not is_doomed)
+            or (ended - self.ended >= MAX_ENDS and not is_passed)
             or now - self.admitted_at >= MAX_REFUSAL_MS
         )
 
@@ -215,6 +259,7 @@
         hopeless_factor: a caller whose return is planned later than so many
             times its time left is told that time, and others are told to
             return within a third of their time; infinity if all are.
+        shares_enabled: whether customers above their share are refused first.
 
     Attributes:
         demand: the measured demand.
@@ -232,12 +277,14 @@
         enabled: bool = REFUSAL_ENABLED,
         objective_factor: float = OBJECTIVE_FACTOR,
         hopeless_factor: float = HOPELESS_FACTOR,
+        shares_enabled: bool = SHARES_ENABLED,
     ):
         self.rng = rng
         self.measure_room = measure_room
         self.enabled = enabled
         self.objective_factor = objective_factor
         self.hopeless_factor = hopeless_factor
+        self.shares_enabled = shares_enabled
         self.demand = demand_module.Demand()
         self.scarcity: dict[str, room_module.Scarcity] = {}
         self.states: dict[tuple[str, int], TierState] = {}
@@ -263,12 +310,19 @@
         demand = self.demand.tier(arrival.service, arrival.tier)
         demand.arrivals.add(1, now)
         state = self._state(arrival.service, arrival.tier)
+        customer = arrival.customer
+        if customer:
+            scarcity = self.scarcity.get(arrival.service)
+            is_scarce = scarcity is not None and scarcity.is_scarce_at(now)
+            state.shares.record_arrival(customer, is_scarce, now)
         refusal = None
         if self.enabled and not arrival.is_exempt:
             refusal = self._find_refusal(arrival, choice, state, now)
         if refusal is None:
             ended = self.demand.ended.get(arrival.service, 0)
             state.record_admission(ended, now)
+        if customer:
+            state.shares.record_decision(customer, refusal is None, now)
         return refusal
 
     def _find_refusal(
@@ -292,23 +346,50 @@
         forecast = forecast._replace(limit_ms=limit_ms)
         if state.is_refusing:
             limit_ms *= RELEASE_FRACTION
-        state.is_refusing = (
-            forecast.first_ms > limit_ms
-            and forecast.measured_ms >= EVIDENCE_FRACTION * limit_ms
-        )
+        state.is_refusing = forecast.is_beyond(limit_ms)
+        is_above = self._is_overloaded(
+            arrival.service, scarcity, now
+        ) and self._is_above_share(arrival, state, now)
+        is_refused = state.is_refusing
+        if is_above:
+            is_refused = forecast.is_beyond(ABOVE_SHARE_FRACTION * limit_ms)
         remaining_ms = arrival.deadline_at - now
         is_doomed = forecast.queued_ms > DEADLINE_FRACTION * remaining_ms
         ended = self.demand.ended.get(arrival.service, 0)
-        if not state.is_refusing or state.is_floor_due(ended, is_doomed, now):
+        if not is_refused or state.is_floor_due(
+            ended, is_doomed or is_above, now
+        ):
             return None
-        retry_after_ms = self._plan_return(arrival, forecast, state, now)
+        cause = "deadline" if is_doomed else "objective"
+        if is_above:
+            cause = "share"
+        plan = state.within_share
+        ends = self.demand.ends.get(arrival.service)
+        per_s = forecast.left * (ends.per_second(now) if ends else 0.0)
+        if is_above:
+            plan = state.above_share
+            per_s = state.shares.share_per_s(arrival.customer, now)
+        retry_after_ms = self._plan_return(
+            arrival, forecast, plan, max(MIN_RETURNS_PER_S, per_s), now
+        )
         return Refusal(
-            "deadline" if is_doomed else "objective",
+            cause,
             retry_after_ms / 1000,
             forecast,
             self._describe_demand(arrival.service, scarcity, now),
+            state.shares.describe(arrival.customer, now),
         )
 
+    def _is_above_share(
+        self, arrival: Arrival, state: TierState, now: int
+    ) -> bool:
+        """Return whether the customer got more than its share lately."""
+        if not self.shares_enabled or not arrival.customer:
+            return False
+        demand = self.demand.tier(arrival.service, arrival.tier)
+        ended = demand.holds.count_at(now)
+        return state.shares.is_above_share(arrival.customer, now, ended)
+
     def _shared_limit_ms(
         self, arrival: Arrival, forecast: Forecast, now: int
     ) -> float:
@@ -386,39 +467,48 @@
         Places may be scarce for a moment although the demand does not exceed
         them. More urgent tiers then leave enough.
         """
-        works = self._works(service, scarcity, now)
-        if sum(works.values()) < OVERLOAD_WORK:
+        if not self._is_overloaded(service, scarcity, now):
             return 1.0
+        works = self._works(service, scarcity, now)
         taken = sum(work for t, work in works.items() if t < tier)
         shared = self.demand.has_totals(now)
         return max(MIN_ROOM if shared else MIN_ROOM_ALONE, 1 - taken)
 
     def _plan_return(
-        self, arrival: Arrival, forecast: Forecast, state: TierState, now: int
+        self,
+        arrival: Arrival,
+        forecast: Forecast,
+        plan: ReturnPlan,
+        returns_per_s: float,
+        now: int,
     ) -> float:
         """Return when a refused caller may return, in ms from now.
 
         Returns begin when the prediction is within the limit again, and are
-        spaced by the rate at which places become free to the tier here. Each
-        refusal thus comes after earlier ones of its tier.
+        spaced by the rate at which places become free to the tier here, or
+        to the customer above its share. Each refusal thus comes after earlier
+        ones of its tier.
+
+        Args:
+            arrival: the request.
+            forecast: what is predicted for it.
+            plan: the returns planned so far.
+            returns_per_s: that rate.
+            now: the current time in ms.
         """
         room_in_ms = max(
             0.0, forecast.queued_ms - RELEASE_FRACTION * forecast.limit_ms
         )
-        ends = self.demand.ends.get(arrival.service)
-        returns_per_s = max(
-            MIN_RETURNS_PER_S,
-            (ends.per_second(now) if ends else 0.0) * forecast.left,
-        )
         spacing_ms = 1000 / returns_per_s * self.rng.uniform(0.5, 1.5)
-        planned_at = max(state.return_at, now + room_in_ms) + spacing_ms
-        state.return_at = min(planned_at, now + MAX_PLANNED_MS)
+        planned_at = max(plan.until, now + room_in_ms) + spacing_ms
+        plan.until = min(planned_at, now + MAX_PLANNED_MS)
         remaining_ms = max(0, arrival.deadline_at - now)
         longest_ms = RETRY_FRACTION * remaining_ms
         delay_ms = max(min(MIN_RETRY_AFTER_MS, longest_ms), planned_at - now)
         is_hopeless = (
             room_in_ms > remaining_ms
-            or delay_ms > self.hopeless_factor * remaining_ms
+            or delay_ms
+            > min(self.hopeless_factor, plan.max_hopeless) * remaining_ms
         )
         if delay_ms <= longest_ms or is_hopeless:
             return delay_ms
@@ -432,6 +522,13 @@
             f"{tier}:{work:.2f}" for tier, work in sorted(works.items())
         )
 
+    def _is_overloaded(
+        self, service: str, scarcity: room_module.Scarcity, now: int
+    ) -> bool:
+        """Return whether the demand exceeds the places."""
+        works = self._works(service, scarcity, now)
+        return sum(works.values()) >= OVERLOAD_WORK
+
     def _works(
         self, service: str, scarcity: room_module.Scarcity, now: int
     ) -> dict[int, float]:
--- a/primrosehitch/room.py
+++ b/primrosehitch/room.py
@@ -162,6 +162,10 @@
             and room.free <= AMPLE_FREE_FRACTION * room.places
         )
 
+    def is_scarce_at(self, now: int) -> bool:
+        """Return whether places are scarce by a sample of late."""
+        return self.is_scarce and now - self.sampled_at <= LINGER_MS
+
     def is_due(self, now: int) -> bool:
         """Return whether the endpoints are to be counted again."""
         return self.room is None or now - self.sampled_at >= SAMPLE_PERIOD_MS
