Count refused callers as demand in the load report

The planner orders endpoints by the requests in flight. Requests refused for lack of room are no longer in flight, so that it would have seen less demand the more was refused. A refused caller now counts as in flight for as long as it was told to stay away, and no longer than a third of its time.

Tests: test_overloadcontrol, test_customershares and test_loads pass.

--- a/primrosehitch/demand.py
+++ b/primrosehitch/demand.py
@@ -144,6 +144,7 @@
         tiers: demand at this edge by service and tier.
         ends: how long requests held a place, by service.
         ended: number of answers that ended, by service.
+        refusals: for how long refused callers stay away, in ms, by service.
         totals: demand at the other edges by service and tier.
         totals_at: when the totals arrived, in ms, or -1.
         published: what this edge last told, by service and tier.
@@ -154,6 +155,7 @@
         self.tiers: dict[str, dict[int, TierDemand]] = {}
         self.ends: dict[str, DecayingMean] = {}
         self.ended: dict[str, int] = {}
+        self.refusals: dict[str, DecayingMean] = {}
         self.totals: dict[str, dict[int, TierTotal]] = {}
         self.totals_at = -1
         self.published: dict[tuple[str, int], TierTotal] = {}
@@ -226,6 +228,21 @@
         self.ends.setdefault(service, DecayingMean()).add(hold_ms, now)
         self.ended[service] = self.ended.get(service, 0) + 1
 
+    def record_refusal(self, service: str, away_ms: float, now: int) -> None:
+        """Record a refusal, and for how long the caller stays away."""
+        self.refusals.setdefault(service, DecayingMean()).add(away_ms, now)
+
+    def refused_callers(self, service: str, now: int) -> int:
+        """Return how many refused callers of a service are away.
+
+        Without refusals they would wait for a place, so that they are part of
+        the demand by which endpoints are ordered.
+        """
+        refusals = self.refusals.get(service)
+        if refusals is None:
+            return 0
+        return round(refusals.per_second(now) * refusals.mean / 1000)
+
     def publish(self, now: int) -> tuple[messages.TierDemand, ...]:
         """Return this edge's demand, to be sent to other edges."""
         self.published = {}
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -573,18 +573,25 @@
                 self.meter.changed_windows |= {t.window for t in batch.tallies}
 
     def _send_load_report(self) -> None:
-        """Send the in-flight requests by service and by endpoint."""
+        """Send the in-flight requests by service and by endpoint.
+
+        Callers that were refused for lack of room count as in flight.
+        """
         if not self.balancer.endpoints:
             return
         in_flight = self.forwarder.gate.in_flight
+        demand = self.forwarder.overload.demand
+        now = clock.now_ms()
         report = messages.LoadReport(
             0,
             tuple(
-                messages.ServiceDemand(service, count)
+                messages.ServiceDemand(
+                    service, count + demand.refused_callers(service, now)
+                )
                 for service, count in in_flight.items()
             ),
             self.balancer.publish_loads(),
-            self.forwarder.overload.demand.publish(clock.now_ms()),
+            demand.publish(now),
         )
         self._send(report)
 
--- a/primrosehitch/overloadcontrol.py
+++ b/primrosehitch/overloadcontrol.py
@@ -321,10 +321,22 @@
         if refusal is None:
             ended = self.demand.ended.get(arrival.service, 0)
             state.record_admission(ended, now)
+        else:
+            self._record_away(arrival, refusal, now)
         if customer:
             state.shares.record_decision(customer, refusal is None, now)
         return refusal
 
+    def _record_away(
+        self, arrival: Arrival, refusal: Refusal, now: int
+    ) -> None:
+        """Record for how long a refused caller stays away at most."""
+        remaining_ms = max(0, arrival.deadline_at - now)
+        away_ms = min(
+            1000 * refusal.retry_after_s, RETRY_FRACTION * remaining_ms
+        )
+        self.demand.record_refusal(arrival.service, away_ms, now)
+
     def _find_refusal(
         self, arrival: Arrival, choice: Choice, state: TierState, now: int
     ) -> Refusal | None:
--- a/tests/test_overloadcontrol.py
+++ b/tests/test_overloadcontrol.py
@@ -342,6 +342,24 @@
     assert all(0 < float(part) < 2 for part in parts.values())
 
 
+# Guards against: fewer endpoints are ordered since requests are refused.
+def test_refused_callers_stay_part_of_the_demand():
+    """Load: 100 refused calls/s, of callers that return after 0.5 s."""
+    edge = demand.Demand()
+    for now in range(0, 20_000, 10):
+        edge.record_refusal("s", 500, now)
+    assert 45 <= edge.refused_callers("s", 20_000) <= 55
+    assert edge.refused_callers("s", 60_000) == 0
+    assert edge.refused_callers("other", 20_000) == 0
+
+
+def test_refusals_are_counted_as_callers_that_are_away():
+    control = make_control()
+    overload(control)
+    assert refuse_some(control, 0, 4000, 9)
+    assert control.demand.refusals["s"].mean <= 2000 / 3 + 1e-6
+
+
 def test_scarcity_needs_two_samples_and_lingers():
     scarcity = room.Scarcity()
     full, ample = room.Room(100, 0, 40), room.Room(100, 60, 0)
