--- a/primrosehitch/overloadcontrol.py
+++ b/primrosehitch/overloadcontrol.py
@@ -14,13 +14,13 @@
 which this takes does not grow with them.
 """
 
-import math
 import random
 from typing import Callable
 from typing import NamedTuple
 
 from primrosehitch import customershares
 from primrosehitch import demand as demand_module
+from primrosehitch import returnplan
 from primrosehitch import room as room_module
 from primrosehitch.endpoint import Choice
 
@@ -54,9 +54,6 @@
 # at this fraction of the limit.
 SHARES_ENABLED = True
 ABOVE_SHARE_FRACTION = 0.25
-# Of their many refused callers, those whose return is planned later than so
-# many times their time left are told that time.
-ABOVE_SHARE_HOPELESS = 8.0
 # A tier sees at least this part of the places, however much the more urgent
 # ones demand; an edge that does not know the demand of others sees more, as
 # its own may not be like theirs.
@@ -67,18 +64,6 @@
 # No request is refused that has been here for longer than this fraction of
 # its objective.
 REFUSAL_TIME_FRACTION = 0.2
-# Callers are told to return within this fraction of the time that they have
-# left; they do not wait longer. Those beyond it are spread over its end.
-RETRY_FRACTION = 1 / 3
-RETRY_SPREAD = 0.4
-MIN_RETRY_AFTER_MS = 50
-MIN_RETURNS_PER_S = 0.5
-# Room comes too late for a caller whose return is planned later than so many
-# times its time left. Callers that return again and again take the room of
-# others, with little time left for an answer.
-HOPELESS_FACTOR = 40.0
-# Returns are planned no further ahead than this.
-MAX_PLANNED_MS = 30_000
 
 
 class Arrival(NamedTuple):
@@ -165,26 +150,12 @@
     by_tier: dict[int, float]
 
 
-class ReturnPlan:
-    """Planned returns of refused callers.
-
-    Args:
-        max_hopeless: bound on the ``hopeless_factor`` of these callers.
-
-    Attributes:
-        until: until when returns are planned, in ms.
-    """
-
-    __slots__ = ("max_hopeless", "until")
-
-    def __init__(self, max_hopeless: float = math.inf):
-        self.max_hopeless = max_hopeless
-        self.until = 0.0
-
-
 class TierState:
     """Refusals of one tier for a service at this edge.
 
+    Args:
+        hopeless_factor: see ``returnplan.ReturnPlan``.
+
     Attributes:
         is_refusing: whether the last request without room was refused.
         admitted_at: when a request was last admitted, in ms, or -1.
@@ -210,12 +181,14 @@
         "within_share",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, hopeless_factor: float = returnplan.HOPELESS_FACTOR):
         self.is_refusing = False
         self.admitted_at = -1
         self.ended = 0
-        self.within_share = ReturnPlan()
-        self.above_share = ReturnPlan(ABOVE_SHARE_HOPELESS)
+        self.within_share = returnplan.ReturnPlan(hopeless_factor)
+        self.above_share = returnplan.ReturnPlan(
+            min(hopeless_factor, returnplan.ABOVE_SHARE_HOPELESS)
+        )
         self.shares = customershares.CustomerShares()
         self.limit_ms = 0.0
         self.shared_ms = 0.0
@@ -256,9 +229,7 @@
         enabled: whether requests are refused at all.
         objective_factor: refuse if the first event is predicted later than
             so many times the objective; infinity for the deadline only.
-        hopeless_factor: a caller whose return is planned later than so many
-            times its time left is told that time, and others are told to
-            return within a third of their time; infinity if all are.
+        hopeless_factor: see ``returnplan.ReturnPlan``.
         shares_enabled: whether customers above their share are refused first.
 
     Attributes:
@@ -276,7 +247,7 @@
         measure_room: MeasureRoom,
         enabled: bool = REFUSAL_ENABLED,
         objective_factor: float = OBJECTIVE_FACTOR,
-        hopeless_factor: float = HOPELESS_FACTOR,
+        hopeless_factor: float = returnplan.HOPELESS_FACTOR,
         shares_enabled: bool = SHARES_ENABLED,
     ):
         self.rng = rng
@@ -333,7 +304,8 @@
         """Record for how long a refused caller stays away at most."""
         remaining_ms = max(0, arrival.deadline_at - now)
         away_ms = min(
-            1000 * refusal.retry_after_s, RETRY_FRACTION * remaining_ms
+            1000 * refusal.retry_after_s,
+            returnplan.RETRY_FRACTION * remaining_ms,
         )
         self.demand.record_refusal(arrival.service, away_ms, now)
 
@@ -381,8 +353,11 @@
         if is_above:
             plan = state.above_share
             per_s = state.shares.share_per_s(arrival.customer, now)
-        retry_after_ms = self._plan_return(
-            arrival, forecast, plan, max(MIN_RETURNS_PER_S, per_s), now
+        room_in_ms = forecast.queued_ms - (
+            RELEASE_FRACTION * forecast.limit_ms
+        )
+        retry_after_ms = plan.next_delay_ms(
+            room_in_ms, per_s, remaining_ms, self.rng, now
         )
         return Refusal(
             cause,
@@ -486,46 +461,6 @@
         shared = self.demand.has_totals(now)
         return max(MIN_ROOM if shared else MIN_ROOM_ALONE, 1 - taken)
 
-    def _plan_return(
-        self,
-        arrival: Arrival,
-        forecast: Forecast,
-        plan: ReturnPlan,
-        returns_per_s: float,
-        now: int,
-    ) -> float:
-        """Return when a refused caller may return, in ms from now.
-
-        Returns begin when the prediction is within the limit again, and are
-        spaced by the rate at which places become free to the tier here, or
-        to the customer above its share. Each refusal thus comes after earlier
-        ones of its tier.
-
-        Args:
-            arrival: the request.
-            forecast: what is predicted for it.
-            plan: the returns planned so far.
-            returns_per_s: that rate.
-            now: the current time in ms.
-        """
-        room_in_ms = max(
-            0.0, forecast.queued_ms - RELEASE_FRACTION * forecast.limit_ms
-        )
-        spacing_ms = 1000 / returns_per_s * self.rng.uniform(0.5, 1.5)
-        planned_at = max(plan.until, now + room_in_ms) + spacing_ms
-        plan.until = min(planned_at, now + MAX_PLANNED_MS)
-        remaining_ms = max(0, arrival.deadline_at - now)
-        longest_ms = RETRY_FRACTION * remaining_ms
-        delay_ms = max(min(MIN_RETRY_AFTER_MS, longest_ms), planned_at - now)
-        is_hopeless = (
-            room_in_ms > remaining_ms
-            or delay_ms
-            > min(self.hopeless_factor, plan.max_hopeless) * remaining_ms
-        )
-        if delay_ms <= longest_ms or is_hopeless:
-            return delay_ms
-        return longest_ms * (1 - RETRY_SPREAD * self.rng.random())
-
     def _describe_demand(
         self, service: str, scarcity: room_module.Scarcity, now: int
     ) -> str:
@@ -568,7 +503,9 @@
     def _state(self, service: str, tier: int) -> TierState:
         state = self.states.get((service, tier))
         if state is None:
-            state = self.states[service, tier] = TierState()
+            state = self.states[service, tier] = TierState(
+                self.hopeless_factor
+            )
         return state
 
 
--- a/tests/test_overloadcontrol.py
+++ b/tests/test_overloadcontrol.py
@@ -13,6 +13,7 @@
 from primrosehitch import loads
 from primrosehitch import messages
 from primrosehitch import overloadcontrol
+from primrosehitch import returnplan
 from primrosehitch import room
 
 Kind = overload_fleet.Kind
@@ -141,7 +142,7 @@
         )
         is_hopeless = (
             room_in_ms > left_ms
-            or delay_ms > overloadcontrol.HOPELESS_FACTOR * left_ms
+            or delay_ms > returnplan.HOPELESS_FACTOR * left_ms
         )
         assert delay_ms <= left_ms / 3 + 1e-6 or is_hopeless
         assert delay_ms > 0
@@ -319,7 +320,7 @@
     later = refuse_some(many, 0, 4000, 80, **times)
     assert mean_delay_s(later) > mean_delay_s(first) > 0
     delays = [r.retry_after_s for r in later]
-    planned = [d for d in delays if d < 6 * (1 - overloadcontrol.RETRY_SPREAD)]
+    planned = [d for d in delays if d < 6 * (1 - returnplan.RETRY_SPREAD)]
     assert planned == sorted(planned) and len(planned) > 10
 
 
