Notice the end of scarcity without a queue

Once requests found free places, nobody counted the endpoints any more, so that the metric and the log kept saying that places are scarce. While they are, a request that finds a free place samples them as well.

Tests: test_overloadcontrol and test_customershares pass.

--- a/primrosehitch/overloadcontrol.py
+++ b/primrosehitch/overloadcontrol.py
@@ -313,15 +313,19 @@
         self, arrival: Arrival, choice: Choice, state: TierState, now: int
     ) -> Refusal | None:
         queue = room_module.queue_at(choice, now)
-        if queue.length <= 0:
+        known = self.scarcity.get(arrival.service)
+        if queue.length <= 0 and (known is None or not known.is_scarce):
             return None
+        # Also with a free place, so that the end of scarcity is noticed.
         scarcity = self._sample_scarcity(arrival.service, now)
+        if not scarcity.allows_refusals:
+            state.is_refusing = False
         waited_ms = now - arrival.arrived_at
         if (
-            not scarcity.allows_refusals
+            queue.length <= 0
+            or not scarcity.allows_refusals
             or waited_ms > REFUSAL_TIME_FRACTION * arrival.objective_ms
         ):
-            state.is_refusing = False
             return None
         forecast = self._forecast(arrival, choice, queue, scarcity, now)
         state.limit_ms = forecast.limit_ms
--- a/tests/test_overloadcontrol.py
+++ b/tests/test_overloadcontrol.py
@@ -374,6 +374,21 @@
     assert not scarcity.is_scarce
 
 
+# Guards against: scarcity that has ended stays in the metrics, as requests
+# that find a free place ask for no room.
+def test_end_of_scarcity_is_noticed_without_a_queue():
+    control = make_control()
+    changes = []
+    control.on_scarcity = lambda service, now: changes.append(
+        (now, control.scarcity[service].is_scarce)
+    )
+    overload(control)
+    control.measure_room = StubRoom(18, 12, 0)
+    for now in range(4000, 6000, 100):
+        control.decide(make_arrival(now), make_choice(2.0), now)
+    assert [is_scarce for _, is_scarce in changes] == [True, False]
+
+
 # Guards against: an old observation of full endpoints counts later.
 def test_scarcity_is_forgotten_without_samples():
     scarcity = room.Scarcity()
