--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -435,6 +435,9 @@
             self._on_endpoints(message)
         elif isinstance(message, messages.LoadReport):
             self.balancer.apply_load_totals(message)
+            self.forwarder.overload.demand.apply_totals(
+                message.tiers, clock.now_ms()
+            )
         elif isinstance(message, messages.PartsRead):
             self.balancer.apply_part_updates(message)
         elif isinstance(message, messages.PartFindings):
@@ -481,6 +484,7 @@
         edge_count = max(1, int(self.edge_counts.peak(now)))
         self.budget.set_edge_count(edge_count)
         self.balancer.edge_count = edge_count
+        self.forwarder.overload.demand.edge_count = edge_count
         if status.incarnation != self.control_incarnation:
             self.control_incarnation = status.incarnation
             self._send(self.meter.all_totals())
@@ -625,17 +629,25 @@
                 self.meter.changed_windows |= {t.window for t in batch.tallies}
 
     def _send_load_report(self) -> None:
-        """Send the in-flight requests by service and by endpoint."""
+        """Send the in-flight requests by service and by endpoint.
+
+        Callers that were refused for lack of room count as in flight.
+        """
         if not self.balancer.endpoints:
             return
         in_flight = self.forwarder.gate.in_flight
+        demand = self.forwarder.overload.demand
+        now = clock.now_ms()
         report = messages.LoadReport(
             0,
             tuple(
-                messages.ServiceDemand(service, count)
+                messages.ServiceDemand(
+                    service, count + demand.refused_callers(service, now)
+                )
                 for service, count in in_flight.items()
             ),
             self.balancer.publish_loads(),
+            demand.publish(now),
         )
         self._send(report)
 
