Add hedged requests, off by default

A repeatable request whose first attempt is slow waits for that attempt until its first-byte timeout. With the new setting `hedging`, a second attempt is sent to another endpoint once the first one takes longer than a quantile of the times of its route. The first usable answer wins, and the other attempt is cancelled.

State of an attempt moves from ForwardedRequest to attempts.Attempt, since two may be under way. racing.py runs both, hedging.py decides without I/O.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -755,6 +755,10 @@
                 endpoint.ejected_until = 0
                 endpoint.consecutive_failures = 0
 
+    def is_in_unreachable_domain(self, endpoint: Endpoint, now: int) -> bool:
+        """Return whether an endpoint's domain counts as unreachable."""
+        return self._is_domain_unreachable(endpoint.record.domain, now)
+
     def _is_domain_unreachable(self, domain: str, now: int) -> bool:
         """Return whether several endpoints of a domain failed recently.
 
--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -104,6 +104,15 @@
     },
 )
 
+HedgingFile = TypedDict(
+    "HedgingFile",
+    {
+        "share": float,
+        "quantile": NotRequired[float],
+        "min_delay_ms": NotRequired[int],
+    },
+)
+
 InstanceFile = TypedDict(
     "InstanceFile",
     {
@@ -119,6 +128,7 @@
         "platform": NotRequired[str | None],
         "metrics_port": NotRequired[int],
         "bounds": NotRequired["BoundsFile"],
+        "hedging": NotRequired["HedgingFile"],
     },
 )
 
@@ -176,6 +186,7 @@
     "CustomerSpec",
     "Declaration",
     "GrantSpec",
+    "HedgingFile",
     "InstanceFile",
     "ListenFile",
     "ModelSpec",
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -27,6 +27,7 @@
 from primrosehitch import events
 from primrosehitch import forwarder as forwarder_module
 from primrosehitch import gathering
+from primrosehitch import hedging as hedging_module
 from primrosehitch import helpers as helpers_module
 from primrosehitch import httpclient
 from primrosehitch import httpserver
@@ -145,6 +146,9 @@
                 str(settings.front), settings.domain, self.rng
             ),
             self.contact,
+            hedging_module.Hedging(settings.hedging)
+            if settings.hedging is not None
+            else None,
         )
         self.front = httpserver.Server(
             self._serve_front, routes.ClientLimits()
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -198,6 +198,28 @@
     " the service by what ruled them out.",
     "If it persists, look for 1501 of the service's endpoints.",
 )
+HEDGE_SENT = Event(
+    1431,
+    "hedge-sent",
+    "The first attempt of a request was slow, and a second one was sent to"
+    " another endpoint; `after_ms` is how long the first one had taken.",
+    NO_ACTION,
+)
+HEDGE_ENDED = Event(
+    1432,
+    "hedge-ended",
+    "A request with a second attempt has its answer, or both attempts"
+    " failed; `winner` is the endpoint that answered, empty if none did.",
+    NO_ACTION,
+)
+HEDGE_DENIED = Event(
+    1433,
+    "hedge-denied",
+    "No second attempt was sent for slow requests; `count` says how many"
+    " there were for this reason since its last line, at most one line in"
+    " 10 s.",
+    "Look up the reason in docs/OPERATIONS.md.",
+)
 ENDPOINT_CHANGED = Event(
     1501,
     "endpoint-changed",
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -15,6 +15,7 @@
 from primrosehitch import controlcontact
 from primrosehitch import dialect as dialect_module
 from primrosehitch import events
+from primrosehitch import hedging as hedging_module
 from primrosehitch import helpers as helpers_module
 from primrosehitch import httpclient
 from primrosehitch import httpserver
@@ -54,6 +55,7 @@
         rng: picks a service of a route by weight.
         helpers: edges that forward requests for this one.
         contact: when the route table was last confirmed.
+        hedging: decides on second attempts, None if there are none.
 
     Attributes:
         table: the route table in force, None until the first one arrives.
@@ -79,6 +81,7 @@
         rng: random.Random,
         helpers: helpers_module.HelperDirectory,
         contact: controlcontact.ControlContact,
+        hedging: hedging_module.Hedging | None = None,
     ):
         self.dialect = dialect
         self.balancer = balancer
@@ -97,6 +100,7 @@
         self.ended = False
         self.helpers = helpers
         self.contact = contact
+        self.hedging = hedging
         self.waiting = waiting.WaitingLine()
         self.edge_token = helpers_module.make_token()
 
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from primrosehitch import attempts
 from primrosehitch import balancer as balancer_module
 from primrosehitch import budget as budget_module
 from primrosehitch import clock
@@ -21,6 +22,7 @@
 from primrosehitch import eventframes
 from primrosehitch import events
 from primrosehitch import fingerprints
+from primrosehitch import hedging as hedging_module
 from primrosehitch import helpers as helpers_module
 from primrosehitch import httpclient
 from primrosehitch import httpserver
@@ -29,6 +31,7 @@
 from primrosehitch import metrics
 from primrosehitch import overload
 from primrosehitch import quarantine as quarantine_module
+from primrosehitch import racing
 from primrosehitch import routes
 from primrosehitch import streamorigins
 from primrosehitch import truetime as truetime_module
@@ -157,7 +160,23 @@
     body: bytes
 
 
-Outcome = Passed | NotRun | Broken | Failed
+class Lost(NamedTuple):
+    """Another attempt answered the caller first."""
+
+
+Outcome = Passed | NotRun | Broken | Failed | Lost
+
+
+def _weight(outcome: Outcome) -> int:
+    """Return how much of an outcome's attempt the caller has to know.
+
+    Of two attempts without an answer, the one that may have run the request
+    decides, and then the one that reached its endpoint.
+    """
+    if isinstance(outcome, NotRun):
+        return int(outcome.reason not in UNSENT_REASONS)
+    weights = {Lost: -1, Broken: 2, Failed: 3, Passed: 4}
+    return weights[type(outcome)]
 
 
 def send_local_reply(
@@ -204,6 +223,7 @@
     routing_changed: anyio.Event
     helpers: helpers_module.HelperDirectory
     waiting: waiting.WaitingLine
+    hedging: hedging_module.Hedging | None
 
     def is_from_edge(self, call: dialect_module.CallInfo) -> bool:
         """Return whether another edge sends a request for its caller."""
@@ -258,13 +278,9 @@
         was_helped: whether its stream went on at another edge, so that
             this edge does not know its version.
         attempts: how often the request was sent.
-        in_flight: whether it was sent in the current attempt and the
-            endpoint has not said that it did not run it.
+        current: the attempt under way, or the two of a hedged request.
         earlier_may_have_run: whether an earlier attempt may have run it.
-        sent_at_ms: when it was last sent, -1 before the current attempt
-            has sent it.
-        answer_began_at_ms: when the first byte of the current attempt's
-            answer came, -1 before that.
+        is_hedged: whether a second attempt was started while one was slow.
         usage_counted: whether it was counted for the customer's usage.
         first_ms: time to the first byte of a response, -1 before it.
         trail: each attempt's endpoint and outcome, for the log.
@@ -319,10 +335,9 @@
         self.helper_count = 0
         self.was_helped = False
         self.attempts = 0
-        self.in_flight = False
+        self.current: tuple[attempts.Attempt, ...] = ()
         self.earlier_may_have_run = False
-        self.sent_at_ms = -1
-        self.answer_began_at_ms = -1
+        self.is_hedged = False
         self.usage_counted = False
         self.first_ms = -1
         self.trail: list[str] = []
@@ -342,6 +357,8 @@
         service = self.ask.service
         if not self.is_from_edge:
             shared.retry_budget.record_request(service, now)
+            if shared.hedging is not None:
+                shared.hedging.share.record_request(service, now)
         part = self._quarantined_part()
         if part is not None:
             self._refuse_quarantined(part)
@@ -418,8 +435,9 @@
         while True:
             helper = await self._choose_helper()
             if helper is not None:
-                outcome = await self._attempt_at_helper(helper)
-                self._record_attempt(helper.front, outcome)
+                attempt = self._begin_attempt(None)
+                outcome = await self._attempt_at_helper(attempt, helper)
+                self._record_attempt(attempt, helper.front, outcome)
                 if isinstance(outcome, Passed):
                     return "helped"
                 if not self._acquire_retry(outcome):
@@ -442,17 +460,28 @@
             if part is not None:
                 reason = _quarantine_reason(part)
                 return self._respond_with_failure(NotRun(reason))
-            outcome = await self._attempt(choice)
-            self._record_attempt(choice.endpoint.record.id, outcome)
+            outcome = await self._attempt_and_hedge(choice)
             if isinstance(outcome, Passed):
                 return "ok" if outcome.status < 400 else "endpoint-error"
             if not self._acquire_retry(outcome):
                 return self._respond_with_failure(outcome)
 
-    def _record_attempt(self, target: str, outcome: Outcome) -> None:
+    def _begin_attempt(
+        self, choice: balancer_module.Choice | None
+    ) -> attempts.Attempt:
+        """Return a new attempt, the only one that is under way."""
+        attempt = attempts.Attempt(choice, self.event_frames)
+        self.current = (attempt,)
+        return attempt
+
+    def _record_attempt(
+        self, attempt: attempts.Attempt, target: str, outcome: Outcome
+    ) -> None:
         """Record how an attempt at an endpoint or another edge ended."""
-        self.earlier_may_have_run |= isinstance(outcome, Broken | Failed)
-        self.in_flight = False
+        self.earlier_may_have_run |= isinstance(outcome, Broken | Failed) or (
+            isinstance(outcome, Lost) and attempt.in_flight
+        )
+        attempt.in_flight = False
         self.trail.append(f"{target}:{type(outcome).__name__}")
 
     async def _choose_helper(self) -> messages.HelperEdge | None:
@@ -474,7 +503,9 @@
             return None
         return await self.shared.helpers.choose(service)
 
-    async def _attempt_at_helper(self, helper: messages.HelperEdge) -> Outcome:
+    async def _attempt_at_helper(
+        self, attempt: attempts.Attempt, helper: messages.HelperEdge
+    ) -> Outcome:
         """Send the request to another edge and relay its response.
 
         That edge counts it as under way, for the customer's usage and in
@@ -482,7 +513,6 @@
         """
         shared = self.shared
         self.helper_count += 1
-        self.sent_at_ms = self.answer_began_at_ms = -1
         events.emit(
             events.HELPED,
             request_id=self.call.identifier.decode("latin-1"),
@@ -499,8 +529,8 @@
         shared.gate.record_end(self.ask.service)
         try:
             attempts_left = max(1, self.max_attempts - self.attempts)
-            self._send_to_helper(connection, helper, attempts_left)
-            outcome = await self._relay_from_helper(connection)
+            self._send_to_helper(connection, attempt, helper, attempts_left)
+            outcome = await self._relay_from_helper(connection, attempt)
             if isinstance(outcome, Broken):
                 # It may have sent the request to as many endpoints.
                 self.attempts += attempts_left - 1
@@ -525,6 +555,7 @@
     def _send_to_helper(
         self,
         connection: httpclient.EndpointConnection,
+        attempt: attempts.Attempt,
         helper: messages.HelperEdge,
         attempts_left: int,
     ) -> None:
@@ -540,10 +571,12 @@
             attempts_left,
         )
         headers = self.shared.dialect.helper_headers(self.call, help_info)
-        self._send_on(connection, headers)
+        self._send_on(connection, attempt, headers)
 
     async def _relay_from_helper(
-        self, connection: httpclient.EndpointConnection
+        self,
+        connection: httpclient.EndpointConnection,
+        attempt: attempts.Attempt,
     ) -> Outcome:
         """Relay the response of another edge, which may refuse as well."""
         head = await connection.receive()
@@ -552,12 +585,12 @@
         info = self.shared.dialect.read_answer(head)
         refused = head.status in NOT_RUN_STATUSES and not info.is_authentic
         if refused:
-            self.in_flight = False
+            attempt.in_flight = False
         if head.status < 300 and not info.is_authentic:
             return Broken("successful response without a valid signature")
         if self.route.kind == routes.STREAM and head.status < 300:
             return await self._relay_helped_stream(connection, head)
-        body, ending = await self._read_body(connection, head)
+        body, ending = await self._read_body(connection, attempt, head)
         if body is None:
             return Passed(head.status)
         if ending is httpclient.ResponseEnd.BROKEN:
@@ -579,7 +612,9 @@
         """Relay a stream of another edge in whole events."""
         item = await connection.receive()
         while isinstance(item, bytes):
-            complete_events, event_error = self._split_events(item)
+            complete_events, event_error = self._split_events(
+                self.event_frames, item
+            )
             if complete_events:
                 self.was_helped = True
                 self._ensure_head_sent(head)
@@ -599,7 +634,7 @@
         return Broken("stream incomplete")
 
     def _split_events(
-        self, data: bytes
+        self, event_frames: eventframes.EventSplitter, data: bytes
     ) -> tuple[bytes, eventframes.EventError | None]:
         """Return the events that bytes of a stream complete.
 
@@ -610,7 +645,7 @@
             anything is.
         """
         try:
-            return self.event_frames.feed(data), None
+            return event_frames.feed(data), None
         except eventframes.EventError as exc:
             return exc.sound_events, exc
 
@@ -751,7 +786,9 @@
 
     def _may_have_run(self) -> bool:
         """Return whether an endpoint may have run the request."""
-        return self.in_flight or self.earlier_may_have_run
+        return self.earlier_may_have_run or any(
+            attempt.in_flight for attempt in self.current
+        )
 
     def end(self, reason: str) -> None:
         """End the request now, as if its deadline had passed.
@@ -808,11 +845,105 @@
             after_event=self.call.last_event_id.decode("latin-1"),
         )
 
-    async def _attempt(self, choice: balancer_module.Choice) -> Outcome:
+    async def _attempt_and_hedge(
+        self, choice: balancer_module.Choice
+    ) -> Outcome:
+        """Try one endpoint, and a second one if the first one is slow."""
+        attempt = self._begin_attempt(choice)
+        delay_ms = self._hedge_delay_ms(choice)
+        if delay_ms is None:
+            outcome = await self._attempt(attempt)
+            self._record_attempt(attempt, choice.endpoint.record.id, outcome)
+            return outcome
+        race = racing.Race(self._attempt, self._plan_hedge)
+        await race.run(attempt, delay_ms)
+        outcomes = []
+        for contestant in self.current:
+            outcome = Lost() if contestant.is_lost else contestant.outcome
+            outcomes.append(outcome)
+            self._record_attempt(
+                contestant, contestant.endpoint.record.id, outcome
+            )
+        if len(self.current) > 1:
+            self._record_hedge(race.winner)
+        return max(outcomes, key=_weight)
+
+    def _hedge_delay_ms(self, choice: balancer_module.Choice) -> float | None:
+        """Return when the request may be hedged, or None if it may not.
+
+        A stream may be hedged before its first event only, since two
+        endpoints continue it in different ways.
+        """
+        hedging = self.shared.hedging
+        if (
+            hedging is None
+            or self.is_hedged
+            or not self.route.repeatable
+            or self.responder.head_sent
+            or self.attempts + 1 >= self.max_attempts
+        ):
+            return None
+        return hedging.delay_ms(self.route.name, choice, clock.now_ms())
+
+    def _plan_hedge(self) -> attempts.Attempt | None:
+        """Return the second attempt of a slow request, if it may have one."""
+        shared, hedging = self.shared, self.shared.hedging
+        if hedging is None:
+            return None
+        now = clock.now_ms()
+        hedge_request = hedging_module.HedgeRequest(
+            self.ask,
+            self.suspects,
+            tuple(self.tried_endpoints),
+            self.route.repeatable,
+            self.max_attempts - self.attempts,
+            self.deadline_at_ms - now,
+            bool(shared.waiting.tickets.get(self._line())),
+        )
+        plan = hedging.plan(
+            hedge_request,
+            self.balancer,
+            shared.quarantine,
+            shared.retry_budget,
+            now,
+        )
+        if isinstance(plan, hedging_module.Denied):
+            return None
+        self.is_hedged = True
+        hedge = attempts.Attempt(
+            plan, eventframes.EventSplitter(self.event_frames.last_id)
+        )
+        hedge.is_hedge = True
+        self.current = (*self.current, hedge)
+        return hedge
+
+    def _record_hedge(self, winner: racing.Contestant | None) -> None:
+        """Record how a request with a second attempt ended."""
+        first, hedge = self.current
+        if winner is hedge:
+            metrics.HEDGES_WON.inc()
+        answered = next((a for a in self.current if a is winner), None)
+        events.emit(
+            events.HEDGE_ENDED,
+            request_id=self.call.identifier.decode("latin-1"),
+            winner=answered.endpoint.record.id if answered else "",
+            first=first.endpoint.record.id,
+            hedge=hedge.endpoint.record.id,
+            took_ms=clock.now_ms() - self.request.started_ms,
+        )
+
+    def _claim(self, attempt: attempts.Attempt) -> bool:
+        """Return whether the caller's response comes from an attempt."""
+        if not attempt.claim():
+            return False
+        self.event_frames = attempt.event_frames
+        return True
+
+    async def _attempt(self, attempt: attempts.Attempt) -> Outcome:
         """Send the request to one endpoint and relay its response."""
+        choice = attempt.chosen
         record = choice.endpoint.record
         self.tried_endpoints.append(record.id)
-        self.sent_at_ms = self.answer_began_at_ms = -1
         now = clock.now_ms()
         pool = self.shared.connection_pool(record.address)
         try:
@@ -821,7 +952,7 @@
             self.unreachable_count += 1
             self.balancer.record_unreachable(choice.endpoint, clock.now_ms())
             self.shared.record_unreached(record.service, record.id)
-            self._emit_endpoint_failure(choice, str(exc))
+            self._emit_endpoint_failure(attempt, str(exc))
             # A partition may refuse connections as well.
             if (
                 exc.is_refused
@@ -830,6 +961,9 @@
             ):
                 self._report_ended(choice)
             return NotRun(UNREACHABLE_REASON)
+        if attempt.is_lost:
+            pool.release(connection)
+            return Lost()
         if choice.endpoint.is_departing or self.balancer.is_replaced(
             choice.endpoint
         ):
@@ -841,27 +975,26 @@
             pool.release(connection)
             self.tried_endpoints.remove(record.id)
             return NotRun(RATE_LIMITED_REASON)
-        response_began = [False]
         self.balancer.record_start(choice, self.ask, now)
         try:
-            self._send_request(connection, choice)
-            return await self._relay_response(
-                connection, choice, response_began
-            )
+            self._send_request(connection, attempt)
+            return await self._relay_response(connection, attempt)
         finally:
-            self._record_unanswered(choice, response_began[0])
-            if not response_began[0]:
-                self._report_abandoned(choice)
-            self.balancer.record_finish(choice, self.ask, response_began[0])
+            self._record_unanswered(attempt)
+            if not attempt.has_answer_begun:
+                self._report_abandoned(attempt)
+            self.balancer.record_finish(
+                choice, self.ask, attempt.has_answer_begun
+            )
             pool.release(connection)
             if self.shared.waiting.tickets:
                 self.shared.notify_routing_change()
 
-    def _report_answering(self, choice: balancer_module.Choice) -> None:
+    def _report_answering(self, attempt: attempts.Attempt) -> None:
         """Report that the endpoint, and no other at its address, answers."""
         self.shared.quarantine.report_answering(
-            choice.endpoint.incarnation,
-            self.shared.true_time.wall_ms_at(self.sent_at_ms),
+            attempt.endpoint.incarnation,
+            self.shared.true_time.wall_ms_at(attempt.sent_at_ms),
             clock.now_ms(),
         )
 
@@ -874,53 +1007,82 @@
             now,
         )
 
-    def _report_abandoned(self, choice: balancer_module.Choice) -> None:
-        """Report that the request leaves an endpoint that sent nothing."""
-        if self.in_flight and not choice.endpoint.is_departing:
+    def _report_abandoned(self, attempt: attempts.Attempt) -> None:
+        """Report that the request leaves an endpoint that sent nothing.
+
+        One that leaves because another attempt answered it crashes none.
+        """
+        if (
+            attempt.in_flight
+            and not attempt.is_lost
+            and not attempt.endpoint.is_departing
+        ):
             self.shared.quarantine.report_abandoned(
-                choice.endpoint.incarnation,
+                attempt.endpoint.incarnation,
                 self.suspects,
-                self._sent_interval(),
+                self._sent_interval(attempt),
                 clock.now_ms(),
             )
 
-    def _record_unanswered(
-        self, choice: balancer_module.Choice, response_began: bool
-    ) -> None:
+    def _record_unanswered(self, attempt: attempts.Attempt) -> None:
         """Count an attempt as a failure of an endpoint that stayed silent.
 
         The endpoint has failed if it sent nothing on any connection since
         the request was sent and the timeout for the first byte has passed.
+        That holds for one that lost a race as well: it was silent for as
+        long before it was cancelled.
         """
-        waited_ms = clock.now_ms() - self.sent_at_ms
-        silent = choice.endpoint.last_heard_at < self.sent_at_ms
-        if (
-            silent
-            and waited_ms > self._first_byte_timeout_ms(choice)
-            and not response_began
-        ):
-            self.balancer.record_failure(choice.endpoint, clock.now_ms())
+        waited_ms = clock.now_ms() - attempt.sent_at_ms
+        silent = attempt.endpoint.last_heard_at < attempt.sent_at_ms
+        if attempt.has_answer_begun:
+            return
+        timed_out = waited_ms > self._first_byte_timeout_ms(attempt.chosen)
+        if silent and timed_out:
+            self.balancer.record_failure(attempt.endpoint, clock.now_ms())
+        if attempt.in_flight and (timed_out or attempt.is_lost):
+            self._record_answer_time(waited_ms)
 
     def _send_request(
         self,
         connection: httpclient.EndpointConnection,
-        choice: balancer_module.Choice,
+        attempt: attempts.Attempt,
     ) -> None:
         """Send the request on a connection to the chosen endpoint."""
-        record = choice.endpoint.record
+        record = attempt.endpoint.record
         sending = dialect_module.ForwardInfo(
             record.id,
             max(1, self.deadline_at_ms - clock.now_ms()),
             self.customer,
             self.priority,
-            self.event_frames.last_id,
+            attempt.event_frames.last_id,
         )
         headers = self.shared.dialect.endpoint_headers(self.call, sending)
-        self._send_on(connection, headers)
+        if attempt.is_hedge:
+            self._record_hedge_sent()
+        self._send_on(connection, attempt, headers)
+
+    def _record_hedge_sent(self) -> None:
+        """Check and record that a second attempt is sent."""
+        errors.require(
+            self.route.repeatable,
+            "a non-repeatable request must not be hedged",
+            "forward.hedge",
+        )
+        first, hedge = self.current
+        metrics.HEDGES_SENT.inc()
+        events.emit(
+            events.HEDGE_SENT,
+            request_id=self.call.identifier.decode("latin-1"),
+            route=self.route.name,
+            first=first.endpoint.record.id,
+            hedge=hedge.endpoint.record.id,
+            after_ms=self._since(first.sent_at_ms),
+        )
 
     def _send_on(
         self,
         connection: httpclient.EndpointConnection,
+        attempt: attempts.Attempt,
         headers: list[httpclient.Header],
     ) -> None:
         """Send the request with the given headers on a connection."""
@@ -941,8 +1103,8 @@
             self.shared.dialect.echo_header, self.call.identifier
         )
         self.attempts += 1
-        self.in_flight = True
-        self.sent_at_ms = clock.now_ms()
+        attempt.in_flight = True
+        attempt.sent_at_ms = clock.now_ms()
         connection.send(
             b"".join(lines),
             request.body,
@@ -953,44 +1115,38 @@
     async def _relay_response(
         self,
         connection: httpclient.EndpointConnection,
-        choice: balancer_module.Choice,
-        response_began: list[bool],
+        attempt: attempts.Attempt,
     ) -> Outcome:
         """Receive a response and relay it to the caller.
 
         Args:
             connection: the connection on which the request was sent.
-            choice: the endpoint.
-            response_began: one item, set to True with the first byte.
+            attempt: the attempt that sent it.
         """
-        read_timeout_ms = self._first_byte_timeout_ms(choice)
-        head = await self._receive(connection, choice, read_timeout_ms)
+        read_timeout_ms = self._first_byte_timeout_ms(attempt.chosen)
+        head = await self._receive(connection, attempt, read_timeout_ms)
         if head is None:
-            return self._record_broken(choice, "silent")
+            return self._record_broken(attempt, "silent")
         if not isinstance(head, httpclient.ResponseHead):
-            self._report_crash(choice)
-            return self._record_broken(choice, "closed without a response")
+            self._report_crash(attempt)
+            return self._record_broken(attempt, "closed without a response")
         info = self.shared.dialect.read_answer(head)
-        self._record_load(choice.endpoint, info)
+        self._record_load(attempt.endpoint, info)
         if info.is_leaving:
-            self.balancer.record_leaving(choice.endpoint)
+            self.balancer.record_leaving(attempt.endpoint)
         if not info.address_reassigned:
-            self._report_answering(choice)
-            self._record_limit(choice.endpoint, info)
+            self._report_answering(attempt)
+            self._record_limit(attempt, info)
         if info.not_run or info.address_reassigned:
-            return await self._read_rejection(connection, choice, info)
+            return await self._read_rejection(connection, attempt, info)
         if head.status < 300 and not info.is_authentic:
             return self._record_broken(
-                choice, "successful response without a valid signature"
+                attempt, "successful response without a valid signature"
             )
         is_stream = self.route.kind == routes.STREAM
         if is_stream and head.status < 300:
-            return await self._relay_stream(
-                connection, choice, head, response_began
-            )
-        return await self._relay_buffered(
-            connection, choice, head, response_began
-        )
+            return await self._relay_stream(connection, attempt, head)
+        return await self._relay_buffered(connection, attempt, head)
 
     def _first_byte_timeout_ms(self, choice: balancer_module.Choice) -> float:
         """Return the timeout for the first byte of a response.
@@ -1009,7 +1165,7 @@
     async def _receive(
         self,
         connection: httpclient.EndpointConnection,
-        choice: balancer_module.Choice,
+        attempt: attempts.Attempt,
         read_timeout_ms: float,
     ) -> httpclient.ResponseHead | bytes | httpclient.ResponseEnd | None:
         """Return the next part of a response, or None to fail over.
@@ -1022,11 +1178,11 @@
         while True:
             with anyio.move_on_after(read_timeout_ms / 1000):
                 item = await connection.receive()
-                self.balancer.record_activity(choice.endpoint, clock.now_ms())
+                self.balancer.record_activity(attempt.endpoint, clock.now_ms())
                 if self.balancer.reachability.failed_at:
                     self.shared.record_reached(self.ask.service)
                 return item
-            silent_ms = clock.now_ms() - choice.endpoint.last_heard_at
+            silent_ms = clock.now_ms() - attempt.endpoint.last_heard_at
             endpoint_active = (
                 silent_ms < ENDPOINT_SILENCE_FRACTION * read_timeout_ms
             )
@@ -1034,7 +1190,7 @@
                 continue
             if not endpoint_active:
                 self.shared.record_unreached(
-                    self.ask.service, choice.endpoint.record.id
+                    self.ask.service, attempt.endpoint.record.id
                 )
             if self._can_fail_over():
                 return None
@@ -1044,16 +1200,27 @@
         now = clock.now_ms()
         return (
             self.route.repeatable
+            and not self._is_racing()
             and self.attempts < self.max_attempts
             and self.deadline_at_ms - now > MIN_RETRY_TIME_MS
             and bool(self._remaining_endpoints(now))
             and self.shared.retry_budget.allows(self.ask.service, now)
         )
 
+    def _is_racing(self) -> bool:
+        """Return whether two attempts are under way."""
+        return (
+            all(
+                attempt.outcome is None and not attempt.is_lost
+                for attempt in self.current
+            )
+            and len(self.current) > 1
+        )
+
     async def _read_rejection(
         self,
         connection: httpclient.EndpointConnection,
-        choice: balancer_module.Choice,
+        attempt: attempts.Attempt,
         info: dialect_module.AnswerInfo,
     ) -> Outcome:
         """Read the rest of a rejection; the request did not run.
@@ -1061,12 +1228,12 @@
         An address that another endpoint has taken over counts as
         unreachable, anything else as an endpoint without capacity.
         """
-        self.in_flight = False
+        attempt.in_flight = False
         if info.address_reassigned:
-            self.balancer.record_unreachable(choice.endpoint, clock.now_ms())
+            self.balancer.record_unreachable(attempt.endpoint, clock.now_ms())
         else:
             self.balancer.record_rejection(
-                choice.endpoint, clock.now_ms(), info.pause_ms
+                attempt.endpoint, clock.now_ms(), info.pause_ms
             )
         item: Any = b""
         while not isinstance(item, httpclient.ResponseEnd):
@@ -1074,36 +1241,44 @@
         return NotRun("rejected")
 
     def _record_broken(
-        self, choice: balancer_module.Choice, error_text: str
-    ) -> Broken:
-        """Record a failure of the endpoint and return the outcome."""
-        self.balancer.record_failure(choice.endpoint, clock.now_ms())
-        self._emit_endpoint_failure(choice, error_text)
+        self, attempt: attempts.Attempt, error_text: str
+    ) -> Broken | Lost:
+        """Record a failure of the endpoint and return the outcome.
+
+        An attempt that lost is broken off by this edge.
+        """
+        if attempt.is_lost:
+            return Lost()
+        self.balancer.record_failure(attempt.endpoint, clock.now_ms())
+        self._emit_endpoint_failure(attempt, error_text)
         return Broken(error_text)
 
-    def _report_crash(self, choice: balancer_module.Choice) -> None:
+    def _report_crash(self, attempt: attempts.Attempt) -> None:
         """Report that the endpoint closed its connection during a request.
 
         An answer that has gone on for some time is not what crashed it,
         and an endpoint that is leaving may close its connections.
         """
-        answering_ms = self._since(self.answer_began_at_ms)
+        answering_ms = self._since(attempt.answer_began_at_ms)
         if (
-            not choice.endpoint.is_departing
+            not attempt.is_lost
+            and not attempt.endpoint.is_departing
             and answering_ms < quarantine_module.SOUND_ANSWER_MS
         ):
             self.shared.quarantine.report_crash(
-                choice.endpoint.incarnation,
+                attempt.endpoint.incarnation,
                 self.suspects,
-                self._sent_interval(),
+                self._sent_interval(attempt),
                 clock.now_ms(),
             )
 
-    def _sent_interval(self) -> quarantine_module.Interval:
-        """Return when the current attempt was sent and until when it is."""
+    def _sent_interval(
+        self, attempt: attempts.Attempt
+    ) -> quarantine_module.Interval:
+        """Return when an attempt was sent and until when it is."""
         true_time = self.shared.true_time
         return quarantine_module.Interval(
-            true_time.wall_ms_at(self.sent_at_ms),
+            true_time.wall_ms_at(attempt.sent_at_ms),
             true_time.wall_ms_at(clock.now_ms()),
         )
 
@@ -1112,21 +1287,21 @@
         self.shared.quarantine.report_sound(self.suspects, clock.now_ms())
 
     def _emit_endpoint_failure(
-        self, choice: balancer_module.Choice, error_text: str
+        self, attempt: attempts.Attempt, error_text: str
     ) -> None:
         events.emit(
             events.ENDPOINT_FAILED,
             request_id=self.call.identifier.decode("latin-1"),
-            endpoint=choice.endpoint.record.id,
-            address=choice.endpoint.record.address,
+            endpoint=attempt.endpoint.record.id,
+            address=attempt.endpoint.record.address,
             error=error_text,
-            failures=choice.endpoint.consecutive_failures,
+            failures=attempt.endpoint.consecutive_failures,
             parts=" ".join(self.part_ids),
             fingerprint=self.fingerprint,
-            sent_ms=self._since(self.sent_at_ms),
-            answering_ms=self._since(self.answer_began_at_ms),
-            inflight=choice.endpoint.inflight,
-            inflight_tokens=choice.endpoint.inflight_tokens,
+            sent_ms=self._since(attempt.sent_at_ms),
+            answering_ms=self._since(attempt.answer_began_at_ms),
+            inflight=attempt.endpoint.inflight,
+            inflight_tokens=attempt.endpoint.inflight_tokens,
         )
 
     def _since(self, began_at_ms: int) -> int:
@@ -1146,30 +1321,30 @@
 
     def _record_limit(
         self,
-        endpoint: balancer_module.Endpoint,
+        attempt: attempts.Attempt,
         info: dialect_module.AnswerInfo,
     ) -> None:
         """Record the rate limit that an answer names, or that it has none."""
         if info.malformed_limit:
             events.emit(
                 events.LIMIT_MALFORMED,
-                endpoint=endpoint.record.id,
+                endpoint=attempt.endpoint.record.id,
                 value=info.malformed_limit,
             )
             return
         true_time = self.shared.true_time
         self.balancer.limits.record_answer(
-            endpoint.incarnation,
+            attempt.endpoint.incarnation,
             info.limit_per_s,
-            true_time.wall_ms_at(self.sent_at_ms),
+            true_time.wall_ms_at(attempt.sent_at_ms),
             true_time.wall_ms_at(clock.now_ms()),
         )
 
     def _record_first_byte(
         self,
-        choice: balancer_module.Choice,
-        response_began: list[bool],
+        attempt: attempts.Attempt,
         began_at_ms: int,
+        is_error: bool = False,
     ) -> None:
         """Record the first byte of a response and count the request.
 
@@ -1177,18 +1352,19 @@
         sent.
 
         Args:
-            choice: the endpoint.
-            response_began: one item, set to True.
+            attempt: the attempt that is answered.
             began_at_ms: the time by which the request is counted.
+            is_error: whether it is answered with a server error.
         """
         now = clock.now_ms()
-        if not response_began[0]:
-            response_began[0] = True
-            self.answer_began_at_ms = now
-            first_byte_latency_ms = now - self.sent_at_ms
+        if not attempt.has_answer_begun:
+            attempt.answer_began_at_ms = now
+            first_byte_latency_ms = now - attempt.sent_at_ms
             self.balancer.record_first_byte(
-                choice, self.ask, first_byte_latency_ms
+                attempt.chosen, self.ask, first_byte_latency_ms
             )
+            if not is_error:
+                self._record_answer_time(first_byte_latency_ms)
         if self.first_ms < 0:
             self.first_ms = now - self.request.started_ms
         if self.usage_counted or not self.customer:
@@ -1198,19 +1374,28 @@
         counted_at = shared.true_time.wall_ms_at(began_at_ms)
         shared.meter.count_request(self.customer, counted_at)
 
+    def _record_answer_time(self, took_ms: int) -> None:
+        """Record the time to the first byte, by which others are slow."""
+        hedging = self.shared.hedging
+        if hedging is not None:
+            hedging.record_time(
+                self.route.name, self.ask.service, took_ms, clock.now_ms()
+            )
+
     async def _relay_buffered(
         self,
         connection: httpclient.EndpointConnection,
-        choice: balancer_module.Choice,
+        attempt: attempts.Attempt,
         head: httpclient.ResponseHead,
-        response_began: list[bool],
     ) -> Outcome:
         """Buffer a response and relay it once it is complete."""
-        self._record_first_byte(choice, response_began, self.sent_at_ms)
-        body, ending = await self._read_body(connection, head)
+        self._record_first_byte(
+            attempt, attempt.sent_at_ms, head.status >= 500
+        )
+        body, ending = await self._read_body(connection, attempt, head)
         if ending is httpclient.ResponseEnd.BROKEN:
-            self._report_crash(choice)
-            broken = self._record_broken(choice, "response incomplete")
+            self._report_crash(attempt)
+            broken = self._record_broken(attempt, "response incomplete")
             return broken if body is not None else Passed(head.status)
         if body is None:
             self._report_sound()
@@ -1218,16 +1403,19 @@
         self._report_sound()
         if self.responder.head_sent:
             error_text = f"status {head.status} in the middle of a stream"
-            return self._record_broken(choice, error_text)
+            return self._record_broken(attempt, error_text)
         if head.status >= 500:
-            self.balancer.record_error_answer(choice.endpoint)
+            self.balancer.record_error_answer(attempt.endpoint)
             return Failed(head, body)
+        if not self._claim(attempt):
+            return Lost()
         self._send_buffered(head, body)
         return Passed(head.status)
 
     async def _read_body(
         self,
         connection: httpclient.EndpointConnection,
+        attempt: attempts.Attempt,
         head: httpclient.ResponseHead,
     ) -> tuple[bytes | None, Any]:
         """Read the body of a response, and how the response ended.
@@ -1242,7 +1430,7 @@
             if not self.responder.head_sent:
                 parts.append(item)
                 size += len(item)
-            if size > MAX_BUFFERED_RESPONSE_BYTES:
+            if size > MAX_BUFFERED_RESPONSE_BYTES and self._claim(attempt):
                 return None, await self._relay_unbuffered(
                     connection, head, parts
                 )
@@ -1290,9 +1478,8 @@
     async def _relay_stream(
         self,
         connection: httpclient.EndpointConnection,
-        choice: balancer_module.Choice,
+        attempt: attempts.Attempt,
         head: httpclient.ResponseHead,
-        response_began: list[bool],
     ) -> Outcome:
         """Relay a stream in whole events as they arrive.
 
@@ -1305,17 +1492,21 @@
         event_timeout_ms = max(
             EVENT_GAP_FACTOR * self.route.gap_ms, MIN_EVENT_TIMEOUT_MS
         )
-        item = await self._receive(connection, choice, read_timeout_ms)
+        item = await self._receive(connection, attempt, read_timeout_ms)
         last_event_ms = clock.now_ms()
         sound_at_ms = last_event_ms + quarantine_module.SOUND_ANSWER_MS
         while isinstance(item, bytes):
-            complete_events, event_error = self._split_events(item)
+            complete_events, event_error = self._split_events(
+                attempt.event_frames, item
+            )
             if complete_events:
-                if self.balancer.is_replaced(choice.endpoint):
+                if self.balancer.is_replaced(attempt.endpoint):
                     # Which version wrote them is not known.
-                    return self._record_broken(choice, "endpoint replaced")
-                self._bind_stream(choice.endpoint)
-                self._record_first_byte(choice, response_began, clock.now_ms())
+                    return self._record_broken(attempt, "endpoint replaced")
+                if not self._claim(attempt):
+                    return Lost()
+                self._bind_stream(attempt.endpoint)
+                self._record_first_byte(attempt, clock.now_ms())
                 self._ensure_head_sent(head)
                 await self.responder.write(complete_events)
                 last_event_ms = clock.now_ms()
@@ -1323,28 +1514,30 @@
                     self._report_sound()
                     sound_at_ms = last_event_ms + SOUND_REPORT_PERIOD_MS
             if event_error is not None:
-                self.event_frames.prepare_resume()
-                return self._record_broken(choice, str(event_error))
+                attempt.event_frames.prepare_resume()
+                return self._record_broken(attempt, str(event_error))
             if not complete_events and (
                 clock.now_ms() - last_event_ms > event_timeout_ms
                 and self._can_fail_over()
             ):
                 item = None
                 break
-            item = await self._receive(connection, choice, read_timeout_ms)
+            item = await self._receive(connection, attempt, read_timeout_ms)
         if (
             item is httpclient.ResponseEnd.COMPLETE
-            and self.event_frames.is_at_event_boundary
+            and attempt.event_frames.is_at_event_boundary
         ):
+            if not self._claim(attempt):
+                return Lost()
             self._ensure_head_sent(head)
             self.responder.finish()
             self._report_sound()
             return Passed(head.status)
         if item is httpclient.ResponseEnd.BROKEN:
-            self._report_crash(choice)
-        self.event_frames.prepare_resume()
+            self._report_crash(attempt)
+        attempt.event_frames.prepare_resume()
         error_text = "stream incomplete" if item else "stream stalled"
-        return self._record_broken(choice, error_text)
+        return self._record_broken(attempt, error_text)
 
     def _ensure_head_sent(self, head: httpclient.ResponseHead) -> None:
         """Send the head of a stream unless an earlier attempt has sent it."""
--- a/primrosehitch/instance.py
+++ b/primrosehitch/instance.py
@@ -40,6 +40,21 @@
     machines_lost: int = 1
 
 
+class HedgingSettings(NamedTuple):
+    """When a second attempt may race with a slow first one.
+
+    Attributes:
+        share: largest number of second attempts per request.
+        quantile: the first attempt is slow once it takes longer than this
+            quantile of the times of its route.
+        min_delay_ms: it is not slow before this time.
+    """
+
+    share: float
+    quantile: float = 0.95
+    min_delay_ms: int = 30
+
+
 class InstanceSettings(NamedTuple):
     """Settings of one instance.
 
@@ -61,6 +76,7 @@
         platform: address that gets orders and usage reports.
         secret: shared secret for authentication between instances.
         bounds: the agreed limits.
+        hedging: settings of hedged requests, or None if there are none.
     """
 
     name: str
@@ -76,6 +92,7 @@
     platform: settings_module.Address | None
     secret: bytes
     bounds: Bounds
+    hedging: HedgingSettings | None = None
 
 
 def parse(document: documents.InstanceFile, source: str) -> InstanceSettings:
@@ -119,6 +136,7 @@
         platform=_parse_optional_address(document.get("platform")),
         secret=document.get("secret", "").encode(),
         bounds=_parse_bounds(document.get("bounds", {})),
+        hedging=_parse_hedging(document.get("hedging")),
     )
 
 
@@ -165,6 +183,15 @@
     )
 
 
+def _parse_hedging(
+    document: documents.HedgingFile | None,
+) -> HedgingSettings | None:
+    """Return the settings of hedged requests; a share of 0 means none."""
+    return (
+        HedgingSettings(**document) if document and document["share"] else None
+    )
+
+
 def _to_ms(seconds: float | None, default: int) -> int:
     return default if seconds is None else int(seconds * 1000)
 
@@ -181,4 +208,10 @@
     return parse(jsonc.read(path), str(path))
 
 
-__all__ = ["Bounds", "InstanceSettings", "load", "parse"]
+__all__ = [
+    "Bounds",
+    "HedgingSettings",
+    "InstanceSettings",
+    "load",
+    "parse",
+]
--- a/primrosehitch/instance_check.py
+++ b/primrosehitch/instance_check.py
@@ -220,6 +220,113 @@
                 custom_formats,
                 (name_prefix or "data") + ".bounds",
             )
+        if "hedging" in data_keys:
+            data_keys.remove("hedging")
+            data__hedging = data["hedging"]
+            validate____defs_hedgingfile(
+                data__hedging,
+                custom_formats,
+                (name_prefix or "data") + ".hedging",
+            )
+        if data_keys:
+            raise ValueError(
+                ""
+                + (name_prefix or "data")
+                + " must not contain "
+                + str(data_keys)
+                + " properties"
+            )
+    return data
+
+
+def validate____defs_hedgingfile(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise ValueError("" + (name_prefix or "data") + " must be object")
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(["share"]) - data.keys()
+        if data__missing_keys:
+            raise ValueError("" + (name_prefix or "data") + " must contain ")
+        data_keys = set(data.keys())
+        if "share" in data_keys:
+            data_keys.remove("share")
+            data__share = data["share"]
+            if not isinstance(
+                data__share, (int, float, Decimal)
+            ) or isinstance(data__share, bool):
+                raise ValueError(
+                    "" + (name_prefix or "data") + ".share must be number"
+                )
+            if isinstance(
+                data__share, (int, float, Decimal)
+            ) and not isinstance(data__share, bool):
+                if data__share < 0:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".share must be bigger than or equal to 0"
+                    )
+                if data__share > 0.25:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".share must be smaller than or equal to 0.25"
+                    )
+        if "quantile" in data_keys:
+            data_keys.remove("quantile")
+            data__quantile = data["quantile"]
+            if not isinstance(
+                data__quantile, (int, float, Decimal)
+            ) or isinstance(data__quantile, bool):
+                raise ValueError(
+                    "" + (name_prefix or "data") + ".quantile must be number"
+                )
+            if isinstance(
+                data__quantile, (int, float, Decimal)
+            ) and not isinstance(data__quantile, bool):
+                if data__quantile < 0.5:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".quantile must be bigger than or equal to 0.5"
+                    )
+                if data__quantile > 0.999:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".quantile must be smaller than or equal to 0.999"
+                    )
+        if "min_delay_ms" in data_keys:
+            data_keys.remove("min_delay_ms")
+            data__mindelayms = data["min_delay_ms"]
+            if (
+                not isinstance(data__mindelayms, (int))
+                and not (
+                    isinstance(data__mindelayms, float)
+                    and data__mindelayms.is_integer()
+                )
+                or isinstance(data__mindelayms, bool)
+            ):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".min_delay_ms must be integer"
+                )
+            if isinstance(
+                data__mindelayms, (int, float, Decimal)
+            ) and not isinstance(data__mindelayms, bool):
+                if data__mindelayms < 1:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".min_delay_ms must be bigger than or equal to 1"
+                    )
+                if data__mindelayms > 60000:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".min_delay_ms must be smaller than or equal to 60000"
+                    )
         if data_keys:
             raise ValueError(
                 ""
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -47,6 +47,19 @@
     "primrosehitch_limited_requests",
     "Requests sent to endpoints while a limit of theirs was in force.",
 )
+HEDGES_SENT = prometheus_client.Counter(
+    "primrosehitch_hedges",
+    "Second attempts sent while the first one was slow.",
+)
+HEDGES_WON = prometheus_client.Counter(
+    "primrosehitch_hedges_won",
+    "Second attempts that answered before the first one.",
+)
+HEDGES_DENIED = prometheus_client.Counter(
+    "primrosehitch_hedges_denied",
+    "Slow attempts without a second one, by reason.",
+    ["reason"],
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -70,6 +83,9 @@
     "CONTENT_TYPE",
     "ENDPOINTS",
     "FIRST_TOKEN_SECONDS",
+    "HEDGES_DENIED",
+    "HEDGES_SENT",
+    "HEDGES_WON",
     "IS_LEADER",
     "LIMITED_ENDPOINTS",
     "LIMITED_REQUESTS",
--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -316,6 +316,17 @@
                 return part
         return None
 
+    def is_doubted(self, parts: Iterable[str], now: int) -> bool:
+        """Return whether any of the parts may be what crashes endpoints.
+
+        These are the quarantined parts and those that were under way at a
+        crash, until an answer clears them.
+        """
+        return self.quarantined_part(parts, now) is not None or any(
+            part in self.suspicions or part in self.on_probation
+            for part in parts
+        )
+
     def retry_after_s(self, part: str, now: int) -> float:
         """Return how long a part stays in quarantine, in seconds."""
         return max(0, self.released_at.get(part, now) - now) / 1000
