--- a/primrosehitch/hedging.py
+++ b/primrosehitch/hedging.py
@@ -185,6 +185,9 @@
     ):
         self.settings = settings
         self.make_sketch = make_sketch
+        # Fails now rather than with the first answer if the library that
+        # makes them is missing.
+        make_sketch()
         self.share = budget_module.SharedRetryBudget(
             settings.share, 0, SHARE_WINDOW_MS
         )
