--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -31,6 +31,16 @@
     (("bootstrap",), "yes", "$.bootstrap"),
     (("bounds",), {"grace_s": 0}, "$.bounds.grace_s"),
     (("bounds",), {"none": 1}, "$.bounds"),
+    (("hedging",), {"share": 0.3}, "$.hedging.share"),
+    (("hedging",), {"share": -0.1}, "$.hedging.share"),
+    (("hedging",), {"quantile": 0.9}, "$.hedging"),
+    (("hedging",), {"share": 0.1, "quantile": 1}, "$.hedging.quantile"),
+    (
+        ("hedging",),
+        {"share": 0.1, "min_delay_ms": 0},
+        "$.hedging.min_delay_ms",
+    ),
+    (("hedging",), {"share": 0.1, "none": 1}, "$.hedging"),
     (("none",), 1, "$"),
 ]
 
@@ -48,6 +58,25 @@
     assert instance.parse(VALID, "x").name == "control-1"
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (None, None),
+        ({"share": 0}, None),
+        ({"share": 0.05}, instance.HedgingSettings(0.05, 0.95, 30)),
+        (
+            {"share": 0.1, "quantile": 0.9, "min_delay_ms": 70},
+            instance.HedgingSettings(0.1, 0.9, 70),
+        ),
+    ],
+)
+def test_hedging_is_off_unless_a_share_switches_it_on(value, expected):
+    document = _with_value(("hedging",), value)
+    if value is None:
+        del document["hedging"]
+    assert instance.parse(document, "x").hedging == expected
+
+
 @pytest.mark.parametrize(("path", "value", "field_path"), INVALID)
 def test_invalid_settings_error_names_the_field_path(path, value, field_path):
     with pytest.raises(errors.SettingsError) as caught:
