--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -117,6 +117,15 @@
     },
 )
 
+HedgingFile = TypedDict(
+    "HedgingFile",
+    {
+        "share": float,
+        "quantile": NotRequired[float],
+        "min_delay_ms": NotRequired[int],
+    },
+)
+
 InstanceFile = TypedDict(
     "InstanceFile",
     {
@@ -134,6 +143,7 @@
         "bounds": NotRequired["BoundsFile"],
         "memory_mb": NotRequired[float],
         "clients": NotRequired["ClientsFile"],
+        "hedging": NotRequired["HedgingFile"],
     },
 )
 
@@ -192,6 +202,7 @@
     "CustomerSpec",
     "Declaration",
     "GrantSpec",
+    "HedgingFile",
     "InstanceFile",
     "ListenFile",
     "ModelSpec",
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -31,6 +31,7 @@
 from primrosehitch import firsttable
 from primrosehitch import forwarder as forwarder_module
 from primrosehitch import gathering
+from primrosehitch import hedging as hedging_module
 from primrosehitch import helpers as helpers_module
 from primrosehitch import httpclient
 from primrosehitch import httpserver
@@ -151,6 +152,9 @@
                 str(settings.front), settings.domain, self.rng
             ),
             self.contact,
+            hedging_module.Hedging(settings.hedging)
+            if settings.hedging is not None
+            else None,
         )
         memory = processmemory.make_connection_memory(
             settings.memory_mb, settings.clients
--- a/primrosehitch/instance.py
+++ b/primrosehitch/instance.py
@@ -66,6 +66,21 @@
     socket_buffer_bytes: int = 65_536
 
 
+class HedgingSettings(NamedTuple):
+    """When a second attempt may race with a slow first one.
+
+    Attributes:
+        share: largest number of second attempts per request.
+        quantile: the first attempt is slow once it takes longer than this
+            quantile of the times of its route.
+        min_delay_ms: it is not slow before this time.
+    """
+
+    share: float
+    quantile: float = 0.95
+    min_delay_ms: int = 30
+
+
 class InstanceSettings(NamedTuple):
     """Settings of one instance.
 
@@ -89,6 +104,7 @@
         bounds: the agreed limits.
         memory_mb: the memory of the VM in MB, 0 if the system tells it.
         clients: bounds on what callers may make the process hold.
+        hedging: settings of hedged requests, or None if there are none.
     """
 
     name: str
@@ -106,6 +122,7 @@
     bounds: Bounds
     memory_mb: float = 0
     clients: ClientBounds = ClientBounds()
+    hedging: HedgingSettings | None = None
 
 
 def parse(document: documents.InstanceFile, source: str) -> InstanceSettings:
@@ -151,6 +168,7 @@
         bounds=_parse_bounds(document.get("bounds", {})),
         memory_mb=document.get("memory_mb", 0),
         clients=_parse_clients(document.get("clients", {})),
+        hedging=_parse_hedging(document.get("hedging")),
     )
 
 
@@ -216,6 +234,15 @@
     )
 
 
+def _parse_hedging(
+    document: documents.HedgingFile | None,
+) -> HedgingSettings | None:
+    """Return the settings of hedged requests; a share of 0 means none."""
+    return (
+        HedgingSettings(**document) if document and document["share"] else None
+    )
+
+
 def _to_ms(seconds: float | None, default: int) -> int:
     return default if seconds is None else int(seconds * 1000)
 
@@ -232,4 +259,11 @@
     return parse(jsonc.read(path), str(path))
 
 
-__all__ = ["Bounds", "ClientBounds", "InstanceSettings", "load", "parse"]
+__all__ = [
+    "Bounds",
+    "ClientBounds",
+    "HedgingSettings",
+    "InstanceSettings",
+    "load",
+    "parse",
+]
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -83,6 +83,19 @@
     "1 while this edge finds no room at a service's endpoints, else 0.",
     ["service"],
 )
+HEDGES_SENT = prometheus_client.Counter(
+    "primrosehitch_hedges",
+    "Second attempts sent while the first one was slow.",
+)
+HEDGES_WON = prometheus_client.Counter(
+    "primrosehitch_hedges_won",
+    "Second attempts that answered before the first one.",
+)
+HEDGES_DENIED = prometheus_client.Counter(
+    "primrosehitch_hedges_denied",
+    "Slow attempts without a second one, by reason.",
+    ["reason"],
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -112,6 +125,9 @@
     "ENDPOINTS",
     "EVACUATED_DOMAINS",
     "FIRST_TOKEN_SECONDS",
+    "HEDGES_DENIED",
+    "HEDGES_SENT",
+    "HEDGES_WON",
     "IS_LEADER",
     "LIMITED_ENDPOINTS",
     "LIMITED_REQUESTS",
