Let operators switch the refusals under overload off

Cause: a part that refuses requests had no setting, so that an operator who meets a wrong prediction could only go back to an older build.

--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -117,6 +117,14 @@
     },
 )
 
+OverloadFile = TypedDict(
+    "OverloadFile",
+    {
+        "refuse": NotRequired[bool],
+        "shares": NotRequired[bool],
+    },
+)
+
 HedgingFile = TypedDict(
     "HedgingFile",
     {
@@ -144,6 +152,7 @@
         "memory_mb": NotRequired[float],
         "clients": NotRequired["ClientsFile"],
         "hedging": NotRequired["HedgingFile"],
+        "overload": NotRequired["OverloadFile"],
     },
 )
 
@@ -207,6 +216,7 @@
     "ListenFile",
     "ModelSpec",
     "Outside",
+    "OverloadFile",
     "Peer",
     "PoolSpec",
     "RouteSpec",
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -159,6 +159,8 @@
         memory = processmemory.make_connection_memory(
             settings.memory_mb, settings.clients
         )
+        self.forwarder.overload.enabled = settings.overload.refuse
+        self.forwarder.overload.shares_enabled = settings.overload.shares
         self.front = httpserver.Server(
             self._serve_front, routes.ClientLimits(), memory
         )
--- a/primrosehitch/instance.py
+++ b/primrosehitch/instance.py
@@ -81,6 +81,18 @@
     min_delay_ms: int = 30
 
 
+class OverloadSettings(NamedTuple):
+    """What an edge does where places are scarce.
+
+    Attributes:
+        refuse: whether requests that cannot be answered in time are refused.
+        shares: whether customers above their share are refused first.
+    """
+
+    refuse: bool = True
+    shares: bool = True
+
+
 class InstanceSettings(NamedTuple):
     """Settings of one instance.
 
@@ -105,6 +117,7 @@
         memory_mb: the memory of the VM in MB, 0 if the system tells it.
         clients: bounds on what callers may make the process hold.
         hedging: settings of hedged requests, or None if there are none.
+        overload: what an edge does where places are scarce.
     """
 
     name: str
@@ -123,6 +136,7 @@
     memory_mb: float = 0
     clients: ClientBounds = ClientBounds()
     hedging: HedgingSettings | None = None
+    overload: OverloadSettings = OverloadSettings()
 
 
 def parse(document: documents.InstanceFile, source: str) -> InstanceSettings:
@@ -169,6 +183,7 @@
         memory_mb=document.get("memory_mb", 0),
         clients=_parse_clients(document.get("clients", {})),
         hedging=_parse_hedging(document.get("hedging")),
+        overload=OverloadSettings(**document.get("overload", {})),
     )
 
 
@@ -264,6 +279,7 @@
     "ClientBounds",
     "HedgingSettings",
     "InstanceSettings",
+    "OverloadSettings",
     "load",
     "parse",
 ]
--- a/primrosehitch/instance_check.py
+++ b/primrosehitch/instance_check.py
@@ -254,6 +254,45 @@
                 custom_formats,
                 (name_prefix or "data") + ".hedging",
             )
+        if "overload" in data_keys:
+            data_keys.remove("overload")
+            data__overload = data["overload"]
+            validate____defs_overloadfile(
+                data__overload,
+                custom_formats,
+                (name_prefix or "data") + ".overload",
+            )
+        if data_keys:
+            raise ValueError(
+                ""
+                + (name_prefix or "data")
+                + " must not contain "
+                + str(data_keys)
+                + " properties"
+            )
+    return data
+
+
+def validate____defs_overloadfile(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise ValueError("" + (name_prefix or "data") + " must be object")
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data_keys = set(data.keys())
+        if "refuse" in data_keys:
+            data_keys.remove("refuse")
+            data__refuse = data["refuse"]
+            if not isinstance(data__refuse, (bool)):
+                raise ValueError(
+                    "" + (name_prefix or "data") + ".refuse must be boolean"
+                )
+        if "shares" in data_keys:
+            data_keys.remove("shares")
+            data__shares = data["shares"]
+            if not isinstance(data__shares, (bool)):
+                raise ValueError(
+                    "" + (name_prefix or "data") + ".shares must be boolean"
+                )
         if data_keys:
             raise ValueError(
                 ""
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -45,6 +45,8 @@
         "$.clients.socket_buffer_bytes",
     ),
     (("clients",), {"none": 1}, "$.clients"),
+    (("overload",), {"refuse": 1}, "$.overload.refuse"),
+    (("overload",), {"none": True}, "$.overload"),
     (("hedging",), {"share": 0.3}, "$.hedging.share"),
     (("hedging",), {"share": -0.1}, "$.hedging.share"),
     (("hedging",), {"quantile": 0.9}, "$.hedging"),
@@ -126,6 +128,12 @@
     assert instance.parse(document, "x").hedging == expected
 
 
+def test_overload_settings_are_read():
+    assert instance.parse(VALID, "x").overload == (True, True)
+    document = _with_value(("overload",), {"refuse": False})
+    assert instance.parse(document, "x").overload == (False, True)
+
+
 @pytest.mark.parametrize(("path", "value", "field_path"), INVALID)
 def test_invalid_settings_error_names_the_field_path(path, value, field_path):
     with pytest.raises(errors.SettingsError) as caught:
