Evacuations: the lagging instance of a test has the table

Cause: the instance was cut off before it had applied the route table, so it sent none to the edge that the test starts there.

Change: the test waits for it.

--- a/tests/test_evacuation_fleet.py
+++ b/tests/test_evacuation_fleet.py
@@ -203,13 +203,14 @@
         async with running(tmp_path, EDGES[:1]) as fleet:
             (leader,) = fleet.fleet.leaders()
             behind = next(n for n in instances.SEEDS if n != leader)
+            control = fleet.fleet.controls[behind]
+            await instances.wait_until(lambda: control.table.version)
             fleet.fleet.isolate(behind)
             assert await instances.order_evacuation(leader, "z0") == 200
             await instances.wait_until(lambda: fleet.knows("z0"), EVACUATE_S)
-            assert not fleet.fleet.controls[behind].evacuations.domains
+            assert not control.evacuations.domains
             # It counts as up to date for a moment after the cut, and names
             # the others for some time.
-            control = fleet.fleet.controls[behind]
             await instances.wait_until(
                 lambda: not control.peers.alive_presences(clock.now_ms())
             )
