Links: a peer removed as its link comes up ends no task

Cause: an edge that a control instance dials dials back, and removes that peer as the link comes up if it uses another instance. The queue of the peer was gone then, and the KeyError ended the process.

Change: such a link is given up. The test opens no sockets.

Measured: the test fails without the change and passes with it.

--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -379,6 +379,10 @@
             events.emit(events.LINK_UP, peer=peer.name)
             self.connected[peer.name] = True
             self.on_up(peer.name)
+            if peer.name not in self.queues:
+                # It was removed in the call: an edge keeps no link to a
+                # control instance that it does not use.
+                return
             try:
                 async with anyio.create_task_group() as group:
                     group.start_soon(
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -307,3 +307,57 @@
             group.cancel_scope.cancel()
 
     anyio.run(body)
+
+
+class SilentStream:
+    """A connection on which nothing ever comes."""
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        pass
+
+    async def receive(self, max_bytes=1):
+        await anyio.sleep_forever()
+
+    async def send(self, data):
+        pass
+
+
+# Guards against: an edge that a control instance dials, and that uses another
+# one, removes the link back as it comes up, which ended the process.
+def test_peer_that_is_removed_as_its_link_comes_up_ends_no_task(monkeypatch):
+    async def connect_tcp(*address):
+        await anyio.sleep(0)
+        return SilentStream()
+
+    async def authenticate(links, *arguments):
+        await anyio.sleep(0)
+
+    monkeypatch.setattr(links_module.anyio, "connect_tcp", connect_tcp)
+    monkeypatch.setattr(
+        links_module.Links, "_authenticate_to_peer", authenticate
+    )
+
+    async def body():
+        send, _ = anyio.create_memory_object_stream(1)
+        own = settings_module.Address(HOST, 1)
+        links = links_module.Links(str(own), own, b"", 1, send, True)
+        removed = []
+
+        def remove(peer):
+            removed.append(peer)
+            links.remove(peer)
+
+        links.on_up = remove
+        async with anyio.create_task_group() as group:
+            links.task_group = group
+            address = settings_module.Address(HOST, 2)
+            links.add(links_module.LinkPeer(str(address), address))
+            await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+        assert removed == [str(address)]
+        assert not links.peers and not links.connected
+
+    instances.run_test(body)
