Evacuations: an instance that is cut off answers an order within 0.9 s

Cause: an order that met a cut-off control instance first took 1.2 s there, so that one such instance cost more than a second.

Change: the time for one order is 0.9 s.

--- a/primrosehitch/evacuationorders.py
+++ b/primrosehitch/evacuationorders.py
@@ -20,8 +20,8 @@
 from primrosehitch import state as state_module
 
 # Operators send an order to another control instance if this one does not
-# confirm it, and have 5 s for all attempts.
-ORDER_TIMEOUT_S = 1.2
+# confirm it. An instance that is cut off costs them less than a second.
+ORDER_TIMEOUT_S = 0.9
 APPLY_POLL_PERIOD_S = 0.01
 
 
