--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -5,14 +5,18 @@
 import hedges
 from hypothesis import given
 from hypothesis import strategies
+import instances
 import pytest
 
 from primrosehitch import balancer as balancer_module
 from primrosehitch import budget
+from primrosehitch import edge as edge_module
 from primrosehitch import hedging as hedging_module
+from primrosehitch import instance
 from primrosehitch import latencies
 from primrosehitch import messages
 from primrosehitch import quarantine as quarantine_module
+from primrosehitch.platform import tables
 
 NOW = 1_000_000
 RequestProfile = balancer_module.RequestProfile
@@ -433,3 +437,23 @@
         site.plan(request, now=NOW + 150 * number)
     lines = [n for n in log_lines if n.get("event") == 1433]
     assert [line["count"] for line in lines] == [1, 67]
+
+
+@pytest.mark.parametrize(
+    "settings", [None, instance.HedgingSettings(0.1, 0.9, 70)]
+)
+def test_edge_hedges_as_its_settings_say(tmp_path, settings):
+    """Guards against an edge that hedges unasked, or ignores the setting.
+
+    The edge makes its sketches with the library.
+    """
+    made = instances.Fleet(tmp_path, None).make_settings(9, False, True)
+    made = made._replace(hedging=settings)
+    edge = edge_module.Edge(made, None, tables.decode_accepted)
+    hedging = edge.forwarder.hedging
+    if settings is None:
+        assert hedging is None
+        return
+    assert hedging.settings == settings
+    hedges.warm_up(hedging, NOW, took_ms=100)
+    assert delay(hedging) == pytest.approx(100, rel=0.05)
