Evacuations beside cold endpoints: order of the counts, a test's call

The check compares the same fields as before.

Measured: tests/test_evacuations.py and tests/test_hedging.py pass.

--- a/primrosehitch/balancer.py
+++ b/primrosehitch/balancer.py
@@ -148,8 +148,8 @@
     paused: int
     at_connection_limit: int
     at_rate_limit: int
-    evacuated: int
     cold: int
+    evacuated: int
 
 
 PartUpdates = gathering.UpdateBatcher[tuple[str, str], messages.PartRead]
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -268,7 +268,7 @@
     expected = others.availability("s", now)
     assert counted.evacuated == counted.known - expected.known
     assert counted[1:-1] == expected[1:-1]
-    for wanted in balancer.limits.take_wanted():
+    for wanted in balancer.limits.take_wanted(now):
         assert balancer.endpoints[wanted.endpoint].record.domain not in domains
     assert balancer.set_evacuated(()) == domains
     assert len(balancer.usable_endpoints("s", (), now)) == len(
