Refuse under overload only where the settings say so

Cause: the refusals took effect on all deployments, and earlier ones have to be served as before.

Change: overload.refuse is false by default.

--- a/primrosehitch/instance.py
+++ b/primrosehitch/instance.py
@@ -86,10 +86,11 @@
 
     Attributes:
         refuse: whether requests that cannot be answered in time are refused.
-        shares: whether customers above their share are refused first.
+        shares: whether customers above their share are refused first, where
+            requests are refused.
     """
 
-    refuse: bool = True
+    refuse: bool = False
     shares: bool = True
 
 
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -129,9 +129,9 @@
 
 
 def test_overload_settings_are_read():
-    assert instance.parse(VALID, "x").overload == (True, True)
-    document = _with_value(("overload",), {"refuse": False})
-    assert instance.parse(document, "x").overload == (False, True)
+    assert instance.parse(VALID, "x").overload == (False, True)
+    document = _with_value(("overload",), {"refuse": True})
+    assert instance.parse(document, "x").overload == (True, True)
 
 
 @pytest.mark.parametrize(("path", "value", "field_path"), INVALID)
