Hold an edge's first table only where evacuations are agreed

What callers saw: on deployments without evacuations, edges that start after a loss of all power served later, as they waited up to 1.5 s for a control instance with a quorum.

Cause: the wait for evacuations took effect everywhere.

--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -114,6 +114,7 @@
         "machines_lost": NotRequired[int],
         "cold_excess": NotRequired[float],
         "cold_slack": NotRequired[float],
+        "evacuate_ms": NotRequired[float],
     },
 )
 
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -183,7 +183,7 @@
             self.controls, settings.domain, self.rng, now
         )
         self.evacuations = evacuations_module.Evacuations()
-        self.first_table = firsttable.FirstTable()
+        self.first_table = firsttable.FirstTable(bounds.evacuate_ms > 0)
         self.control_incarnation = 0
         # Negative while the edge is not draining.
         self.drain_started_ms = -1
--- a/primrosehitch/firsttable.py
+++ b/primrosehitch/firsttable.py
@@ -17,14 +17,18 @@
 class FirstTable:
     """Holds the first route table of an edge.
 
+    Args:
+        holds: whether a table is held at all. Without agreed evacuations an
+            edge that starts serves at once.
+
     Attributes:
         is_confirmed: whether a control instance with a quorum was heard.
         held: the newest table that is held, or None.
         held_since_ms: when the first one came, or -1.
     """
 
-    def __init__(self) -> None:
-        self.is_confirmed = False
+    def __init__(self, holds: bool = True) -> None:
+        self.is_confirmed = not holds
         self.held: messages.Table | None = None
         self.held_since_ms = -1
 
--- a/primrosehitch/instance.py
+++ b/primrosehitch/instance.py
@@ -31,6 +31,8 @@
         cold_excess: requests that a cold endpoint may get in any one second,
             relative to those that it tolerates, over all edges.
         cold_slack: additional requests that it may get in that time.
+        evacuate_ms: within which an evacuation is in force at all edges; 0
+            where none is agreed.
     """
 
     retry_ratio: float = 0.1
@@ -43,6 +45,7 @@
     machines_lost: int = 1
     cold_excess: float = 1.0
     cold_slack: float = 0.0
+    evacuate_ms: int = 0
 
 
 class ClientBounds(NamedTuple):
@@ -230,6 +233,7 @@
         machines_lost=document.get("machines_lost", default.machines_lost),
         cold_excess=document.get("cold_excess", default.cold_excess),
         cold_slack=document.get("cold_slack", default.cold_slack),
+        evacuate_ms=int(document.get("evacuate_ms", default.evacuate_ms)),
     )
 
 
--- a/primrosehitch/instance_check.py
+++ b/primrosehitch/instance_check.py
@@ -764,6 +764,26 @@
                         + (name_prefix or "data")
                         + ".cold_slack must be bigger than or equal to 0"
                     )
+        if "evacuate_ms" in data_keys:
+            data_keys.remove("evacuate_ms")
+            data__evacuatems = data["evacuate_ms"]
+            if not isinstance(
+                data__evacuatems, (int, float, Decimal)
+            ) or isinstance(data__evacuatems, bool):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".evacuate_ms must be number"
+                )
+            if isinstance(
+                data__evacuatems, (int, float, Decimal)
+            ) and not isinstance(data__evacuatems, bool):
+                if data__evacuatems < 0:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".evacuate_ms must be bigger than or equal to 0"
+                    )
         if data_keys:
             raise ValueError(
                 ""
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -22,7 +22,7 @@
 
 LINK_PORT, CONTROL_PORT, FRONT_PORT, READY_PORT = 26001, 26002, 26003, 26004
 SEEDS = (2, 3, 4)
-BOUNDS = instance.Bounds(grace_ms=1500, usage_window_ms=1000)
+BOUNDS = instance.Bounds(grace_ms=1500, usage_window_ms=1000, evacuate_ms=5000)
 
 
 def run_test(body):
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -440,6 +440,13 @@
     assert unconfirmed.admits(newer, firsttable.HOLD_MS)
 
 
+# Guards against: edges of deployments without evacuations serve later after
+# a start without a quorum, as after a loss of all power.
+def test_first_table_is_not_held_where_no_evacuation_is_agreed():
+    table = messages.Table(3)
+    assert firsttable.FirstTable(holds=False).admits(table, 1000)
+
+
 # Guards against: edges that moved on, or are served here, are still told.
 def test_edges_of_older_instances_are_told_while_these_name_them():
     served = olderserved.OlderServed()
