--- a/tests/test_settings_template.py
+++ b/tests/test_settings_template.py
@@ -32,6 +32,7 @@
     "bounds.grace_s": 8,
     "bounds.lease_ms": 3000,
     "tolerate.machines": 1,
+    "limits.memory_mb": 200,
 }
 
 
