Switch refusals by settings only; share the steps of two crowd tests

Cause: overload.refuse and overload.shares stood beside module constants that switched the same, and two tests of clients that read no response repeated their steps.

Change: the constants are gone, the defaults of the arguments stay; both tests call one function with the same checks and bounds.

--- a/primrosehitch/overloadcontrol.py
+++ b/primrosehitch/overloadcontrol.py
@@ -24,9 +24,6 @@
 from primrosehitch import room as room_module
 from primrosehitch.endpoint import Choice
 
-# Whether requests are refused by prediction. Off, everything is measured and
-# nothing is refused.
-REFUSAL_ENABLED = True
 # A request is refused if its first event is predicted later than this
 # fraction of the time that is left to it for the first event.
 DEADLINE_FRACTION = 0.8
@@ -50,9 +47,8 @@
 LIMIT_TTL_MS = 3000
 # The demand exceeds the places if its work is at least this part of them.
 OVERLOAD_WORK = 0.95
-# Whether customers above their share are refused before others of their tier,
-# at this fraction of the limit.
-SHARES_ENABLED = True
+# Customers above their share are refused before others of their tier, at this
+# fraction of the limit.
 ABOVE_SHARE_FRACTION = 0.25
 # A tier sees at least this part of the places, however much the more urgent
 # ones demand; an edge that does not know the demand of others sees more, as
@@ -245,10 +241,10 @@
         self,
         rng: random.Random,
         measure_room: MeasureRoom,
-        enabled: bool = REFUSAL_ENABLED,
+        enabled: bool = True,
         objective_factor: float = OBJECTIVE_FACTOR,
         hopeless_factor: float = returnplan.HOPELESS_FACTOR,
-        shares_enabled: bool = SHARES_ENABLED,
+        shares_enabled: bool = True,
     ):
         self.rng = rng
         self.measure_room = measure_room
--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -320,18 +320,24 @@
     return data * (SENT_BYTES // len(data) + 1)
 
 
+def outlive_crowd(folder, name, host, port, data):
+    """Check that one process outlives a crowd, and what the other one has."""
+    (other,) = {"control", "edge"} - {name}
+    with running_deployment(folder) as deployment:
+        process = deployment.processes[name]
+        with crowd(process, host, port, repeated(data)):
+            deployment.check_process(name, CROWD_CONNECTIONS)
+            deployment.serve_ordinary_request()
+        deployment.check_process(name, CROWD_CONNECTIONS)
+        deployment.check_process(other, 0)
+
+
 # Guards against: an edge that keeps all requests which a client sends ahead,
 # and all responses that it does not read, runs out of memory.
 @pytest.mark.parametrize("pattern", EDGE_PATTERNS)
 def test_edge_outlives_clients_that_read_no_response(tmp_path, pattern):
     port, data = EDGE_PATTERNS[pattern]
-    with running_deployment(tmp_path) as deployment:
-        edge = deployment.processes["edge"]
-        with crowd(edge, EDGE_HOST, port, repeated(data)):
-            deployment.check_process("edge", CROWD_CONNECTIONS)
-            deployment.serve_ordinary_request()
-        deployment.check_process("edge", CROWD_CONNECTIONS)
-        deployment.check_process("control", 0)
+    outlive_crowd(tmp_path, "edge", EDGE_HOST, port, data)
 
 
 # Guards against: a control instance that keeps all calls which a client sends
@@ -339,13 +345,7 @@
 @pytest.mark.parametrize("pattern", CONTROL_PATTERNS)
 def test_control_outlives_clients_that_read_no_response(tmp_path, pattern):
     port, data = CONTROL_PATTERNS[pattern]
-    with running_deployment(tmp_path) as deployment:
-        control = deployment.processes["control"]
-        with crowd(control, CONTROL_HOST, port, repeated(data)):
-            deployment.check_process("control", CROWD_CONNECTIONS)
-            deployment.serve_ordinary_request()
-        deployment.check_process("control", CROWD_CONNECTIONS)
-        deployment.check_process("edge", 0)
+    outlive_crowd(tmp_path, "control", CONTROL_HOST, port, data)
 
 
 # Guards against: bodies of which the end never comes add up without a bound.
