Tell why links end, what waits for them and which tables are late

1102 names the time-out (no pong, or bytes not written) and the bytes that were waiting; primrosehitch_link_queued_bytes is their sum. An edge notes when a control instance with a quorum announced a version that is not in force: after_ms in 1301, 1308 after one second, and primrosehitch_version_late_seconds.

--- a/primrosehitch/controlcontact.py
+++ b/primrosehitch/controlcontact.py
@@ -9,6 +9,10 @@
 # Age of an edge's view that is reported as a loss of contact: longer than
 # the switch from one control instance to another takes.
 LOST_AFTER_MS = 1500
+# Time after which a table that was announced and is not in force is reported:
+# longer than its transfer takes, well below the time in which a configuration
+# change must reach the edges.
+LATE_AFTER_MS = 1000
 # For this long after a confirmation the edge knows which routes and keys
 # exist. A control instance may itself be behind by the time that a follower
 # counts as in contact, and both together must stay below the time in which
@@ -27,6 +31,10 @@
             if none has yet.
         confirmed_ms: when it did, negative if none has yet.
         is_lost: whether the loss of contact has been reported.
+        announced: the newest version that a control instance with a quorum
+            has announced.
+        announced_ms: when the first version was announced that is newer
+            than the one in force, negative if none is.
     """
 
     def __init__(self, now: int):
@@ -34,6 +42,38 @@
         self.confirmed_ms = -1
         self.started_ms = now
         self.is_lost = False
+        self.announced = 0
+        self.announced_ms = -1
+        self.is_late = False
+
+    def announce(self, version: int, now: int) -> None:
+        """Record that a version newer than the one in force exists."""
+        self.announced = max(self.announced, version)
+        if self.announced_ms < 0:
+            self.announced_ms = now
+
+    def record_version(self, version: int, now: int) -> int:
+        """Record that a version came into force.
+
+        Returns:
+            How long ago in ms it or an older one had been announced, -1 if
+            none was.
+        """
+        after_ms = self.late_ms(now) if self.announced_ms >= 0 else -1
+        self.is_late = False
+        self.announced_ms = now if version < self.announced else -1
+        return after_ms
+
+    def late_ms(self, now: int) -> int:
+        """Return for how long a newer version has been announced in vain."""
+        return max(0, now - self.announced_ms) if self.announced_ms >= 0 else 0
+
+    def detect_late(self, now: int) -> bool:
+        """Return whether the announced version counts as late from now on."""
+        if self.is_late or self.late_ms(now) <= LATE_AFTER_MS:
+            return False
+        self.is_late = True
+        return True
 
     def confirm(self, control: str, now: int) -> int | None:
         """Record that a control instance confirms the edge's view.
@@ -67,4 +107,9 @@
         return max(self.started_ms, self.confirmed_ms)
 
 
-__all__ = ["ControlContact", "KNOWS_TABLE_MS", "LOST_AFTER_MS"]
+__all__ = [
+    "ControlContact",
+    "KNOWS_TABLE_MS",
+    "LATE_AFTER_MS",
+    "LOST_AFTER_MS",
+]
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -419,6 +419,17 @@
                 age_ms=age_ms,
                 known=" ".join(self.controls.by_last_seen()),
             )
+        late_ms = self.contact.late_ms(now)
+        metrics.TABLE_LATE_SECONDS.set(late_ms / 1000)
+        if self.contact.detect_late(now):
+            table = self.forwarder.table
+            events.emit(
+                events.TABLE_LATE,
+                announced=self.contact.announced,
+                version=table.version if table else 0,
+                control=self.current_control,
+                after_ms=late_ms,
+            )
 
     async def _dispatch_messages(
         self, source: MemoryObjectReceiveStream[links_module.Received]
@@ -481,6 +492,8 @@
         # The table of a status may still be on its way, or be lost.
         if status.fresh and status.version <= (table.version if table else 0):
             self._confirm_contact(sender, now)
+        elif status.fresh:
+            self.contact.announce(status.version, now)
         if sender != self.current_control:
             return
         if status.fresh:
@@ -548,7 +561,13 @@
         self.forwarder.table = table
         self.front.limits = table.limits
         metrics.CONFIG_VERSION.set(table.version)
-        events.emit(events.VERSION_IN_FORCE, version=table.version)
+        now = clock.now_ms()
+        events.emit(
+            events.VERSION_IN_FORCE,
+            version=table.version,
+            after_ms=self.contact.record_version(table.version, now),
+            bytes=len(message.body),
+        )
         self.registry.set_services(table.services)
         self._set_cold_policies(table)
         for record in self.registry.records():
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -66,7 +66,8 @@
 LINK_DOWN = Event(
     1102,
     "link-down",
-    "A link to a peer was lost or could not be opened.",
+    "A link to a peer was lost or could not be opened; `unsent_bytes` were"
+    " waiting for it.",
     "If it persists, check the peer and the network.",
 )
 LINK_REFUSED = Event(
@@ -125,7 +126,9 @@
 VERSION_IN_FORCE = Event(
     1301,
     "version-in-force",
-    "A configuration version came into force on this instance.",
+    "A configuration version came into force on this instance; at an edge"
+    " `after_ms` is how long ago a control instance with a quorum had"
+    " announced it, -1 if none had.",
     NO_ACTION,
 )
 TABLE_REFUSED = Event(
@@ -162,6 +165,13 @@
     "A control instance with a quorum confirms this edge's route table again.",
     NO_ACTION,
 )
+TABLE_LATE = Event(
+    1308,
+    "table-late",
+    "A control instance with a quorum announced a newer route table"
+    " `after_ms` ago, and it is not in force on this edge yet.",
+    "Check 1102 of `control`, and `primrosehitch_link_queued_bytes` there.",
+)
 KEY_WITHDRAWN = Event(
     1302,
     "key-withdrawn",
--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -34,6 +34,7 @@
 from primrosehitch import instance as instance_module
 from primrosehitch import listening
 from primrosehitch import messages
+from primrosehitch import metrics
 from primrosehitch import settings as settings_module
 
 PROTOCOL_VERSION = 1
@@ -246,6 +247,7 @@
         self.peers: dict[str, LinkPeer] = {}
         self.connected: dict[str, bool] = {}
         self.queues: dict[str, FrameQueue] = {}
+        self.queued_bytes: dict[str, int] = {}
         self.dial_scopes: dict[str, anyio.CancelScope] = {}
         self.on_up: Callable[[str], None] = _ignore
         self.on_loss: Callable[[str], None] = _ignore
@@ -262,6 +264,7 @@
         self.queues[peer.name] = anyio.create_memory_object_stream[bytes](
             MAX_QUEUED_MESSAGES
         )
+        self.queued_bytes[peer.name] = 0
         if self.task_group is not None:
             self._start_dialing(peer, self.task_group)
 
@@ -270,6 +273,8 @@
         self.peers.pop(name, None)
         self.connected.pop(name, None)
         self.queues.pop(name, None)
+        self._count_queued(name, -self.queued_bytes.get(name, 0))
+        self.queued_bytes.pop(name, None)
         scope = self.dial_scopes.pop(name, None)
         if scope is not None:
             scope.cancel()
@@ -307,8 +312,15 @@
             return False
         self.sent_messages += 1
         self.sent_bytes += len(frame)
+        self._count_queued(target, len(frame))
         return True
 
+    def _count_queued(self, peer: str, change: int) -> None:
+        """Count bytes that wait for a link or are being written to it."""
+        if peer in self.queued_bytes:
+            self.queued_bytes[peer] += change
+            metrics.LINK_QUEUED_BYTES.inc(change)
+
     def multicast(self, targets: Iterable[str], message: tuple) -> None:
         """Encode a message once and queue it for several peers."""
         frame = _encode_or_drop(message)
@@ -419,9 +431,14 @@
                 anyio.ClosedResourceError,
                 anyio.EndOfStream,
             ) as failures:
-                text = "".join(repr(e) for e in failures.exceptions)
+                text = "".join(map(_describe, failures.exceptions))
                 error = errors.LinkError(text, "link.pump", peer.name)
-                events.emit(events.LINK_DOWN, peer=peer.name, error=str(error))
+                events.emit(
+                    events.LINK_DOWN,
+                    peer=peer.name,
+                    error=str(error),
+                    unsent_bytes=self.queued_bytes.get(peer.name, 0),
+                )
                 # It is down before the connection is closed, which takes
                 # a moment, and before its loss is reported.
                 self._mark_down(peer.name)
@@ -442,8 +459,12 @@
 
     async def _await_pongs(self, reader: MessageReader, peer: str) -> None:
         while True:
-            with anyio.fail_after(PONG_TIMEOUT_S):
+            with anyio.move_on_after(PONG_TIMEOUT_S) as scope:
                 await reader.read_available()
+            if scope.cancelled_caught:
+                raise errors.LinkError(
+                    f"no pong within {PONG_TIMEOUT_S} s", "link.read", peer
+                )
 
     async def _authenticate_to_peer(
         self,
@@ -495,12 +516,21 @@
                     frames.append(source.receive_nowait())
                 except anyio.WouldBlock:
                     break
-            with anyio.fail_after(WRITE_TIMEOUT_S):
+            size = sum(map(len, frames))
+            with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
                 await stream.send(b"".join(frames))
+            if scope.cancelled_caught:
+                raise errors.LinkError(
+                    f"{size} bytes not written within {WRITE_TIMEOUT_S} s",
+                    "link.write",
+                    peer,
+                )
+            self._count_queued(peer, -size)
 
     def _discard_queued_frames(self, peer: str) -> None:
         if peer not in self.queues:
             return
+        self._count_queued(peer, -self.queued_bytes[peer])
         source = self.queues[peer][1]
         try:
             while True:
@@ -612,6 +642,13 @@
     )
 
 
+def _describe(failure: BaseException) -> str:
+    """Return why a link ended, for the log."""
+    if isinstance(failure, errors.LinkError):
+        return failure.text
+    return repr(failure)
+
+
 def _ignore(peer: str) -> None:
     """Do nothing; the default of ``Links.on_up`` and ``Links.on_loss``."""
 
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -104,6 +104,15 @@
     "primrosehitch_link_messages",
     "Messages sent to peers since the process started.",
 )
+LINK_QUEUED_BYTES = prometheus_client.Gauge(
+    "primrosehitch_link_queued_bytes",
+    "Bytes that wait to be written to peers.",
+)
+TABLE_LATE_SECONDS = prometheus_client.Gauge(
+    "primrosehitch_version_late_seconds",
+    "Time since a control instance with a quorum announced a newer version"
+    " that is not in force on this edge yet; 0 if there is none.",
+)
 
 
 def exposition() -> bytes:
@@ -133,11 +142,13 @@
     "LIMITED_REQUESTS",
     "LINK_BYTES",
     "LINK_MESSAGES",
+    "LINK_QUEUED_BYTES",
     "OUTPUT_TOKENS",
     "OVERLOAD_REFUSALS",
     "QUARANTINED_PARTS",
     "QUARANTINED_REQUESTS",
     "REQUESTS",
     "SCARCE_SERVICE",
+    "TABLE_LATE_SECONDS",
     "exposition",
 ]
--- a/tests/test_controlcontact.py
+++ b/tests/test_controlcontact.py
@@ -34,3 +34,19 @@
 def test_start_without_control_instance_is_reported():
     contact = controlcontact.ControlContact(1000)
     assert contact.detect_loss(1001 + LOST_AFTER_MS)
+
+
+def test_table_that_was_announced_and_did_not_come_is_late_once():
+    contact = controlcontact.ControlContact(1000)
+    assert not contact.detect_late(90_000)
+    contact.announce(7, 2000)
+    contact.announce(8, 2500)
+    at_ms = 2001 + controlcontact.LATE_AFTER_MS
+    assert not contact.detect_late(at_ms - 1)
+    assert contact.detect_late(at_ms)
+    assert not contact.detect_late(at_ms + 1)
+    assert contact.record_version(7, 4000) == 2000
+    assert contact.late_ms(4300) == 300
+    assert contact.record_version(8, 4400) == 400
+    assert contact.late_ms(5000) == 0
+    assert contact.record_version(9, 6000) == -1
