Edges ask for route tables in compressed pieces, one at a time

Cause: an edge subscribes four times a second with the version it has, and each answer held the whole table again until it had arrived. Each copy was encoded for its edge, so that the queues filled the memory.

The subscription now says that the edge asks for tables. A status tells of a newer one; the edge asks its control instance for the first piece, then for the next, 16 kB each of a zlib stream that is made once (830 kB become 59 kB in 1.5 ms). A lost piece is asked for again, a change of control instance goes on where it was, and a table that is replaced is kept while it is asked for, so that each transfer ends. Edges of older releases are still sent whole tables, each one once; control instances of older releases ignore the requests.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -47,6 +47,7 @@
 from primrosehitch import settings as settings_module
 from primrosehitch import state as state_module
 from primrosehitch import streamorigins
+from primrosehitch import tableserver
 from primrosehitch import timers
 from primrosehitch import truetime as truetime_module
 
@@ -103,13 +104,19 @@
     """An edge that gets its table and endpoints from this instance.
 
     Args:
-        now: when it subscribed, in ms.
+        now: the current time in ms.
+        subscription: its subscription.
+
+    Attributes:
+        last_seen_ms: when it subscribed last.
         helpers: how other edges can send requests to it, if they can.
+        requests_tables: whether it asks for newer tables.
     """
 
-    def __init__(self, now: int, helpers: tuple[messages.HelperEdge, ...]):
+    def __init__(self, now: int, subscription: messages.Subscribe):
         self.last_seen_ms = now
-        self.helpers = helpers
+        self.helpers = subscription.helpers
+        self.requests_tables = subscription.requests_tables
 
 
 class ControlInstance:
@@ -191,7 +198,8 @@
         self.presence_sequence = 0
         self.is_leaving = False
         self.table = messages.Table()
-        self.table_for_edges = messages.Table()
+        self.tables = tableserver.TableServer()
+        self.table_pushes = tableserver.TablePushes()
         self.confirmed_version = 0
         self.is_behind = False
         self.evacuations = evacuations_module.Evacuations()
@@ -287,12 +295,17 @@
         table = replica.state.table
         if table.version <= self.table.version:
             return
-        self.table = self.table_for_edges = table
+        self.table = table
+        self.tables.put(table)
         with containment.contain("services and customers of the table"):
             self._read_table(table)
         metrics.CONFIG_VERSION.set(table.version)
         events.emit(events.VERSION_IN_FORCE, version=table.version)
-        self.links.multicast(self.subscribers, self.table_for_edges)
+        self._push_table(
+            edge
+            for edge, subscriber in self.subscribers.items()
+            if not subscriber.requests_tables
+        )
         status = self._make_status(clock.now_ms())
         self.links.multicast(self.subscribers, status)
 
@@ -304,10 +317,32 @@
             decoded.services.values(), self.settings.bounds
         )
         if decoded.needs_key and not decoded.customers:
-            self.table_for_edges = table._replace(
-                body=self.encode_without_customers(table.body)
+            self.tables.put(
+                table._replace(body=self.encode_without_customers(table.body))
             )
 
+    def _push_table(self, edges: Iterable[str]) -> None:
+        """Send edges of older releases the table, unless it is on its way."""
+        now = clock.now_ms()
+        version = self.table.version
+        lacking = [
+            edge
+            for edge in edges
+            if self.links.is_connected(edge)
+            and self.table_pushes.is_due(edge, version, now)
+        ]
+        if lacking:
+            self.links.multicast(lacking, self.tables.table)
+        for edge in lacking:
+            self.table_pushes.record(edge, version, now)
+
+    def _on_table_request(
+        self, sender: str, request: messages.TableRequest
+    ) -> None:
+        piece = self.tables.answer(request, clock.now_ms())
+        if piece is not None:
+            self.links.send(sender, piece)
+
     def _apply_evacuations(self, state: state_module.State) -> None:
         """Send the edges a status if other failure domains are evacuated."""
         if state.version <= self.evacuations.version:
@@ -756,7 +791,7 @@
             # It may come back on the connection that it had before.
             self._add_link(sender)
             self._send_known_edges((messages.KnownEdge(sender),))
-        self.subscribers[sender] = Subscriber(now, subscription.helpers)
+        self.subscribers[sender] = Subscriber(now, subscription)
         self.edges.record_heard(sender, now)
         if sender in self.lacking_updates:
             records = self.registry.inactive_records()
@@ -765,8 +800,11 @@
         self.true_time.add_report(sender, subscription.wall_ms, now)
         status = self._make_status(now)
         self.links.send(sender, status)
-        if subscription.version < self.table.version:
-            self.links.send(sender, self.table_for_edges)
+        if (
+            subscription.version < self.table.version
+            and not subscription.requests_tables
+        ):
+            self._push_table((sender,))
         if subscription.registry != status.registry:
             is_complete = now - self.started_ms > REGISTRY_WARM_UP_MS
             records = tuple(self.registry.records())
@@ -1120,6 +1158,7 @@
 
     def _note_loss(self, receiver: str) -> None:
         """Note that messages to an edge or instance may have been lost."""
+        self.table_pushes.forget(receiver)
         if receiver in self.subscribers or receiver in self.peers.presences:
             self.lacking_updates.add(receiver)
 
@@ -1253,6 +1292,7 @@
     _HANDLERS: dict[type, Callable] = {
         messages.Presence: _on_presence,
         messages.Subscribe: _on_subscribe,
+        messages.TableRequest: _on_table_request,
         messages.KnownEdges: _on_known_edges,
         messages.EndpointUpdate: _on_endpoints,
         messages.TallyBatch: _on_tallies,
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -48,6 +48,7 @@
 from primrosehitch import scaling
 from primrosehitch import settings as settings_module
 from primrosehitch import streamorigins
+from primrosehitch import tablefetch
 from primrosehitch import timers
 from primrosehitch import truetime as truetime_module
 
@@ -184,6 +185,9 @@
         )
         self.evacuations = evacuations_module.Evacuations()
         self.first_table = firsttable.FirstTable(bounds.evacuate_ms > 0)
+        self.table_fetch = tablefetch.TableFetch()
+        # The newest version that could not be decoded.
+        self.refused_version = 0
         self.control_incarnation = 0
         # Negative while the edge is not draining.
         self.drain_started_ms = -1
@@ -378,9 +382,14 @@
                 self.registry.digest(),
                 clock.wall_ms(),
                 self._offered_help(),
+                requests_tables=True,
             )
         )
 
+    def _request_table(self, request: messages.TableRequest | None) -> None:
+        if request is not None:
+            self.links.send(self.table_fetch.control, request)
+
     def _select_control(self) -> None:
         """Use another control instance if that is due; keep links to some."""
         choice = self.selector.choose(clock.now_ms(), self.links.is_connected)
@@ -446,6 +455,8 @@
     def _handle_message(self, sender: str, message: tuple) -> None:
         if isinstance(message, messages.ControlStatus):
             self._on_status(sender, message)
+        elif isinstance(message, messages.TablePiece):
+            self._on_table_piece(message)
         elif isinstance(message, messages.Table):
             self._on_table(message)
         elif isinstance(message, messages.EndpointUpdate):
@@ -496,6 +507,7 @@
             self.contact.announce(status.version, now)
         if sender != self.current_control:
             return
+        self._fetch_table(status.version, now)
         if status.fresh:
             self.selector.consider_return(domains, now)
             self.true_time.set_from_control(status.true_ms, now)
@@ -531,6 +543,28 @@
                 after_ms=lost_for_ms,
             )
 
+    def _fetch_table(self, version: int, now: int) -> None:
+        """Ask the current control instance for its table if it is newer."""
+        held = self.first_table.held or messages.Table()
+        table = self.forwarder.table
+        in_force = table.version if table else 0
+        if version > max(held.version, in_force, self.refused_version):
+            self._request_table(
+                self.table_fetch.offer(self.current_control, now)
+            )
+        else:
+            self.table_fetch.stop()
+
+    def _on_table_piece(self, piece: messages.TablePiece) -> None:
+        try:
+            step = self.table_fetch.apply(piece, clock.now_ms())
+        except errors.TransferError as exc:
+            events.emit(events.TABLE_REFUSED, error=str(exc))
+            return
+        self._request_table(step.request)
+        if step.table is not None:
+            self._on_table(step.table)
+
     def _on_table(self, message: messages.Table) -> None:
         """Apply a table that is newer than the current one."""
         current = self.forwarder.table
@@ -552,6 +586,7 @@
             table = self.decode_table(message.body)
         except errors.PrimrosehitchError as exc:
             events.emit(events.TABLE_REFUSED, error=str(exc))
+            self.refused_version = message.version
             return
         errors.require(
             current is None or table.version > current.version,
--- a/primrosehitch/errors.py
+++ b/primrosehitch/errors.py
@@ -67,6 +67,10 @@
     """A link to a peer could not be opened or was lost."""
 
 
+class TransferError(PrimrosehitchError):
+    """A route table did not come as it was sent."""
+
+
 class ProposalError(PrimrosehitchError):
     """A proposal is not known to be applied.
 
@@ -119,5 +123,6 @@
     "ProposalError",
     "RequestError",
     "SettingsError",
+    "TransferError",
     "require",
 ]
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -1428,6 +1428,7 @@
     registry: int = 0
     wall_ms: int = 0
     helpers: tuple["HelperEdge", ...] = ()
+    requests_tables: bool = False
 
 
 def _write_subscribe(b: Any, m: Subscribe) -> None:
@@ -1437,6 +1438,7 @@
     items = b.init("helpers", len(m.helpers))
     for i, item in enumerate(m.helpers):
         _write_helper_edge(items[i], item)
+    b.requestsTables = m.requests_tables
 
 
 def _read_subscribe(r: Any) -> Subscribe:
@@ -1445,6 +1447,7 @@
         r.registry,
         r.wallMs,
         tuple(_read_helper_edge(x) for x in r.helpers),
+        r.requestsTables,
     )
 
 
@@ -2161,6 +2164,59 @@
     )
 
 
+class TableRequest(NamedTuple):
+    """Message ``TableRequest`` of the schema."""
+
+    version: int = 0
+    checksum: int = 0
+    offset: int = 0
+
+
+def _write_table_request(b: Any, m: TableRequest) -> None:
+    b.version = m.version
+    b.checksum = m.checksum
+    b.offset = m.offset
+
+
+def _read_table_request(r: Any) -> TableRequest:
+    return TableRequest(
+        r.version,
+        r.checksum,
+        r.offset,
+    )
+
+
+class TablePiece(NamedTuple):
+    """Message ``TablePiece`` of the schema."""
+
+    version: int = 0
+    checksum: int = 0
+    offset: int = 0
+    total: int = 0
+    size: int = 0
+    data: bytes = b""
+
+
+def _write_table_piece(b: Any, m: TablePiece) -> None:
+    b.version = m.version
+    b.checksum = m.checksum
+    b.offset = m.offset
+    b.total = m.total
+    b.size = m.size
+    b.data = m.data
+
+
+def _read_table_piece(r: Any) -> TablePiece:
+    return TablePiece(
+        r.version,
+        r.checksum,
+        r.offset,
+        r.total,
+        r.size,
+        bytes(r.data),
+    )
+
+
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -2361,6 +2417,12 @@
     KnownEdge: (_capnp.KnownEdge, _write_known_edge, _read_known_edge),
     KnownEdges: (_capnp.KnownEdges, _write_known_edges, _read_known_edges),
     TierDemand: (_capnp.TierDemand, _write_tier_demand, _read_tier_demand),
+    TableRequest: (
+        _capnp.TableRequest,
+        _write_table_request,
+        _read_table_request,
+    ),
+    TablePiece: (_capnp.TablePiece, _write_table_piece, _read_table_piece),
 }
 
 KINDS: dict[int, type] = {
@@ -2447,6 +2509,8 @@
     81: KnownEdge,
     82: KnownEdges,
     83: TierDemand,
+    84: TableRequest,
+    85: TablePiece,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -2569,6 +2633,8 @@
     "StreamOrigins",
     "Subscribe",
     "Table",
+    "TablePiece",
+    "TableRequest",
     "TableResult",
     "TallyBatch",
     "TierDemand",
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -470,6 +470,9 @@
   wallMs @2 :UInt64;
   # The sender, unless it is draining.
   helpers @3 :List(HelperEdge);
+  # Whether it asks for newer tables. An edge of an older release is sent each
+  # table without asking.
+  requestsTables @4 :Bool;
 }
 
 # A route table with its version.
@@ -712,3 +715,24 @@
   milliWork @2 :UInt32;
   unanswered @3 :UInt32;
 }
+
+# Asks a control instance for the part of an encoded route table that begins
+# at an offset. version and checksum are those of the pieces that came before;
+# 0 asks for the first piece of the newest table.
+struct TableRequest {
+  version @0 :UInt64;
+  checksum @1 :UInt64;
+  offset @2 :UInt64;
+}
+
+# Part of an encoded route table: the zlib stream of a Table's body. checksum
+# is the XXH64 of the stream, total its length and size that of the body, both
+# in bytes.
+struct TablePiece {
+  version @0 :UInt64;
+  checksum @1 :UInt64;
+  offset @2 :UInt64;
+  total @3 :UInt64;
+  size @4 :UInt64;
+  data @5 :Data;
+}
--- a/tests/slowlinks.py
+++ b/tests/slowlinks.py
@@ -13,7 +13,7 @@
 from primrosehitch import settings
 
 PROXIED_PORT = 26005
-CHUNK_BYTES = 4096
+CHUNK_BYTES = 16 * 1024
 BUFFER_BYTES = 16 * 1024
 
 
--- a/tests/test_table_transfer.py
+++ b/tests/test_table_transfer.py
@@ -1,10 +1,16 @@
 """Route tables of thousands of routes on their way to the edges."""
 
+import collections
+
 import anyio
 import instances
 import routed
 import slowlinks
 
+from primrosehitch import edge as edge_module
+from primrosehitch import links as links_module
+from primrosehitch import messages
+
 # Of the deployment whose tables are largest, by the users' pages: time until
 # a change is in force, the bandwidth of an edge's link, and the share of a
 # control instance's memory for each edge if one serves all 194.
@@ -43,10 +49,10 @@
     return table.version if table else 0
 
 
-async def start_slow_edges(fleet, numbers):
+async def start_slow_edges(fleet, numbers, bytes_per_s=LINK_BYTES_PER_S):
     await instances.wait_until(lambda: len(fleet.leaders()) == 1)
     for number in numbers:
-        await slowlinks.start_edge(fleet, number, LINK_BYTES_PER_S)
+        await slowlinks.start_edge(fleet, number, bytes_per_s)
     edges = [fleet.edges[number] for number in numbers]
     assert await instances.put_table(2, routed.table_document(1)) == 200
     await instances.wait_until(
@@ -105,3 +111,55 @@
 
     instances.run_test(body)
     assert most < MAX_QUEUED_BYTES
+
+
+class OlderEdge(edge_module.Edge):
+    """An edge of a release that is sent tables without asking."""
+
+    def _subscribe(self):
+        subscription = messages.Subscribe(version_of(self))
+        self.links.send(self.current_control, subscription)
+
+    def _request_table(self, request):
+        pass
+
+
+def count_tables(control):
+    """Count the whole tables that a control instance queues, by version."""
+    counts = collections.Counter()
+    number = messages.NUMBERS[messages.Table]
+    send_frame = control.links.send_frame
+
+    def counting(target, frame):
+        _, kind = links_module.FRAME_HEADER.unpack_from(frame)
+        if kind == number:
+            version = control.table.version
+            counts[version] += 1
+        return send_frame(target, frame)
+
+    control.links.send_frame = counting
+    return counts
+
+
+# Guards against: an edge that asks for no table is sent the same one with each
+# of its subscriptions, until the first one has arrived.
+def test_edge_of_an_older_release_is_sent_each_table_once(
+    tmp_path, monkeypatch
+):
+    async def body():
+        async with instances.running_fleet(tmp_path) as fleet:
+            monkeypatch.setattr(edge_module, "Edge", OlderEdge)
+            controls = list(fleet.controls.values())
+            (edge,) = await start_slow_edges(
+                fleet, EDGES[:1], 4 * LINK_BYTES_PER_S
+            )
+            # Until then it may have moved from one to another.
+            await instances.wait_until(
+                lambda: sum(len(c.subscribers) for c in controls) == 1
+            )
+            counts = [count_tables(control) for control in controls]
+            assert await instances.put_table(2, large_table(2)) == 200
+            await expect_in_force((edge,), 2)
+            assert sum(counts, collections.Counter()) == {2: 1}
+
+    instances.run_test(body)
