Send entries again once a round trip to a replica that lags

A heartbeat that does not match the log of a replica is answered by all entries from there on.

A rejection of a message from before the last repetition is ignored, and one message holds 1 MB of entries or one entry, not up to 256 entries of any size. Nothing new is on the wire. Lost repetitions are noticed by the next heartbeat.

--- a/primrosehitch/raft.py
+++ b/primrosehitch/raft.py
@@ -41,6 +41,8 @@
 # A longer gap between two ticks means that the process was frozen.
 MAX_TICK_GAP_MS = 1000
 MAX_APPEND_ENTRIES = 256
+# One message holds no more than this of the entries' bodies, or one entry.
+MAX_APPEND_BYTES = 1 << 20
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 # Kinds of the log entries that consensus itself writes.
 NOOP = "Noop"
@@ -62,6 +64,8 @@
         match_index: highest entry known to be durable at the peer.
         acked_sent_ms: send time of the newest message that the peer
             acknowledged; -1 for none.
+        rewound_ms: when the entries from ``next_index`` on were last sent
+            again; -1 for never.
         chunk_offset: offset in bytes of the next snapshot chunk.
         chunk_sent_ms: when the last snapshot chunk was sent; -1 for none.
     """
@@ -70,6 +74,7 @@
         self.next_index = next_index
         self.match_index = 0
         self.acked_sent_ms = -1
+        self.rewound_ms = -1
         self.chunk_offset = 0
         self.chunk_sent_ms = -1
 
@@ -630,8 +635,8 @@
         if previous_term is None:
             self._send_snapshot_chunk(peer, now)
             return
-        entries = self.log.entries_from(
-            progress.next_index, MAX_APPEND_ENTRIES
+        entries = _bound_bytes(
+            self.log.entries_from(progress.next_index, MAX_APPEND_ENTRIES)
         )
         progress.next_index += len(entries)
         message = messages.Append(
@@ -746,7 +751,12 @@
         if reply.success:
             progress.match_index = max(progress.match_index, reply.match_index)
             self._advance_commit()
+        elif reply.sent_ms < progress.rewound_ms:
+            # It answers a message from before the entries were sent again,
+            # and tells nothing of these.
+            return
         else:
+            progress.rewound_ms = now
             progress.next_index = max(
                 progress.match_index + 1, reply.match_index + 1
             )
@@ -852,4 +862,16 @@
     }
 
 
+def _bound_bytes(
+    entries: tuple[messages.Entry, ...],
+) -> tuple[messages.Entry, ...]:
+    """Return the first entries, up to ``MAX_APPEND_BYTES``, at least one."""
+    size = 0
+    for count, entry in enumerate(entries):
+        size += len(entry.body)
+        if count and size > MAX_APPEND_BYTES:
+            return entries[:count]
+    return entries
+
+
 __all__ = ["LEADER", "Envelope", "Raft"]
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -586,3 +586,57 @@
     cluster.run(20_000)
     voters = cluster.replicas[cluster.leader()].raft.voters
     assert set(voters) == {"a/1", "b/1", "c/1"}
+
+
+def appends_to(cluster, name, delay_ms, ms):
+    """Return the messages that the leader sends a replica on a slow path.
+
+    All that the replica is sent takes ``delay_ms``.
+    """
+    sent, delayed = [], []
+    for _ in range(ms // cluster.step_ms):
+        cluster.now += cluster.step_ms
+        for item in cluster.in_transit:
+            if item[1].target.startswith(name):
+                delayed.append((cluster.now + delay_ms, item))
+                if isinstance(item[1].message, messages.Append):
+                    sent.append(item[1].message)
+        due = [item for at_ms, item in delayed if at_ms <= cluster.now]
+        delayed = [item for item in delayed if item[0] > cluster.now]
+        cluster.in_transit = due + [
+            item
+            for item in cluster.in_transit
+            if not item[1].target.startswith(name)
+        ]
+        cluster.step()
+    return sent
+
+
+# Guards against: a replica that lags behind a slow path is sent all entries
+# again for each heartbeat that was under way.
+def test_entries_are_sent_again_once_to_a_replica_that_lags(cluster):
+    cluster.partitioned.add("c")
+    cluster.edit("a", 20)
+    cluster.run(400)
+    cluster.partitioned.clear()
+    sent = appends_to(cluster, "c", 600, 3000)
+    raft = cluster.replicas["c"].raft
+    assert raft.applied_index == cluster.replicas["a"].raft.applied_index
+    assert sum(len(message.entries) for message in sent) == 20
+
+
+def test_one_message_holds_a_bounded_number_of_bytes(cluster):
+    cluster.partitioned.add("c")
+    body = random.Random(1).randbytes(raft_module.MAX_APPEND_BYTES // 3)
+    table = messages.encode(messages.Table(1, body))
+    for _ in range(7):
+        leader = cluster.replicas["a"]
+        leader.propose("Table", table, lambda outcome, value: None, 0)
+    cluster.run(400)
+    cluster.partitioned.clear()
+    sent = appends_to(cluster, "c", 0, 2000)
+    raft = cluster.replicas["c"].raft
+    assert raft.applied_index == cluster.replicas["a"].raft.applied_index
+    sizes = [sum(len(e.body) for e in m.entries) for m in sent]
+    assert raft_module.MAX_APPEND_BYTES / 2 < max(sizes)
+    assert max(sizes) <= raft_module.MAX_APPEND_BYTES
