Bound what waits for a link in bytes, and let large messages take their time

A link's queue was bounded by 4,096 messages, which may be gigabytes, and one message that took longer to write than a link may stay silent (1.4 s) ended the link; it was then sent again, and ended it again.

A queue holds 8 MB, or one message; more is dropped and reported as a loss. A message is written in parts of 64 kB: the time limit of a write holds for each part, and no pong is missed while parts of a large message go out. The kernel's buffer of a link is bounded, so that writes show progress.

--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -18,6 +18,7 @@
 import hashlib
 import hmac
 import os
+import socket
 import struct
 from typing import Callable
 from typing import Iterable
@@ -47,11 +48,18 @@
 MAX_HANDSHAKES = 256
 MAX_READ_BYTES = 65536
 MAX_QUEUED_MESSAGES = 4096
+# Some route tables, which replicas send each other whole.
+MAX_QUEUED_BYTES = 8 << 20
 HANDSHAKE_TIMEOUT_S = 2.0
 WRITE_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 5.0
 RECONNECT_DELAY_S = 0.1
 MAX_BATCH_MESSAGES = 64
+# A write that makes progress is no sign of a broken link, however large the
+# message is: the time limit holds for each part of this size.
+MAX_WRITE_BYTES = 65536
+# The kernel holds no more for a link, so that writes show its progress.
+SEND_BUFFER_BYTES = 131072
 PING_INTERVAL_S = 0.6
 # Shorter than the election timeout, so that a broken link is replaced
 # before an election starts.
@@ -248,6 +256,8 @@
         self.connected: dict[str, bool] = {}
         self.queues: dict[str, FrameQueue] = {}
         self.queued_bytes: dict[str, int] = {}
+        # When a part of a large message was last written, by peer.
+        self.part_written_ms: dict[str, int] = {}
         self.dial_scopes: dict[str, anyio.CancelScope] = {}
         self.on_up: Callable[[str], None] = _ignore
         self.on_loss: Callable[[str], None] = _ignore
@@ -275,6 +285,7 @@
         self.queues.pop(name, None)
         self._count_queued(name, -self.queued_bytes.get(name, 0))
         self.queued_bytes.pop(name, None)
+        self.part_written_ms.pop(name, None)
         scope = self.dial_scopes.pop(name, None)
         if scope is not None:
             scope.cancel()
@@ -305,6 +316,10 @@
         queue = self.queues.get(target)
         if queue is None or not self.is_connected(target):
             return False
+        queued_bytes = self.queued_bytes[target]
+        if queued_bytes and queued_bytes + len(frame) > MAX_QUEUED_BYTES:
+            self.on_loss(target)
+            return False
         try:
             queue[0].send_nowait(frame)
         except anyio.WouldBlock:
@@ -405,6 +420,7 @@
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(*peer.address)
         async with stream:
+            _bound_send_buffer(stream)
             reader = MessageReader(stream)
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
                 await self._authenticate_to_peer(stream, reader, peer.name)
@@ -461,7 +477,7 @@
         while True:
             with anyio.move_on_after(PONG_TIMEOUT_S) as scope:
                 await reader.read_available()
-            if scope.cancelled_caught:
+            if scope.cancelled_caught and not self._sends_large_message(peer):
                 raise errors.LinkError(
                     f"no pong within {PONG_TIMEOUT_S} s", "link.read", peer
                 )
@@ -511,21 +527,40 @@
         source = self.queues[peer][1]
         while True:
             frames = [await source.receive()]
-            while len(frames) < MAX_BATCH_MESSAGES:
+            size = len(frames[0])
+            while len(frames) < MAX_BATCH_MESSAGES and size < MAX_WRITE_BYTES:
                 try:
                     frames.append(source.receive_nowait())
                 except anyio.WouldBlock:
                     break
-            size = sum(map(len, frames))
+                size += len(frames[-1])
+            await self._write(stream, peer, b"".join(frames))
+
+    async def _write(
+        self, stream: anyio.abc.SocketStream, peer: str, data: bytes
+    ) -> None:
+        for offset in range(0, len(data), MAX_WRITE_BYTES):
+            part = data[offset : offset + MAX_WRITE_BYTES]
             with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
-                await stream.send(b"".join(frames))
+                await stream.send(part)
             if scope.cancelled_caught:
                 raise errors.LinkError(
-                    f"{size} bytes not written within {WRITE_TIMEOUT_S} s",
+                    f"{len(part)} bytes not written within {WRITE_TIMEOUT_S}"
+                    " s",
                     "link.write",
                     peer,
                 )
-            self._count_queued(peer, -size)
+            self._count_queued(peer, -len(part))
+            if len(data) > MAX_WRITE_BYTES:
+                self.part_written_ms[peer] = clock.now_ms()
+
+    def _sends_large_message(self, peer: str) -> bool:
+        """Return whether pings wait behind a message that makes progress."""
+        written_ms = self.part_written_ms.get(peer)
+        return (
+            written_ms is not None
+            and clock.now_ms() - written_ms < 1000 * PONG_TIMEOUT_S
+        )
 
     def _discard_queued_frames(self, peer: str) -> None:
         if peer not in self.queues:
@@ -634,6 +669,13 @@
         return hello.sender
 
 
+def _bound_send_buffer(stream: anyio.abc.SocketStream) -> None:
+    raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw_socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+    )
+
+
 def _exceeds_descriptors(stream: anyio.abc.SocketStream) -> bool:
     """Return whether an accepted connection exceeds the peers' share."""
     raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
