--- a/primrosehitch_lab/fault_operator.py
+++ b/primrosehitch_lab/fault_operator.py
@@ -30,6 +30,7 @@
         callers: through which edges are asked.
         now: the time since the soak began, in seconds.
         rng: draws pauses and instances.
+        more_routes: how many routes nobody asks for each table has.
     """
 
     def __init__(
@@ -39,12 +40,14 @@
         callers: fault_callers.Callers,
         now: Callable[[], float],
         rng: random.Random,
+        more_routes: int = 0,
     ):
         self.fleet = fleet
         self.ledger = ledger
         self.callers = callers
         self.now = now
         self.rng = rng
+        self.more_routes = more_routes
         self.version = 0
 
     async def put_table(self) -> None:
@@ -55,6 +58,7 @@
         for mark in range(max(1, version - MARKS), version + 1):
             route = {**public, "path_prefix": f"/mark/{mark}/"}
             document["routes"].append(route)
+        document["routes"] += platform_caller.further_routes(self.more_routes)
         got = await self.fleet.control_call("POST", "/-/Config.Put", document)
         self.version = version
         if got is not None and got[0] == 200:
--- a/primrosehitch_lab/fault_soak.py
+++ b/primrosehitch_lab/fault_soak.py
@@ -47,6 +47,9 @@
 REPLACE_EVERY = 4
 # One in so many seeds has clients that read no response.
 CROWD_EVERY = 7
+# One in so many seeds has tables of so many routes more.
+LARGE_EVERY = 7
+LARGE_ROUTES = 2000
 FIRST_NET = 40
 NETS = 200
 
@@ -92,6 +95,7 @@
             self.callers,
             self.now,
             random.Random(f"operator {seed}"),
+            LARGE_ROUTES if seed % LARGE_EVERY == 3 else 0,
         )
         self.schedule = fault_schedule.Schedule(
             self.fleet,
--- a/primrosehitch_lab/platform_caller.py
+++ b/primrosehitch_lab/platform_caller.py
@@ -69,6 +69,21 @@
     return document
 
 
+def further_routes(count: int) -> list[dict[str, Any]]:
+    """Return routes of other hosts, as different as those of operators."""
+    route = table_document()["routes"][0]
+    return [
+        {
+            **route,
+            "name": f"r-{number:07x}",
+            "host": f"h{number * 7919 % 9973:06x}.example",
+            "path_prefix": f"/p{number * 104729 % 99991:07x}/",
+            "split": [{"service": "svc", "weight": 90 + number % 10}],
+        }
+        for number in range(count)
+    ]
+
+
 def request(
     target: str = "/a/x",
     method: str = "GET",
@@ -156,4 +171,11 @@
                 return self.chunks, True
 
 
-__all__ = ["Caller", "HOST", "KEY", "request", "table_document"]
+__all__ = [
+    "Caller",
+    "HOST",
+    "KEY",
+    "further_routes",
+    "request",
+    "table_document",
+]
