A table that is dropped for an older edge is sent again at once

A table is noted as sent to an edge of an older release after it was queued; where the queue was full the loss was reported in between and forgotten, and the edge waited 5 s for the table. It is noted first now.

The new test failed before: the edge had the older table 3 s after the acknowledgement.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -331,10 +331,10 @@
             if self.links.is_connected(edge)
             and self.table_pushes.is_due(edge, version, now)
         ]
-        if lacking:
-            self.links.multicast(lacking, self.tables.table)
         for edge in lacking:
             self.table_pushes.record(edge, version, now)
+        if lacking:
+            self.links.multicast(lacking, self.tables.table)
 
     def _on_table_request(
         self, sender: str, request: messages.TableRequest
--- a/tests/test_table_transfer.py
+++ b/tests/test_table_transfer.py
@@ -111,6 +111,16 @@
         pass
 
 
+async def settle(controls):
+    """Wait until an edge's control instance alone serves it.
+
+    When it has just started it may move from one to another.
+    """
+    await instances.wait_until(
+        lambda: sum(len(c.subscribers) for c in controls) == 1
+    )
+
+
 def count_tables(control):
     """Count the whole tables that a control instance queues, by version."""
     counts = collections.Counter()
@@ -140,13 +150,47 @@
             (edge,) = await start_slow_edges(
                 fleet, EDGES[:1], 4 * LINK_BYTES_PER_S
             )
-            # Until then it may have moved from one to another.
-            await instances.wait_until(
-                lambda: sum(len(c.subscribers) for c in controls) == 1
-            )
+            await settle(controls)
             counts = [count_tables(control) for control in controls]
             assert await instances.put_table(2, large_table(2)) == 200
             await expect_in_force((edge,), 2)
             assert sum(counts, collections.Counter()) == {2: 1}
 
     instances.run_test(body)
+
+
+# Guards against: a table that was dropped for want of room counts as sent.
+def test_table_dropped_before_an_older_edge_got_it_is_sent_again(
+    tmp_path, monkeypatch
+):
+    dropped = []
+
+    def drop_first_table(links, send_frame):
+        def send(target, frame):
+            _, kind = links_module.FRAME_HEADER.unpack_from(frame)
+            if kind == messages.NUMBERS[messages.Table] and not dropped:
+                dropped.append(target)
+                links.on_loss(target)
+                return False
+            return send_frame(target, frame)
+
+        return send
+
+    async def body():
+        async with instances.running_fleet(tmp_path) as fleet:
+            monkeypatch.setattr(edge_module, "Edge", OlderEdge)
+            (edge,) = await start_slow_edges(
+                fleet, EDGES[:1], 8 * LINK_BYTES_PER_S
+            )
+            controls = list(fleet.controls.values())
+            await settle(controls)
+            for control in controls:
+                control.links.send_frame = drop_first_table(
+                    control.links, control.links.send_frame
+                )
+            document = routed.table_document(2)
+            assert await instances.put_table(2, document) == 200
+            await expect_in_force((edge,), 2)
+            assert dropped
+
+    instances.run_test(body)
