The status that announced a table confirms it once it is in force

An edge answered 503 (table-unconfirmed) for up to 250 ms after its first table, where it had answered 404 or 401 before: since edges ask for tables, the status comes before the table, and the edge waited for the next one to confirm it.

That status was given with the state of a quorum and named this version, so that it confirms the table as of the time it came.

--- a/primrosehitch/controlcontact.py
+++ b/primrosehitch/controlcontact.py
@@ -35,6 +35,7 @@
             has announced.
         announced_ms: when the first version was announced that is newer
             than the one in force, negative if none is.
+        announcement: who announced the newest version last, and when.
     """
 
     def __init__(self, now: int):
@@ -44,14 +45,28 @@
         self.is_lost = False
         self.announced = 0
         self.announced_ms = -1
+        self.announcement = ("", -1)
         self.is_late = False
 
-    def announce(self, version: int, now: int) -> None:
+    def announce(self, control: str, version: int, now: int) -> None:
         """Record that a version newer than the one in force exists."""
-        self.announced = max(self.announced, version)
+        if version >= self.announced:
+            self.announced = version
+            self.announcement = (control, now)
         if self.announced_ms < 0:
             self.announced_ms = now
 
+    def announced_by(self, version: int) -> tuple[str, int] | None:
+        """Return who confirmed a version that came into force, and when.
+
+        Returns:
+            None if a control instance has announced a newer one, or none has
+            announced any.
+        """
+        if self.announced_ms < 0 or version < self.announced:
+            return None
+        return self.announcement
+
     def record_version(self, version: int, now: int) -> int:
         """Record that a version came into force.
 
@@ -84,7 +99,7 @@
         lost_for_ms = now - self._reference_ms() if self.is_lost else None
         self.is_lost = False
         self.control = control
-        self.confirmed_ms = now
+        self.confirmed_ms = max(self.confirmed_ms, now)
         return lost_for_ms
 
     def age_ms(self, now: int) -> int:
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -504,7 +504,7 @@
         if status.fresh and status.version <= (table.version if table else 0):
             self._confirm_contact(sender, now)
         elif status.fresh:
-            self.contact.announce(status.version, now)
+            self.contact.announce(sender, status.version, now)
         if sender != self.current_control:
             return
         self._fetch_table(status.version, now)
@@ -597,6 +597,10 @@
         self.front.limits = table.limits
         metrics.CONFIG_VERSION.set(table.version)
         now = clock.now_ms()
+        # The status that told of this version confirms it.
+        announcement = self.contact.announced_by(table.version)
+        if announcement is not None:
+            self._confirm_contact(*announcement)
         events.emit(
             events.VERSION_IN_FORCE,
             version=table.version,
--- a/tests/test_controlcontact.py
+++ b/tests/test_controlcontact.py
@@ -39,8 +39,8 @@
 def test_table_that_was_announced_and_did_not_come_is_late_once():
     contact = controlcontact.ControlContact(1000)
     assert not contact.detect_late(90_000)
-    contact.announce(7, 2000)
-    contact.announce(8, 2500)
+    contact.announce("c", 7, 2000)
+    contact.announce("c", 8, 2500)
     at_ms = 2001 + controlcontact.LATE_AFTER_MS
     assert not contact.detect_late(at_ms - 1)
     assert contact.detect_late(at_ms)
@@ -50,3 +50,20 @@
     assert contact.record_version(8, 4400) == 400
     assert contact.late_ms(5000) == 0
     assert contact.record_version(9, 6000) == -1
+
+
+# Guards against: an edge that has its first table cannot say which routes do
+# not exist until the next status comes.
+def test_status_that_announced_a_version_confirms_it_once_in_force():
+    contact = controlcontact.ControlContact(1000)
+    assert contact.announced_by(7) is None
+    contact.announce("c", 7, 2000)
+    contact.announce("d", 7, 2100)
+    contact.announce("c", 6, 2200)
+    assert contact.announced_by(6) is None
+    assert contact.announced_by(7) == ("d", 2100)
+    contact.confirm(*contact.announced_by(7))
+    contact.record_version(7, 2300)
+    assert contact.age_ms(2300) == 200
+    assert contact.knows_table(2300)
+    assert contact.announced_by(7) is None
