--- a/primrosehitch/links.py
+++ b/primrosehitch/links.py
@@ -48,7 +48,7 @@
 MAX_HANDSHAKES = 256
 MAX_READ_BYTES = 65536
 MAX_QUEUED_MESSAGES = 4096
-# Some route tables, which replicas send each other whole.
+# Room for several route tables, which replicas send each other whole.
 MAX_QUEUED_BYTES = 8 << 20
 HANDSHAKE_TIMEOUT_S = 2.0
 WRITE_TIMEOUT_S = 2.0
--- a/primrosehitch/tableserver.py
+++ b/primrosehitch/tableserver.py
@@ -12,9 +12,8 @@
 
 from primrosehitch import messages
 
-# At 5 Mbit/s a piece takes 26 ms.
+# Small, so that statuses do not wait long behind a piece on a slow link.
 PIECE_BYTES = 16 * 1024
-# Routes are alike: this level makes a tenth of a table, in 2 ms for 1 MB.
 COMPRESSION_LEVEL = 1
 # A table that was replaced is kept while edges ask for its pieces, so that
 # transfers end however often the table changes.
