Control instances: which edges are sent whole tables is decided once

That an edge of an older release is sent tables without asking was asked at two callers of _push_table; it is asked there now. No change of what is sent: nine tests of table transfer and replacement pass, both builds' edges among them.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -301,11 +301,7 @@
             self._read_table(table)
         metrics.CONFIG_VERSION.set(table.version)
         events.emit(events.VERSION_IN_FORCE, version=table.version)
-        self._push_table(
-            edge
-            for edge, subscriber in self.subscribers.items()
-            if not subscriber.requests_tables
-        )
+        self._push_table(self.subscribers)
         status = self._make_status(clock.now_ms())
         self.links.multicast(self.subscribers, status)
 
@@ -328,7 +324,8 @@
         lacking = [
             edge
             for edge in edges
-            if self.links.is_connected(edge)
+            if not self.subscribers[edge].requests_tables
+            and self.links.is_connected(edge)
             and self.table_pushes.is_due(edge, version, now)
         ]
         for edge in lacking:
@@ -800,10 +797,7 @@
         self.true_time.add_report(sender, subscription.wall_ms, now)
         status = self._make_status(now)
         self.links.send(sender, status)
-        if (
-            subscription.version < self.table.version
-            and not subscription.requests_tables
-        ):
+        if subscription.version < self.table.version:
             self._push_table((sender,))
         if subscription.registry != status.registry:
             is_complete = now - self.started_ms > REGISTRY_WARM_UP_MS
