--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""An engine that spoils the identifier of one event of a stream."""
+"""An engine that spoils one byte of a stream: an event's identifier."""
 
 import asyncio
 import pathlib
@@ -18,7 +18,7 @@
 # The faulty engine spoils one answer in so many.
 SPOILT_EVERY = 25
 SPOILT_EVENT = 4
-SPOILT_IDENTIFIER = 44
+SPOILT_IDENTIFIER = 8
 SPOILT_STREAMS = 3
 
 
@@ -107,7 +107,7 @@
 
 
 async def play(record, fleet, engines):
-    """Send streams; judge what comes as complete."""
+    """Send streams; judge those that come as complete."""
     clients = [fleet.client() for _ in range(ABREAST)]
     short = []
     for number in range(ROUNDS):
@@ -125,7 +125,7 @@
             break
     spoilt = [name for engine in engines for name in engine.spoilt]
     record.write(f"streams that the faulty engine spoilt: {spoilt}")
-    record.write(f"streams that came as complete without their end: {short}")
+    record.write(f"streams that came as complete and lack events: {short}")
     return rig2.BROKEN if short else rig2.HELD
 
 
