Comments in a stream are told from events in linear time

Cause: the expression that told a block of comments from an event repeated a repetition, `(?::[^\r\n]*|[\r\n])*`. A line of n colons matches it in 2^(n-1) ways, all of which are tried in the process's only event loop before the field that follows makes the match fail.

--- a/primrosehitch/eventframes.py
+++ b/primrosehitch/eventframes.py
@@ -17,8 +17,6 @@
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_FIELD = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 _NUMBER = re.compile(rb"[0-9]{1,18}")
-# Lines that a reader of server-sent events skips.
-_NO_EVENT = re.compile(rb"(?::[^\r\n]*|[\r\n])*")
 
 
 class EventError(errors.PrimrosehitchError):
@@ -111,7 +109,7 @@
             EventIdError: it is no event of this stream.
         """
         identifiers = _ID_FIELD.findall(event)
-        if not identifiers and _NO_EVENT.fullmatch(event):
+        if not identifiers and _holds_no_field(event):
             return False
         if len(identifiers) != 1:
             raise self._id_error(f"{len(identifiers)} identifiers")
@@ -131,6 +129,13 @@
         return EventIdError(f"the event after {self.last_number} has {text}")
 
 
+def _holds_no_field(event: bytes) -> bool:
+    """Return whether a reader of server-sent events skips all lines."""
+    return all(
+        not line or line.startswith(b":") for line in event.splitlines()
+    )
+
+
 def _parse_number(identifier: bytes) -> int:
     """Return an identifier as a number, or -1 if it is none."""
     return int(identifier) if _NUMBER.fullmatch(identifier) else -1
