Responses that are broken off end with a reset

Callers saw: a stream that the edge breaks off ended with a regular close in the middle of its chunks.

Cause: Responder.abort closed the socket, and the kernel ends a connection without unread input by FIN.

A connection whose response has begun and can't be finished is now closed with SO_LINGER 0, which sends RST. A connection without a response is closed as before, since a caller may take a reset there for a request not read.

--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -17,6 +17,7 @@
 import hashlib
 import http
 import socket
+import struct
 from typing import Any
 from typing import Awaitable
 from typing import Callable
@@ -69,6 +70,8 @@
 STOP_POLL_S = 0.02
 # TCP drops a connection whose peer has not acknowledged data for this long.
 TCP_USER_TIMEOUT_MS = 10_000
+# Value of SO_LINGER with which a close discards unsent data and resets.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class CallerGoneError(errors.PrimrosehitchError):
@@ -200,8 +203,8 @@
         self.connection.hold_for_response(size)
 
     def abort(self) -> None:
-        """Abort the connection, so that the response is incomplete."""
-        self.connection.abort()
+        """Reset the connection, so that the response is incomplete."""
+        self.connection.reset()
 
 
 class Backlogged(NamedTuple):
@@ -669,7 +672,9 @@
             held += _counted_header_bytes(request.headers)
             self._hold(-held)
             self.response_bytes = 0
-        if self.closed or not responder.finished:
+        if responder.head_sent and not responder.finished:
+            responder.abort()
+        elif self.closed or not responder.finished:
             self.abort()
         elif not responder.keep_alive:
             self.close()
@@ -775,6 +780,20 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Close the connection at once, with a TCP reset.
+
+        Not every caller knows the end of a response without it: some read
+        until the connection is closed.
+        """
+        if self.transport is not None and not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None:
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+        self.abort()
+
     def stop_reading(self) -> None:
         """Read no further input, for the rest of the process's life."""
         if self.transport is not None and not self.transport.is_closing():
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -13,6 +13,7 @@
 
 STAMP = b"Response-Stamp: 1.1.1\r\n"
 FLOOD_BYTES = 64 << 20
+LARGE_BODY_BYTES = 4 << 20
 # The event that foreign bytes follow in a garbled stream.
 GARBLED_AFTER = 2
 # How long a crashed engine takes to start again.
@@ -348,6 +349,17 @@
         )
         return False
 
+    async def _play_large_cut(self, stream, seen: Seen) -> bool:
+        """Close in the middle of a body that is too large to buffer."""
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\n"
+            + self._echo(seen)
+            + STAMP
+            + b"Content-Length: %d\r\n\r\n" % LARGE_BODY_BYTES
+            + b"x" * (LARGE_BODY_BYTES // 2)
+        )
+        return False
+
     async def _play_close(self, stream, seen: Seen) -> bool:
         return False
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 scripted faults.
 """
 
+import asyncio
 import json
 
 import anyio
@@ -313,6 +314,54 @@
     run(body)
 
 
+async def end_of_connection(edge, data):
+    """Return all that a caller gets, and the error that ends it, if any."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", edge.port)
+    received = b""
+    try:
+        writer.write(data)
+        while part := await reader.read(65536):
+            received += part
+    except ConnectionError as exc:
+        return received, exc
+    finally:
+        writer.close()
+    return received, None
+
+
+# Guards against: a response that is broken off ends like a regular one for a
+# caller that reads until the connection is closed (review/6).
+@pytest.mark.parametrize(
+    "behaviour,target",
+    [("torn_event", "/stream/x"), ("large_cut", "/a/x")],
+)
+def test_response_that_is_broken_off_ends_with_a_reset(behaviour, target):
+    async def body():
+        async with routed.running_edge(Engine([behaviour])) as edge:
+            received, error = await end_of_connection(
+                edge, routed.request(target)
+            )
+            assert received.startswith(b"HTTP/1.1 200 ")
+            assert isinstance(error, ConnectionResetError)
+
+    run(body)
+
+
+# A caller may take a reset before any response for a request not read.
+def test_connection_without_a_response_is_closed_regularly():
+    async def body():
+        async with routed.running_edge(Engine(["good"])) as edge:
+
+            async def fail(request, responder):
+                raise ValueError("no response")
+
+            edge.server.handler = fail
+            received, error = await end_of_connection(edge, routed.request())
+            assert (received, error) == (b"", None)
+
+    run(body)
+
+
 GARBAGE = [
     b"data: of no run\n\n",
     b"id:\ndata: of no run\n\n",
