Events of a replaced endpoint are not counted as passed on

Cause: while an endpoint's stream was under way, another incarnation took over its identifier. The edge split the next bytes into events, which advanced the identifier of the last event, and only then saw that the endpoint had been replaced and left it without passing them on. Another endpoint went on after an event that the caller never had. Bytes of an unfinished event stayed in the splitter as well and would have been joined with the next endpoint's.

Now the endpoint is checked before its bytes are split, and each attempt begins by dropping an unfinished event, whatever ended the one before.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -520,6 +520,7 @@
         self, choice: balancer_module.Choice | None
     ) -> attempts.Attempt:
         """Return a new attempt, the only one that is under way."""
+        self.event_frames.prepare_resume()
         attempt = attempts.Attempt(choice, self.event_frames)
         self.current = (attempt,)
         return attempt
@@ -670,7 +671,6 @@
                 self._ensure_head_sent(head)
                 await self.responder.write(complete_events)
             if event_error is not None:
-                self.event_frames.prepare_resume()
                 return Broken(str(event_error))
             item = await connection.receive()
         if (
@@ -680,7 +680,6 @@
             self._ensure_head_sent(head)
             self.responder.finish()
             return Passed(head.status)
-        self.event_frames.prepare_resume()
         return Broken("stream incomplete")
 
     def _split_events(
@@ -1656,13 +1655,14 @@
         last_event_ms = clock.now_ms()
         sound_at_ms = last_event_ms + quarantine_module.SOUND_ANSWER_MS
         while isinstance(item, bytes):
+            if self.balancer.is_replaced(attempt.endpoint):
+                # Which version wrote this is not known. The splitter must
+                # not count events that are not passed on.
+                return self._record_broken(attempt, "endpoint replaced")
             complete_events, event_error = self._split_events(
                 attempt.event_frames, item
             )
             if complete_events:
-                if self.balancer.is_replaced(attempt.endpoint):
-                    # Which version wrote them is not known.
-                    return self._record_broken(attempt, "endpoint replaced")
                 if not self._claim(attempt):
                     return Lost()
                 self._bind_stream(attempt.endpoint)
@@ -1674,7 +1674,6 @@
                     self._report_sound()
                     sound_at_ms = last_event_ms + SOUND_REPORT_PERIOD_MS
             if event_error is not None:
-                attempt.event_frames.prepare_resume()
                 return self._record_broken(attempt, str(event_error))
             if not complete_events and (
                 clock.now_ms() - last_event_ms > event_timeout_ms
@@ -1695,7 +1694,6 @@
             return Passed(head.status)
         if item is httpclient.ResponseEnd.BROKEN:
             self._report_crash(attempt)
-        attempt.event_frames.prepare_resume()
         error_text = "stream incomplete" if item else "stream stalled"
         return self._record_broken(attempt, error_text)
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -362,6 +362,32 @@
     run(body)
 
 
+# Guards against: an event that is read but not passed on, as its endpoint has
+# been replaced, is missing from the stream that goes on elsewhere (ORDER).
+@pytest.mark.parametrize("born", [2, 3])
+def test_stream_of_a_replaced_endpoint_goes_on_without_a_hole(born):
+    async def body():
+        old, other = Engine(["paced_stream"], 9), Engine(["stream"], 9)
+        async with routed.running_edge(old, other) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            record = edge.balancer.endpoints["i-0"].record
+
+            async def replace():
+                await anyio.sleep(0.1)
+                edge.balancer.update_endpoint(record._replace(born=born), 0)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(replace)
+                response = await routed.send_request(
+                    edge, routed.request("/resume/x")
+                )
+            events = [b"id: %d\ndata: x\n\n" % n for n in range(1, 10)]
+            assert response[2:] == (b"".join(events), True)
+            assert other.seen
+
+    run(body)
+
+
 GARBAGE = [
     b"data: of no run\n\n",
     b"id:\ndata: of no run\n\n",
