A stream does not go on after an identifier that may be wrong

Callers saw: one byte of an endpoint's stream was spoilt, the identifier of the fourth of ten events (8 instead of 4).

Cause: an identifier that jumps was passed on, since only increase is promised, and became the one after which the stream is resumed. That a later one goes back ended the attempt, but not the trust in the jump. A lost event, and a spoilt identifier at the start of a resumption, which was dropped as a repeat, left the same hole.

Gaps are now decided on by what the endpoints of the service have shown (docs/design/foreign-data.md): while nothing is known, another endpoint goes on before the gap; where a service numbers events one by one, a gap ends the attempt on every route; an identifier in doubt is not resumed after. The metric primrosehitch_event_gaps tells the cases apart.

--- a/primrosehitch/eventframes.py
+++ b/primrosehitch/eventframes.py
@@ -5,12 +5,14 @@
 one. Each event has one identifier, a whole number that is greater than that
 of the event before. Whatever else stands in a stream was not written by the
 run that the caller asked for, and ends the attempt. Events that a resumed
-stream repeats are dropped by their identifiers.
+stream repeats are dropped by their identifiers. Whether identifiers may be
+left out is the caller's decision.
 """
 
 import re
 
 from primrosehitch import errors
+from primrosehitch import eventnumbering
 
 MAX_EVENT_BYTES = 1 << 20
 
@@ -41,6 +43,23 @@
     """An event has no identifier, or one that does not follow the last."""
 
 
+class EventGapError(EventIdError):
+    """An event's identifier leaves out some after the one before.
+
+    The splitter keeps the event and goes on with it if ``allows_gaps`` is
+    set.
+
+    Args:
+        gap: what is left out.
+    """
+
+    def __init__(self, gap: eventnumbering.Gap):
+        self.gap = gap
+        super().__init__(
+            f"the event after {gap.before} has the identifier {gap.after}"
+        )
+
+
 class EventSplitter:
     """Splits a byte stream into complete events.
 
@@ -54,6 +73,11 @@
         event_count: number of events returned.
         may_repeat: whether the next events may repeat earlier ones, as the
             stream has just been resumed.
+        allows_gaps: whether identifiers may be left out.
+        has_gaps: whether some were, in this attempt.
+        ends_with_gap: whether some were just before the last event.
+        is_doubtful: whether the last identifier may be wrong, so that the
+            stream can't be resumed after it.
     """
 
     def __init__(self, last_id: bytes = b""):
@@ -63,6 +87,10 @@
         self.searched_bytes = 0
         self.event_count = 0
         self.may_repeat = bool(last_id)
+        self.allows_gaps = False
+        self.has_gaps = False
+        self.ends_with_gap = False
+        self.is_doubtful = False
 
     @property
     def is_at_event_boundary(self) -> bool:
@@ -73,6 +101,8 @@
         """Add bytes, and return the new events that are now complete.
 
         Raises:
+            EventGapError: an event leaves out identifiers after the last
+                one, and gaps are not allowed.
             EventIdError: an event has no identifier that follows the last
                 one; the error has the sound events before it.
             EventTooLargeError: an event does not end within
@@ -83,12 +113,14 @@
         start = 0
         while match := _EVENT_END.search(self.partial, self.searched_bytes):
             event = bytes(self.partial[start : match.end()])
-            start = self.searched_bytes = match.end()
             try:
                 is_new = self._is_new(event)
             except EventIdError as exc:
                 exc.sound_events = b"".join(new_events)
+                del self.partial[:start]
+                self.searched_bytes = 0
                 raise
+            start = self.searched_bytes = match.end()
             if is_new:
                 new_events.append(event)
                 self.event_count += 1
@@ -107,6 +139,8 @@
         self.partial = bytearray()
         self.searched_bytes = 0
         self.may_repeat = True
+        self.allows_gaps = False
+        self.has_gaps = False
 
     def _is_new(self, event: bytes) -> bool:
         """Return whether this is an event that the caller does not have.
@@ -125,7 +159,14 @@
         if number <= self.last_number:
             if self.may_repeat:
                 return False
+            # After a gap, the last identifier may be the wrong one.
+            self.is_doubtful = self.has_gaps
             raise self._id_error("an identifier that goes back")
+        has_gap = number > max(1, self.last_number + 1)
+        if has_gap and not self.allows_gaps:
+            raise EventGapError(eventnumbering.Gap(self.last_number, number))
+        self.ends_with_gap = has_gap
+        self.has_gaps |= has_gap
         self.last_id, self.last_number = identifiers[0], number
         self.may_repeat = False
         return True
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -14,6 +14,7 @@
 from primrosehitch import clock
 from primrosehitch import controlcontact
 from primrosehitch import dialect as dialect_module
+from primrosehitch import eventnumbering
 from primrosehitch import events
 from primrosehitch import hedging as hedging_module
 from primrosehitch import helpers as helpers_module
@@ -72,6 +73,7 @@
         waiting: the requests that wait for an endpoint.
         edge_token: by which requests of other edges are known.
         overload: refuses requests for which there is no room in time.
+        numbering: how endpoints number the events of their streams.
         malformed_loads: limits the log lines on malformed load reports.
     """
 
@@ -113,6 +115,7 @@
             rng, self._measure_room
         )
         self.overload.on_scarcity = self._report_scarcity
+        self.numbering = eventnumbering.NumberingRecord()
         self.malformed_loads = linelimit.LineLimit(MALFORMED_LOAD_PERIOD_MS)
         self.edge_token = helpers_module.make_token()
 
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -21,6 +21,7 @@
 from primrosehitch import dialect as dialect_module
 from primrosehitch import errors
 from primrosehitch import eventframes
+from primrosehitch import eventnumbering
 from primrosehitch import events
 from primrosehitch import fingerprints
 from primrosehitch import hedging as hedging_module
@@ -231,6 +232,7 @@
     gate: overload.AdmissionGate
     quarantine: quarantine_module.Quarantine
     origins: streamorigins.StreamOrigins
+    numbering: eventnumbering.NumberingRecord
     rng: random.Random
     routing_changed: anyio.Event
     helpers: helpers_module.HelperDirectory
@@ -283,6 +285,8 @@
         is_origin_recorded: whether the version of the stream is recorded.
         deadline_at_ms: when the request times out, by ``clock.now_ms``.
         event_frames: splits a stream into whole events.
+        refused_gaps: identifiers that endpoints left out, for which their
+            streams were left.
         tried_endpoints: identifiers of the endpoints chosen so far.
         is_from_edge: whether another edge sends it for its caller.
         max_attempts: the endpoints to which it may be sent, by this edge and
@@ -342,6 +346,7 @@
             time_limit_ms = min(time_limit_ms, call.deadline_ms)
         self.deadline_at_ms = request.started_ms + time_limit_ms
         self.event_frames = eventframes.EventSplitter(call.last_event_id)
+        self.refused_gaps: set[eventnumbering.Gap] = set()
         self.tried_endpoints: list[str] = []
         self.is_from_edge = shared.is_from_edge(call)
         self.max_attempts = self.route.max_attempts
@@ -677,6 +682,7 @@
             item is httpclient.ResponseEnd.COMPLETE
             and self.event_frames.is_at_event_boundary
         ):
+            self._record_numbering(self.event_frames)
             self._ensure_head_sent(head)
             self.responder.finish()
             return Passed(head.status)
@@ -695,9 +701,59 @@
         """
         try:
             return event_frames.feed(data), None
+        except eventframes.EventGapError as exc:
+            if not self._accepts_gap(exc.gap):
+                return exc.sound_events, exc
+            event_frames.allows_gaps = True
+            further_events, error = self._split_events(event_frames, b"")
+            return exc.sound_events + further_events, error
         except eventframes.EventError as exc:
             return exc.sound_events, exc
 
+    def _accepts_gap(self, gap: eventnumbering.Gap) -> bool:
+        """Return whether a stream may leave out identifiers.
+
+        An endpoint may do so, unless endpoints of its service number events
+        one by one. As long as that is not known, another endpoint goes on
+        before the gap, if there is one that can. It has the same gap if
+        nothing is missing.
+        """
+        service = self.ask.service
+        numbering = self.shared.numbering
+        if gap in self.refused_gaps:
+            numbering.confirm_gap(service)
+            metrics.EVENT_GAPS.labels("confirmed").inc()
+            return True
+        kind = numbering.numbering(service)
+        is_refused = kind is eventnumbering.Numbering.DENSE or (
+            kind is eventnumbering.Numbering.UNKNOWN and self._can_fail_over()
+        )
+        if is_refused:
+            numbering.record_stream(service, True)
+            self.refused_gaps.add(gap)
+        metrics.EVENT_GAPS.labels("refused" if is_refused else "passed").inc()
+        return not is_refused
+
+    def _record_numbering(
+        self, event_frames: eventframes.EventSplitter
+    ) -> None:
+        """Record how the events of a complete stream were numbered."""
+        if event_frames.event_count > 1 and not self.refused_gaps:
+            self.shared.numbering.record_stream(
+                self.ask.service, event_frames.has_gaps
+            )
+
+    def _is_last_event_doubtful(self) -> bool:
+        """Return whether the last event's identifier may be wrong.
+
+        Then it is not known which events the caller lacks.
+        """
+        numbering = self.shared.numbering.numbering(self.ask.service)
+        return self.event_frames.is_doubtful or (
+            self.event_frames.ends_with_gap
+            and numbering is not eventnumbering.Numbering.SPARSE
+        )
+
     def _emit_no_endpoint(self) -> None:
         now = clock.now_ms()
         availability = self.balancer.availability(self.ask.service, now)
@@ -769,6 +825,8 @@
         may_have_run = not isinstance(outcome, NotRun)
         if may_have_run and not self.route.repeatable:
             return False
+        if self._is_last_event_doubtful():
+            return False
         if self._quarantined_part() is not None:
             return False
         if self.attempts >= self.max_attempts:
@@ -1688,6 +1746,7 @@
         ):
             if not self._claim(attempt):
                 return Lost()
+            self._record_numbering(attempt.event_frames)
             self._ensure_head_sent(head)
             self.responder.finish()
             self._report_sound()
--- a/primrosehitch/metrics.py
+++ b/primrosehitch/metrics.py
@@ -96,6 +96,12 @@
     "Slow attempts without a second one, by reason.",
     ["reason"],
 )
+EVENT_GAPS = prometheus_client.Counter(
+    "primrosehitch_event_gaps",
+    "Identifiers of events that a stream left out: passed on, refused, or"
+    " confirmed by a second endpoint.",
+    ["outcome"],
+)
 LINK_BYTES = prometheus_client.Gauge(
     "primrosehitch_link_bytes",
     "Bytes sent to peers since the process started.",
@@ -133,6 +139,7 @@
     "CONTENT_TYPE",
     "ENDPOINTS",
     "EVACUATED_DOMAINS",
+    "EVENT_GAPS",
     "FIRST_TOKEN_SECONDS",
     "HEDGES_DENIED",
     "HEDGES_SENT",
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -49,6 +49,9 @@
 
     Attributes:
         garbage: what a garbled stream holds beside its events.
+        shown_ids: identifiers of events that a misnumbered stream gives
+            other ones, or None to leave the event out.
+        cut_after: the event after which a misnumbered stream is cut.
         incarnation: how often the process has started.
     """
 
@@ -66,6 +69,8 @@
         self.crashing_body = b""
         self.limit = ""
         self.garbage = b"data: of no run\n\n"
+        self.shown_ids: dict[int, int | None] = {}
+        self.cut_after = 0
         self.arrivals: list[float] = []
         self.incarnation = 1
         self.crash = anyio.Event()
@@ -338,6 +343,23 @@
         await stream.send(b"0\r\n\r\n")
         return True
 
+    async def _play_misnumbered(self, stream, seen: Seen) -> bool:
+        """Send a stream some of whose events have other identifiers.
+
+        The text of each event says its number.
+        """
+        await self._begin_chunks(stream, seen)
+        first = int(seen.headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            shown = self.shown_ids.get(number, number)
+            if shown is not None:
+                event = b"id: %d\ndata: token-%d\n\n" % (shown, number)
+                await self._chunk(stream, event)
+            if number == self.cut_after:
+                return False
+        await stream.send(b"0\r\n\r\n")
+        return True
+
     # -- torn answers ------------------------------------------------------
 
     async def _play_cut(self, stream, seen: Seen) -> bool:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -231,8 +231,8 @@
     Mutant(
         "whole events only",
         "streams.py",
-        "whole, partial = data[: end + 2], data[end + 2 :]",
-        'whole, partial = data, b""',
+        "        whole = bytes(self.partial[:end])\n",
+        "        whole = bytes(self.partial)\n",
         "tests/test_streams.py",
     ),
     Mutant(
@@ -568,6 +568,34 @@
         "            return True",
         "tests/test_edge_parts.py",
     ),
+    Mutant(
+        "a gap in the identifiers ends the attempt",
+        "eventframes.py",
+        "        if has_gap and not self.allows_gaps:",
+        "        if False:",
+        "tests/test_event_gaps.py",
+    ),
+    Mutant(
+        "a gap that another endpoint can explain is not passed on",
+        "forwarding.py",
+        "        is_refused = kind is eventnumbering.Numbering.DENSE or (",
+        "        is_refused = kind is eventnumbering.Numbering.DENSE and (",
+        "tests/test_event_gaps.py",
+    ),
+    Mutant(
+        "a stream is not resumed after a doubtful identifier",
+        "forwarding.py",
+        "        if self._is_last_event_doubtful():",
+        "        if False:",
+        "tests/test_event_gaps.py",
+    ),
+    Mutant(
+        "events of a replaced endpoint are not counted as passed on",
+        "forwarding.py",
+        "            if self.balancer.is_replaced(attempt.endpoint):",
+        "            if False:",
+        "tests/test_forwarder.py",
+    ),
     Mutant(
         "retries keep to the budget",
         "budget.py",
