The end of an unframed response is checked before it is passed on

Callers saw: an endpoint answered without a length or chunks, and its connection was closed after some of the events, as the kernel does for a process that is killed.

Cause: each regular close counted as the end of such a response.

A response that ends with its connection now counts as complete only if its endpoint still accepts connections 10 ms later; the connection that shows it is kept for the next request. A stream that may be resumed is resumed at another endpoint besides, which knows if an event is missing; where none can be asked, the stream ends as its endpoint ended it.

Not covered: a running endpoint that closes an unframed stream too soon on a route without resumption.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -287,6 +287,8 @@
         event_frames: splits a stream into whole events.
         refused_gaps: identifiers that endpoints left out, for which their
             streams were left.
+        ended_after: how many events the caller had when an endpoint ended
+            the stream with its connection, -1 if none did.
         tried_endpoints: identifiers of the endpoints chosen so far.
         is_from_edge: whether another edge sends it for its caller.
         max_attempts: the endpoints to which it may be sent, by this edge and
@@ -347,6 +349,7 @@
         self.deadline_at_ms = request.started_ms + time_limit_ms
         self.event_frames = eventframes.EventSplitter(call.last_event_id)
         self.refused_gaps: set[eventnumbering.Gap] = set()
+        self.ended_after = -1
         self.tried_endpoints: list[str] = []
         self.is_from_edge = shared.is_from_edge(call)
         self.max_attempts = self.route.max_attempts
@@ -851,6 +854,9 @@
             The outcome to log.
         """
         if self.responder.head_sent:
+            if self._has_stream_ended():
+                self.responder.finish()
+                return "ok"
             self.responder.abort()
             return "broken-off"
         if isinstance(outcome, Failed):
@@ -863,6 +869,13 @@
         self._send_local_reply(502, "no-answer", None)
         return "no-answer"
 
+    def _has_stream_ended(self) -> bool:
+        """Return whether an endpoint ended the stream after its last event.
+
+        It stays so if no other endpoint could be asked for the rest.
+        """
+        return self.ended_after == self.event_frames.event_count > 0
+
     def _retry_after_s(self, reason: str) -> float:
         """Return when the caller may retry a request that has not run."""
         now = clock.now_ms()
@@ -918,6 +931,9 @@
         """Respond after the scope's end; return the outcome to log."""
         reason = self.end_reason
         if self.responder.head_sent:
+            if self._has_stream_ended():
+                self.responder.finish()
+                return "ok"
             self.responder.abort()
             return f"{reason}-midway"
         if self._may_have_run():
@@ -1649,10 +1665,34 @@
                 self.responder.hold(len(item))
             if size > MAX_BUFFERED_RESPONSE_BYTES and self._claim(attempt):
                 return None, await self._relay_unbuffered(
-                    connection, head, parts
+                    connection, attempt, head, parts
                 )
             item = await connection.receive()
-        return b"".join(parts), item
+        return b"".join(parts), await self._check_end(
+            connection, attempt, item
+        )
+
+    async def _check_end(
+        self,
+        connection: httpclient.EndpointConnection,
+        attempt: attempts.Attempt,
+        ending: Any,
+    ) -> Any:
+        """Return how a response ended, by what its endpoint does since.
+
+        One without a length or chunks ends with its connection, and the
+        kernel closes that of a process that has ended just as well.
+        """
+        if (
+            ending is not httpclient.ResponseEnd.COMPLETE
+            or not connection.ends_at_close
+            or attempt.choice is None
+        ):
+            return ending
+        pool = self.shared.connection_pool(attempt.endpoint.record.address)
+        if await pool.is_process_running():
+            return ending
+        return httpclient.ResponseEnd.BROKEN
 
     def _send_buffered(
         self, head: httpclient.ResponseHead, body: bytes
@@ -1669,6 +1709,7 @@
     async def _relay_unbuffered(
         self,
         connection: httpclient.EndpointConnection,
+        attempt: attempts.Attempt,
         head: httpclient.ResponseHead,
         parts: list[bytes],
     ) -> httpclient.ResponseEnd:
@@ -1676,6 +1717,7 @@
 
         Args:
             connection: where the rest of the body comes from.
+            attempt: the attempt that is answered.
             head: the head of the response.
             parts: the part of the body received so far.
         """
@@ -1686,11 +1728,12 @@
         while isinstance(item, bytes):
             await self.responder.write(item)
             item = await connection.receive()
-        if item is httpclient.ResponseEnd.BROKEN:
+        ending = await self._check_end(connection, attempt, item)
+        if ending is httpclient.ResponseEnd.BROKEN:
             self.responder.abort()
         else:
             self.responder.finish()
-        return item
+        return ending
 
     async def _relay_stream(
         self,
@@ -1740,16 +1783,21 @@
                 item = None
                 break
             item = await self._receive(connection, attempt, read_timeout_ms)
+        item = await self._check_end(connection, attempt, item)
         if (
             item is httpclient.ResponseEnd.COMPLETE
             and attempt.event_frames.is_at_event_boundary
         ):
             if not self._claim(attempt):
                 return Lost()
+            self._report_sound()
+            if connection.ends_at_close and self._can_fail_over():
+                # Another endpoint knows if an event is missing at the end.
+                self.ended_after = self.event_frames.event_count
+                return Broken("ended with its connection")
             self._record_numbering(attempt.event_frames)
             self._ensure_head_sent(head)
             self.responder.finish()
-            self._report_sound()
             return Passed(head.status)
         if item is httpclient.ResponseEnd.BROKEN:
             self._report_crash(attempt)
--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -50,6 +50,9 @@
 # body, because a chunk may hold a single one.
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_OVERHEAD_PER_BODY_BYTE = 16
+# A process that ends closes its connections and its listening socket within
+# this time of each other.
+PROCESS_END_S = 0.01
 
 
 class EndpointError(errors.PrimrosehitchError):
@@ -460,6 +463,22 @@
         connection.idle_since_ms = now
         return connection
 
+    async def is_process_running(self) -> bool:
+        """Return whether the endpoint accepts connections.
+
+        After a response that ended with its connection, this tells whether
+        the endpoint ended it, or the kernel as the process ended. The pool
+        keeps a connection that is opened for this.
+        """
+        await anyio.sleep(PROCESS_END_S)
+        now = clock.now_ms()
+        try:
+            connection = self.take_idle(now) or await self.open(now)
+        except EndpointError:
+            return False
+        self.release(connection)
+        return True
+
     def release(self, connection: EndpointConnection) -> None:
         """Return a connection to the pool, or close it.
 
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -239,6 +239,22 @@
         """Close such a stream in the middle of an event."""
         return await self._unframed(stream, seen, 2, b"id: 3\nda")
 
+    async def _play_unframed_cut(self, stream, seen: Seen) -> bool:
+        """Close such a stream after its second event."""
+        return await self._unframed(stream, seen, 2, b"")
+
+    async def _play_unframed_crash(self, stream, seen: Seen) -> bool:
+        """End the process after the second event of such a stream."""
+        await self._unframed(stream, seen, 2, b"")
+        self.crash.set()
+        return False
+
+    async def _play_no_length_crash(self, stream, seen: Seen) -> bool:
+        """End the process in the middle of a body without a length."""
+        await self._play_no_length(stream, seen)
+        self.crash.set()
+        return False
+
     async def _unframed(self, stream, seen: Seen, count, rest: bytes) -> bool:
         await stream.send(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -926,6 +926,75 @@
     run(body)
 
 
+async def unframed_response(behaviours, target):
+    """Return a response of the first endpoint, and what reached the second.
+
+    Args:
+        behaviours: one for each endpoint.
+        target: the request's target.
+    """
+    engines = [Engine([behaviour]) for behaviour in behaviours]
+    async with routed.running_edge(*engines) as edge:
+        for number in range(1, len(engines)):
+            edge.balancer.endpoints[f"i-{number}"].mean_call_ms = 500
+        response = await routed.send_request(edge, routed.request(target))
+        return response, engines[-1].seen
+
+
+# Guards against: the part of an unframed response that came before its
+# endpoint's process ended is passed on as complete (ORDER, MIXED).
+@pytest.mark.parametrize(
+    "behaviour,target,status,whole,is_resent",
+    [
+        ("unframed_crash", "/stream/x", 200, False, False),
+        ("unframed_crash", "/resume/x", 200, True, True),
+        ("no_length_crash", "/once/x", 502, True, False),
+        ("no_length_crash", "/a/x", 200, True, True),
+    ],
+)
+def test_unframed_response_of_a_process_that_ended_is_broken(
+    behaviour, target, status, whole, is_resent
+):
+    async def body():
+        second = "stream" if target == "/resume/x" else "good"
+        response, seen = await unframed_response([behaviour, second], target)
+        assert (response[0], response[3]) == (status, whole)
+        assert bool(seen) == is_resent
+        if target == "/resume/x":
+            assert response[2] == b"".join(EVENTS)
+
+    run(body)
+
+
+# Guards against: a resumable stream that ends with its connection after some
+# of its events is passed on as complete, while its endpoint runs (ORDER).
+@pytest.mark.parametrize(
+    "behaviours,event_count",
+    [
+        (["unframed_cut", "stream"], 4),
+        (["unframed_cut", "unframed_stream"], 4),
+        (["unframed_stream", "stream"], 4),
+        # Nobody can be asked for the rest.
+        (["unframed_stream", "close"], 4),
+        (["unframed_stream", "full"], 4),
+        (["unframed_stream", "unframed_stream"], 4),
+        (["unframed_stream"], 4),
+    ],
+)
+def test_other_endpoint_tells_whether_an_unframed_stream_is_whole(
+    behaviours, event_count
+):
+    async def body():
+        response, seen = await unframed_response(behaviours, "/resume/x")
+        assert (response[0], response[3]) == (200, True)
+        assert response[2] == b"".join(EVENTS[:event_count])
+        if len(behaviours) > 1:
+            expected = "2" if behaviours[0] == "unframed_cut" else "4"
+            assert [s.headers["last-event-id"] for s in seen] == [expected]
+
+    run(body)
+
+
 UPGRADES = [
     {
         "Upgrade": "h2c",
