A status that is none of HTTP ends the attempt at once

Callers saw: where an endpoint answered with status 000 (or 020, 099), the request waited for its deadline and got 504; one with 600 or 999 reached the caller. One that may be repeated could have gone elsewhere.

Cause: each status below 200 was taken for that of an interim response, after which the final one follows; the parser takes any three digits.

A status outside 100 to 599 now breaks the connection off, as other bytes that are no response do. The control calls, health checks and the older interface use the same client.

--- a/primrosehitch/httpclient.py
+++ b/primrosehitch/httpclient.py
@@ -45,6 +45,9 @@
 # A longer idle timeout is taken for a malformed one.
 MAX_TIMEOUT_DIGITS = 9
 BODYLESS_STATUSES = frozenset((204, 304))
+# Statuses of HTTP (RFC 9110, section 15), and those of interim responses.
+STATUSES = range(100, 600)
+INTERIM_STATUSES = range(100, 200)
 # Bytes that are no body: heads, chunk framing, trailers and discarded
 # messages. A response may have this many, and some for each byte of its
 # body, because a chunk may hold a single one.
@@ -229,9 +232,16 @@
         self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Pass on the head if the response matches (parser callback)."""
+        """Pass on the head if the response matches (parser callback).
+
+        Raises:
+            ValueError: the status is none of HTTP; the parser takes any
+                three digits.
+        """
         self.status = self.parser.get_status_code()
-        if self.discarding or self.status < 200:
+        if self.status not in STATUSES:
+            raise ValueError(f"status {self.status:03}")
+        if self.discarding or self.status in INTERIM_STATUSES:
             self.discarding = True
             return
         head = ResponseHead(
--- a/primrosehitch_lab/platform_engine.py
+++ b/primrosehitch_lab/platform_engine.py
@@ -51,6 +51,7 @@
         garbage: what a garbled stream holds beside its events.
         shown_ids: identifiers of events that a misnumbered stream gives
             other ones, or None to leave the event out.
+        status: the status line's end of an answer with a status of its own.
         cut_after: the event after which a misnumbered stream is cut.
         incarnation: how often the process has started.
     """
@@ -71,6 +72,7 @@
         self.garbage = b"data: of no run\n\n"
         self.shown_ids: dict[int, int | None] = {}
         self.cut_after = 0
+        self.status = b"200 OK"
         self.arrivals: list[float] = []
         self.incarnation = 1
         self.crash = anyio.Event()
@@ -194,6 +196,11 @@
         headers = self._echo(seen) + STAMP
         return await self._answer(stream, b"500 Oops", headers, b"bad")
 
+    async def _play_status(self, stream, seen: Seen) -> bool:
+        """Answer well, but for the status."""
+        headers = self._echo(seen) + STAMP
+        return await self._answer(stream, self.status, headers, b"done")
+
     async def _play_unknown(self, stream, seen: Seen) -> bool:
         headers = self._echo(seen) + STAMP
         return await self._answer(stream, b"404 Not Found", headers, b"no")
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -29,6 +29,7 @@
 from primrosehitch.platform import tables
 from primrosehitch_lab import platform_engine
 from primrosehitch_lab.platform_caller import Caller
+from primrosehitch_lab.platform_caller import DEADLINE_MS
 from primrosehitch_lab.platform_caller import KEY
 from primrosehitch_lab.platform_caller import request
 from primrosehitch_lab.platform_caller import table_document
@@ -38,6 +39,7 @@
 
 __all__ = [
     "Caller",
+    "DEADLINE_MS",
     "KEY",
     "clock",
     "platform_engine",
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 
 import anyio
 import pytest
@@ -14,6 +16,7 @@
 from primrosehitch_lab import platform_engine
 
 Engine = platform_engine.StandInEngine
+UPLOAD_BYTES = 3_000_000
 
 
 def run(body):
@@ -995,6 +998,85 @@
     run(body)
 
 
+# Guards against: a response whose status is none of HTTP is taken for an
+# interim one, and its request waits for its deadline (MIXED).
+@pytest.mark.parametrize("status", ["000", "020", "099", "600", "999"])
+@pytest.mark.parametrize("target", ["/a/x", "/once/x", "/resume/x"])
+def test_status_that_is_none_of_http_ends_the_attempt(status, target):
+    async def body():
+        faulty = Engine(["status"])
+        faulty.status = status.encode() + b" What"
+        second = Engine(["stream" if target == "/resume/x" else "good"])
+        async with routed.running_edge(faulty, second) as edge:
+            edge.balancer.endpoints["i-1"].mean_call_ms = 500
+            began_at = anyio.current_time()
+            answer = await routed.send_request(edge, routed.request(target))
+            took_s = anyio.current_time() - began_at
+            is_repeatable = target != "/once/x"
+            assert answer[0] == (200 if is_repeatable else 502)
+            assert len(second.seen) == is_repeatable
+            assert 1000 * took_s < routed.DEADLINE_MS
+
+    run(body)
+
+
+class EarlyResetEngine(Engine):
+    """Answers in part and resets the connection before an upload is read.
+
+    Args:
+        part: the bytes of the body that it sends.
+        pause_s: how long it waits before the reset.
+    """
+
+    def __init__(self, part, pause_s):
+        super().__init__(["good"])
+        self.part = part
+        self.pause_s = pause_s
+
+    async def _read(self, stream):
+        data = await stream.receive()
+        lines = data.decode("latin-1").split("\r\n")
+        identifier = next(
+            line.partition(":")[2].strip()
+            for line in lines
+            if line.lower().startswith("request-id:")
+        )
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\nResponse-Stamp: 1.1.1\r\n"
+            b"Request-Id: %s\r\n\r\n%s" % (identifier.encode(), self.part)
+        )
+        await anyio.sleep(self.pause_s)
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        await anyio.aclose_forcefully(stream)
+        raise anyio.EndOfStream
+
+
+# Guards against: the part of an unframed response that came before a reset,
+# while the request is still being written, is passed on as complete (MIXED).
+@pytest.mark.parametrize("pause_s", [0, 0.05])
+@pytest.mark.parametrize("part", [b"x" * 40, b"id: 1\ndata: x\n\n"])
+@pytest.mark.parametrize("target", ["/a/x", "/once/x", "/stream/x"])
+def test_response_reset_during_an_upload_is_not_complete(
+    target, part, pause_s
+):
+    async def body():
+        limits = {
+            **routed.table_document()["limits"],
+            "max_body_bytes": UPLOAD_BYTES,
+        }
+        table = routed.decode_table(limits=limits)
+        engine = EarlyResetEngine(part, pause_s)
+        async with routed.running_edge(engine, table=table) as edge:
+            upload = routed.request(target, "POST", b"x" * UPLOAD_BYTES)
+            answer = await routed.send_request(edge, upload)
+            assert answer[0] == 502 or (answer[0] == 200 and not answer[3])
+
+    run(body)
+
+
 UPGRADES = [
     {
         "Upgrade": "h2c",
