Older interface: the end of an unframed response is checked as well

The same cause as at the edges: a response that ends with its connection was complete whoever closed it. The check of the pool is asked here, too.

test_closed_connection_is_not_reused expects three connections instead of two, as exactly as before: one shows after each close that the endpoint runs, and the second request is sent on the first of these.

--- a/primrosehitch/upstream.py
+++ b/primrosehitch/upstream.py
@@ -72,6 +72,7 @@
     Args:
         head: the status and headers.
         connection: the connection that the body is read from.
+        pool: the endpoint's connections.
         timeout_s: how long the endpoint may send no byte.
     """
 
@@ -79,11 +80,13 @@
         self,
         head: httpclient.ResponseHead,
         connection: httpclient.EndpointConnection,
+        pool: httpclient.ConnectionPool,
         timeout_s: float,
     ):
         self.status = head.status
         self.headers = head.headers
         self.connection = connection
+        self.pool = pool
         self.timeout_s = timeout_s
 
     async def body_chunks(self) -> AsyncIterator[bytes]:
@@ -95,6 +98,13 @@
         while True:
             item = await _receive(self.connection, self.timeout_s)
             if item is httpclient.ResponseEnd.COMPLETE:
+                if (
+                    self.connection.ends_at_close
+                    and not await self.pool.is_process_running()
+                ):
+                    raise _read_error(
+                        self.connection, "the endpoint's process ended"
+                    )
                 return
             if not isinstance(item, bytes):
                 raise _read_error(self.connection, "the response broke off")
@@ -163,7 +173,7 @@
                 raise _read_error(
                     connection, "the connection closed before a response"
                 )
-            yield StreamedResponse(first, connection, request.timeout_s)
+            yield StreamedResponse(first, connection, pool, request.timeout_s)
         finally:
             self._connection_pool(request.address).release(connection)
 
