The check of a stream's end takes 0.7 s at most

A caller whose stream has ended without a length or chunks waits for another endpoint to say that nothing is missing. One that is busy or silent held the end back until the request's deadline. After 0.7 s without an event the stream now ends as its first endpoint ended it.

--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -6,6 +6,7 @@
 it, or if none of its bytes were sent.
 """
 
+import math
 import random
 from typing import Any
 from typing import NamedTuple
@@ -78,6 +79,9 @@
 # event for this many times the allowed gap, and at least for the minimum.
 EVENT_GAP_FACTOR = 2.0
 MIN_EVENT_TIMEOUT_MS = 1000
+# How long another endpoint may take to say whether a stream whose end is not
+# certain goes on.
+END_CHECK_TIMEOUT_S = 0.7
 # A stream that goes on clears its prompt parts of suspicion this often.
 SOUND_REPORT_PERIOD_MS = 500
 # Reasons of the reply to a request with a quarantined prompt part, and to
@@ -289,6 +293,8 @@
             streams were left.
         ended_after: how many events the caller had when an endpoint ended
             the stream with its connection, -1 if none did.
+        end_check_scope: cancelled if another endpoint takes too long to say
+            whether the stream goes on.
         tried_endpoints: identifiers of the endpoints chosen so far.
         is_from_edge: whether another edge sends it for its caller.
         max_attempts: the endpoints to which it may be sent, by this edge and
@@ -350,6 +356,7 @@
         self.event_frames = eventframes.EventSplitter(call.last_event_id)
         self.refused_gaps: set[eventnumbering.Gap] = set()
         self.ended_after = -1
+        self.end_check_scope = anyio.CancelScope()
         self.tried_endpoints: list[str] = []
         self.is_from_edge = shared.is_from_edge(call)
         self.max_attempts = self.route.max_attempts
@@ -491,12 +498,23 @@
                 return self._respond_with_failure(NotRun(reason))
             if self._refuse_for_overload(choice):
                 return OVERLOADED_REASON
-            outcome = await self._attempt_and_hedge(choice)
+            with self._limit_end_check():
+                outcome = await self._attempt_and_hedge(choice)
+            if self.end_check_scope.cancelled_caught:
+                return self._respond_with_failure(Broken("no news of the end"))
             if isinstance(outcome, Passed):
                 return "ok" if outcome.status < 400 else "endpoint-error"
             if not self._acquire_retry(outcome):
                 return self._respond_with_failure(outcome)
 
+    def _limit_end_check(self) -> anyio.CancelScope:
+        """Return a scope that limits an attempt to go on after an end."""
+        limit_s = math.inf
+        if self._has_stream_ended():
+            limit_s = END_CHECK_TIMEOUT_S
+        self.end_check_scope = anyio.move_on_after(limit_s)
+        return self.end_check_scope
+
     def _refuse_for_overload(self, choice: balancer_module.Choice) -> bool:
         """Refuse the request if there is no room for it in time.
 
@@ -1766,6 +1784,7 @@
             if complete_events:
                 if not self._claim(attempt):
                     return Lost()
+                self.end_check_scope.deadline = math.inf
                 self._bind_stream(attempt.endpoint)
                 self._record_first_byte(attempt, clock.now_ms())
                 self._ensure_head_sent(head)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -980,6 +980,7 @@
         # Nobody can be asked for the rest.
         (["unframed_stream", "close"], 4),
         (["unframed_stream", "full"], 4),
+        (["unframed_stream", "silent"], 4),
         (["unframed_stream", "unframed_stream"], 4),
         (["unframed_stream"], 4),
     ],
@@ -988,7 +989,9 @@
     behaviours, event_count
 ):
     async def body():
+        began_at = anyio.current_time()
         response, seen = await unframed_response(behaviours, "/resume/x")
+        assert 1000 * (anyio.current_time() - began_at) < routed.DEADLINE_MS
         assert (response[0], response[3]) == (200, True)
         assert response[2] == b"".join(EVENTS[:event_count])
         if len(behaviours) > 1:
