A heartbeat with a field of another type is refused

Cause: cold_left_ms was read leniently, to spare an engine with an odd value, and the heartbeat counted with all its other fields.

A cold_left_ms that is no number, null too, now refuses the heartbeat with the field's path (1512). A negative number is still taken for one that does not say (1533). docs/design/foreign-data.md lists the fields that may be missing.

--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -425,8 +425,8 @@
 COLD_MALFORMED = Event(
     1533,
     "cold-malformed",
-    "A heartbeat's time for which the endpoint stays cold is no number of 0"
-    " or more; it is taken for a heartbeat that does not say.",
+    "A heartbeat's time for which the endpoint stays cold is negative; it is"
+    " taken for a heartbeat that does not say.",
     "Report it to the owners of the endpoint's software.",
 )
 COLD_UNSERVED = Event(
--- a/primrosehitch/platform/calls.py
+++ b/primrosehitch/platform/calls.py
@@ -107,18 +107,20 @@
 def _parse_cold_left_ms(identifier: str, item: fields.Fields) -> int | None:
     """Return for how long an engine stays cold, None if it does not say.
 
-    A malformed value changes nothing else: without its heartbeats the engine
+    A negative time changes nothing else: without its heartbeats the engine
     would get no requests at all.
+
+    Raises:
+        FieldError: the field is no number.
     """
-    if not item.has("cold_left_ms"):
-        return None
-    try:
-        cold_left_ms = item.number("cold_left_ms")
-    except fields.FieldError:
-        value = repr(item.value["cold_left_ms"])[:MAX_LOGGED_VALUE]
+    cold_left_ms = item.value.get("cold_left_ms")
+    if isinstance(cold_left_ms, (int, float)) and cold_left_ms < 0:
+        value = repr(cold_left_ms)[:MAX_LOGGED_VALUE]
         events.emit(events.COLD_MALFORMED, endpoint=identifier, value=value)
         return None
-    return math.ceil(min(cold_left_ms, MAX_COLD_LEFT_MS))
+    if "cold_left_ms" not in item.value:
+        return None
+    return math.ceil(min(item.number("cold_left_ms"), MAX_COLD_LEFT_MS))
 
 
 def _decode_json(body: bytes) -> Any:
