--- a/primrosehitch/quarantine.py
+++ b/primrosehitch/quarantine.py
@@ -400,6 +400,8 @@
         """
         crashed = Incarnation(finding.endpoint, finding.born)
         interval = Interval(finding.sent_ms, finding.broken_ms)
+        # This may forget the crash, if it was reported long ago.
+        is_explained = self.quarantined_part(finding.parts, now) is not None
         crash = self.crashes.get(crashed)
         if crash is None:
             crash = self.crashes[crashed] = Crash(now, interval.broken_ms)
@@ -407,7 +409,7 @@
             while len(self.crashes) > MAX_CRASHES:
                 self._forget(next(iter(self.crashes)))
             self.report_ended(crashed, interval.broken_ms, now)
-        if self.quarantined_part(finding.parts, now) is not None:
+        if is_explained:
             self._explain(crashed)
         if crash.is_explained:
             return
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -537,3 +537,34 @@
         fleet.at(at_ms, fleet.end_engines, count)
     fleet.run(45_000)
     assert not any(edge.released_at for edge in fleet.edges)
+
+
+# Guards against: a crash that is reported again long after, with a part that
+# is quarantined by then, ends the task that handles the report.
+def test_crash_that_is_reported_again_after_it_was_forgotten():
+    now = 1000
+    kept = quarantine.Quarantine()
+
+    def report(endpoint, parts, sent_ms, at):
+        finding = messages.PartFinding(
+            quarantine.CRASH,
+            parts=parts,
+            endpoint=endpoint,
+            born=1,
+            sent_ms=sent_ms,
+            broken_ms=sent_ms + 20,
+        )
+        kept.apply_finding(finding, at)
+
+    report("e-0", ("bad", "other"), now, now)
+    later = now + quarantine.CRASH_TTL_MS
+    bad = messages.PartFinding(quarantine.QUARANTINED, parts=("bad",))
+    kept.apply_finding(bad, later - 500)
+    for number in range(1, quarantine.MIN_CRASHES + 1):
+        report(f"e-{number}", ("s",), later - 500 + 50 * number, later - 100)
+    assert kept.suspect_since
+    report("e-0", ("bad", "other"), now, later + 1)
+    endpoint = quarantine.Incarnation("e-0", 1)
+    assert kept.crashes[endpoint].is_explained
+    assert kept.quarantined_part(("bad",), later + 1) == "bad"
+    assert kept.quarantined_part(("other",), later + 1) is None
