Entries that a restart recovers are synced before they count

After its restart the entries counted as durable, also for a majority, and a loss of power could take them away. The log file is now synced once it is read. The new test lost the entry before (5 of 6 entries after the crash of the medium); it passes now.

--- a/primrosehitch/log.py
+++ b/primrosehitch/log.py
@@ -202,11 +202,17 @@
         )
 
     def _recover(self) -> None:
-        """Read the log file and truncate a torn last frame."""
+        """Read the log file and truncate a torn last frame.
+
+        The process that wrote it may have ended before it synced the last
+        frames. What counts for a majority has to be durable.
+        """
         data = self.medium.read(LOG_FILE) or b""
         payloads, end = frames.read_frames(data, self.location)
         if end < len(data):
             self.medium.truncate(LOG_FILE, end)
+        elif data:
+            self.medium.sync(LOG_FILE)
         self.size_bytes = end
         for payload in payloads:
             for kind, body in frames.unpack_records(payload):
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -163,3 +163,18 @@
     except errors.LogDamagedError:
         return
     assert log.last_index == 0
+
+
+# Guards against: an entry that was written but not synced before a restart
+# counts for a majority, and a loss of power takes it away.
+def test_recovered_entries_are_durable():
+    medium = medium_module.MemoryMedium()
+    log = log_with_entries(medium)
+    log.append([entry(log.last_index + 1)])
+    medium.append(
+        log_module.LOG_FILE, frames.pack_frame(bytes(log.unsynced_records))
+    )
+    restarted = log_module.Log(medium)
+    assert restarted.last_index == log.last_index
+    medium.crash(0.0)
+    assert log_module.Log(medium).last_index == restarted.last_index
