An unknown service beside a split is refused

The error now names the route and its service. One that is in force already, from an earlier release, is served as before. The two new tests failed before; test_routes, test_log and test_quarantine pass (225).

--- a/primrosehitch/platform/tables.py
+++ b/primrosehitch/platform/tables.py
@@ -67,16 +67,40 @@
 
 
 def _load_unambiguous(body: bytes) -> Any:
-    """Return a document; a list of customers that is null is refused.
+    """Return a document that can be meant in one way only.
 
-    One may mean by it that no key is needed, or that none is valid.
+    A list of customers that is null may mean that no key is needed, or that
+    none is valid. A route may name a service that does not exist, but has no
+    part in its split.
     """
     document = jsontext.loads(body)
-    if isinstance(document, dict) and document.get("tenants", ()) is None:
+    if not isinstance(document, dict):
+        return document
+    if document.get("tenants", ()) is None:
         raise fields.FieldError("not a list", "$.tenants")
+    _check_unused_services(fields.Fields(document))
     return document
 
 
+def _check_unused_services(top: fields.Fields) -> None:
+    """Check the services of routes that are split among others.
+
+    Raises:
+        FieldError: one does not exist.
+    """
+    names = {item.string("name") for item in top.objects("services")}
+    for route in top.objects("routes"):
+        if not route.has("split") or not route.has("service"):
+            continue
+        service = route.string("service")
+        if service not in names:
+            name = route.string("name", route.path)
+            raise fields.FieldError(
+                f"service {service!r} of route {name!r} does not exist",
+                f"{route.path}.service",
+            )
+
+
 def _load_accepted(body: bytes) -> Any:
     """Return a document that an earlier release accepted.
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -71,7 +71,13 @@
     document["routes"][0]["split"] = [{"service": "svc", "weight": 0}]
 
 
+def split_beside_unknown_service(document):
+    part = {"service": "svc", "weight": 1}
+    document["routes"][1].update(service="none", split=[part])
+
+
 INVALID = [
+    (split_beside_unknown_service, "$.routes[1].service"),
     (set_route("service", "none"), "$.routes[0].splits[0].service"),
     (set_route("timeout_ms", 0), "$.routes[0].timeout_ms"),
     (set_route("timeout_ms", "5"), "$.routes[0].timeout_ms"),
@@ -98,6 +104,18 @@
     assert caught.value.path == path
 
 
+# Guards against: a table is taken though a route that is split names a
+# service that does not exist; one that is in force is served.
+def test_unknown_service_beside_a_split_is_refused_with_its_route():
+    document = edited_table(split_beside_unknown_service)
+    document["routes"][1]["name"] = "orders"
+    body = json.dumps(document).encode()
+    with pytest.raises(fields.FieldError, match="'none' of route 'orders'"):
+        tables.decode(body)
+    splits = tables.decode_accepted(body).routes[1].splits
+    assert splits == (routes.Split("svc", 1),)
+
+
 @pytest.mark.parametrize("cut", [0, 1, 50, 200, -1])
 def test_truncated_table_is_refused(cut):
     body = json.dumps(routed.table_document()).encode()
