Calls to control instances are refused by size before they are read

A heartbeat whose version has 15 MB is accepted, and every control instance and edge keeps it.

Cause: one limit, of 16 MB, for all calls, which was meant for tables; none on the length of a name.

Change: what an endpoint reports of itself, and any other call but a table, has at most 64 KiB, a table at most 16 MiB (`calls` in the settings). A body whose announced length is over the limit of its call is refused with 413 before it is read, at edges too; one in chunks once it is larger. Event 1713 says so. Names and identifiers in heartbeats have at most 1024 characters; a longer one is refused with its path and the limit.

--- a/primrosehitch/documents.py
+++ b/primrosehitch/documents.py
@@ -90,6 +90,14 @@
     },
 )
 
+CallsFile = TypedDict(
+    "CallsFile",
+    {
+        "report_bytes": NotRequired[int],
+        "table_bytes": NotRequired[int],
+    },
+)
+
 ClientsFile = TypedDict(
     "ClientsFile",
     {
@@ -152,6 +160,7 @@
         "bounds": NotRequired["BoundsFile"],
         "memory_mb": NotRequired[float],
         "clients": NotRequired["ClientsFile"],
+        "calls": NotRequired["CallsFile"],
         "hedging": NotRequired["HedgingFile"],
         "overload": NotRequired["OverloadFile"],
     },
@@ -207,6 +216,7 @@
 
 __all__ = [
     "BoundsFile",
+    "CallsFile",
     "ClassSpec",
     "ClientsFile",
     "CustomerSpec",
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -526,6 +526,14 @@
     "Look who sends many large requests or does not read responses; raise"
     " `memory_mb` if the VM has more memory.",
 )
+BODY_REFUSED = Event(
+    1713,
+    "body-refused",
+    "A request was refused with 413, since its body is larger than allowed;"
+    " `left_out` such lines before it were left out.",
+    "Look who sends it. `calls` in the settings bounds calls to control"
+    " instances, the table's `max_body_bytes` requests to edges.",
+)
 
 CATALOGUE = tuple(
     value for value in list(globals().values()) if isinstance(value, Event)
--- a/primrosehitch/httpserver.py
+++ b/primrosehitch/httpserver.py
@@ -32,6 +32,7 @@
 from primrosehitch import errors
 from primrosehitch import events
 from primrosehitch import flowcontrol
+from primrosehitch import linelimit
 from primrosehitch import listening
 from primrosehitch import metrics
 from primrosehitch import requestsplit
@@ -62,6 +63,9 @@
 TIMEOUT_CHECK_INTERVAL_MS = 500
 # Closed connections are logged at most this often.
 CLOSED_REPORT_PERIOD_MS = 1000
+# Bodies that are too large are logged at most this often.
+REFUSED_REPORT_PERIOD_MS = 1000
+MAX_LOGGED_TARGET = 200
 BODY_HASH_BYTES = 16
 # Bytes of chunk framing that a byte of a request body may cost.
 MAX_FRAMING_PER_BODY_BYTE = 16
@@ -222,6 +226,8 @@
 
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
+# Returns the largest body in bytes of a request with a method and a target.
+BodyLimit = Callable[[str, bytes], int]
 
 
 class Connection(flowcontrol.FlowControlMixin, asyncio.BufferedProtocol):
@@ -251,6 +257,7 @@
         head_began_ms: since when the head of that request is parsed, for
             the header timeout.
         in_body: whether the head of that request is complete.
+        max_body_bytes: the largest body that it may have.
         read_ms: when the bytes being parsed were read.
         parse_ms: since when they are parsed.
         held_bytes: the bytes that the connection holds in the process and
@@ -301,6 +308,7 @@
         self.body_hasher = hashlib.blake2b(digest_size=BODY_HASH_BYTES)
         self.head_bytes = 0
         self.body_bytes = 0
+        self.max_body_bytes = 0
         self.unparsed_bytes = 0
         self.started_ms = -1
         self.in_body = False
@@ -593,17 +601,26 @@
             self.refuse(431, "request headers too large")
 
     def on_headers_complete(self) -> None:
-        """Answer ``Expect: 100-continue`` (parser callback)."""
+        """Answer ``Expect: 100-continue`` (parser callback).
+
+        A body whose announced length is over the limit is not read.
+        """
         if self.parser.get_method() == b"CONNECT":
             self.refuse(400, "CONNECT is not supported")
         if self.parser.should_upgrade() or self.discarding_input:
             return
+        self.max_body_bytes = self.server.max_body_bytes(
+            self.parser.get_method().decode("latin-1"), self.target
+        )
         self.in_body = True
         self.last_activity_ms = clock.now_ms()
         held = _counted_header_bytes(self.headers) - self.head_held
         if held:
             self._hold(held)
             self.head_held = 0
+        if requestsplit.announced_length(self.headers) > self.max_body_bytes:
+            self._refuse_body()
+            return
         for name, value in self.headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -619,8 +636,13 @@
         self.body_bytes += len(body)
         self._hold(_counted_bytes(self.body_bytes) - counted)
         self.last_activity_ms = clock.now_ms()
-        if self.body_bytes > self.server.limits.body_bytes:
-            self.refuse(413, "request body too large")
+        if self.body_bytes > self.max_body_bytes:
+            self._refuse_body()
+
+    def _refuse_body(self) -> None:
+        limit = self.max_body_bytes
+        self.server.report_refused_body(self.target, limit)
+        self.refuse(413, f"request body larger than {limit} bytes")
 
     def on_message_complete(self) -> None:
         """Queue the complete request (parser callback)."""
@@ -871,12 +893,15 @@
         limits: limits on all callers; may be replaced at any time.
         memory: counts what the connections of all servers of the process
             hold.
+        body_limit: returns a request's limit on its body, if it is not the
+            same for all.
 
     Attributes:
         read_buffer: receives the bytes of each read.
         read_view: the same bytes.
         kernel_buffer_bytes: what one of the kernel's buffers of a
             connection may hold.
+        refused_bodies: limits the log lines on bodies that are too large.
         reading_stopped: whether nothing is read any more.
         connections: the open connections.
         active_requests: how many requests are being handled.
@@ -891,13 +916,16 @@
         handler: Handler,
         limits: routes.ClientLimits,
         memory: connectionmemory.ConnectionMemory | None = None,
+        body_limit: BodyLimit | None = None,
     ):
         self.handler = handler
         self.limits = limits
+        self.body_limit = body_limit
         self.memory = memory or connectionmemory.ConnectionMemory()
         self.read_buffer = bytearray(READ_BYTES)
         self.read_view = memoryview(self.read_buffer)
         self.kernel_buffer_bytes = 2 * self.memory.bounds.socket_buffer_bytes
+        self.refused_bodies = linelimit.LineLimit(REFUSED_REPORT_PERIOD_MS)
         self.reading_stopped = False
         self.next_report_ms = 0
         self.unread_closed = 0
@@ -948,6 +976,17 @@
             finally:
                 self.listener.close()
 
+    def max_body_bytes(self, method: str, target: bytes) -> int:
+        """Return the largest body that a request may have.
+
+        Args:
+            method: its method, in upper case.
+            target: its path and query.
+        """
+        if self.body_limit is None:
+            return self.limits.body_bytes
+        return self.body_limit(method, target)
+
     def enforce_timeouts(self, now: int) -> None:
         """Enforce the timeouts of all connections.
 
@@ -969,6 +1008,23 @@
             metrics.CLOSED_CONNECTIONS.labels("memory").inc()
         self._report_closed(clock.now_ms())
 
+    def report_refused_body(self, target: bytes, limit: int) -> None:
+        """Log a request whose body is too large, unless that was just done.
+
+        Args:
+            target: the path and query of the request.
+            limit: the largest body in bytes that it may have.
+        """
+        left_out = self.refused_bodies.take(self.address, clock.now_ms())
+        if left_out is not None:
+            events.emit(
+                events.BODY_REFUSED,
+                address=self.address,
+                target=target[:MAX_LOGGED_TARGET].decode("latin-1"),
+                limit_bytes=limit,
+                left_out=left_out,
+            )
+
     def report_unread(self) -> None:
         """Count a connection that ends with a response unread."""
         metrics.CLOSED_CONNECTIONS.labels("unread").inc()
--- a/primrosehitch/instance.py
+++ b/primrosehitch/instance.py
@@ -69,6 +69,19 @@
     socket_buffer_bytes: int = 65_536
 
 
+class CallBounds(NamedTuple):
+    """Largest bodies of calls to a control instance.
+
+    Attributes:
+        report_bytes: of what an endpoint reports of itself, and of any other
+            call but a route table.
+        table_bytes: of a route table.
+    """
+
+    report_bytes: int = 65_536
+    table_bytes: int = 16 << 20
+
+
 class HedgingSettings(NamedTuple):
     """When a second attempt may race with a slow first one.
 
@@ -120,6 +133,7 @@
         bounds: the agreed limits.
         memory_mb: the memory of the VM in MB, 0 if the system tells it.
         clients: bounds on what callers may make the process hold.
+        calls: largest bodies of calls to a control instance.
         hedging: settings of hedged requests, or None if there are none.
         overload: what an edge does where places are scarce.
     """
@@ -139,6 +153,7 @@
     bounds: Bounds
     memory_mb: float = 0
     clients: ClientBounds = ClientBounds()
+    calls: CallBounds = CallBounds()
     hedging: HedgingSettings | None = None
     overload: OverloadSettings = OverloadSettings()
 
@@ -186,6 +201,7 @@
         bounds=_parse_bounds(document.get("bounds", {})),
         memory_mb=document.get("memory_mb", 0),
         clients=_parse_clients(document.get("clients", {})),
+        calls=CallBounds(**document.get("calls", {})),
         hedging=_parse_hedging(document.get("hedging")),
         overload=OverloadSettings(**document.get("overload", {})),
     )
--- a/primrosehitch/instance_check.py
+++ b/primrosehitch/instance_check.py
@@ -246,6 +246,12 @@
                 custom_formats,
                 (name_prefix or "data") + ".clients",
             )
+        if "calls" in data_keys:
+            data_keys.remove("calls")
+            data__calls = data["calls"]
+            validate____defs_callsfile(
+                data__calls, custom_formats, (name_prefix or "data") + ".calls"
+            )
         if "hedging" in data_keys:
             data_keys.remove("hedging")
             data__hedging = data["hedging"]
@@ -403,6 +409,85 @@
     return data
 
 
+def validate____defs_callsfile(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise ValueError("" + (name_prefix or "data") + " must be object")
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data_keys = set(data.keys())
+        if "report_bytes" in data_keys:
+            data_keys.remove("report_bytes")
+            data__reportbytes = data["report_bytes"]
+            if (
+                not isinstance(data__reportbytes, (int))
+                and not (
+                    isinstance(data__reportbytes, float)
+                    and data__reportbytes.is_integer()
+                )
+                or isinstance(data__reportbytes, bool)
+            ):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".report_bytes must be integer"
+                )
+            if isinstance(
+                data__reportbytes, (int, float, Decimal)
+            ) and not isinstance(data__reportbytes, bool):
+                if data__reportbytes < 4096:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".report_bytes must be bigger than or equal to 4096"
+                    )
+                if data__reportbytes > 524288:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".report_bytes must be smaller than or equal to 524288"
+                    )
+        if "table_bytes" in data_keys:
+            data_keys.remove("table_bytes")
+            data__tablebytes = data["table_bytes"]
+            if (
+                not isinstance(data__tablebytes, (int))
+                and not (
+                    isinstance(data__tablebytes, float)
+                    and data__tablebytes.is_integer()
+                )
+                or isinstance(data__tablebytes, bool)
+            ):
+                raise ValueError(
+                    ""
+                    + (name_prefix or "data")
+                    + ".table_bytes must be integer"
+                )
+            if isinstance(
+                data__tablebytes, (int, float, Decimal)
+            ) and not isinstance(data__tablebytes, bool):
+                if data__tablebytes < 65536:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".table_bytes must be bigger than or equal to 65536"
+                    )
+                if data__tablebytes > 16777216:
+                    raise ValueError(
+                        ""
+                        + (name_prefix or "data")
+                        + ".table_bytes must be smaller than or equal to 16777216"
+                    )
+        if data_keys:
+            raise ValueError(
+                ""
+                + (name_prefix or "data")
+                + " must not contain "
+                + str(data_keys)
+                + " properties"
+            )
+    return data
+
+
 def validate____defs_clientsfile(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
         raise ValueError("" + (name_prefix or "data") + " must be object")
--- a/primrosehitch/platform/calls.py
+++ b/primrosehitch/platform/calls.py
@@ -12,7 +12,8 @@
     GET /-/Evacuate.List
 
 ZONE is percent-encoded UTF-8. Every answer is a JSON object; an error has
-the field ``error``.
+the field ``error``. A call whose body is too large is refused with 413 before
+the body is read.
 """
 
 import json
@@ -27,6 +28,7 @@
 from primrosehitch import evacuations
 from primrosehitch import events
 from primrosehitch import httpserver
+from primrosehitch import instance as instance_module
 from primrosehitch import jsontext
 from primrosehitch import messages
 from primrosehitch import registry
@@ -46,6 +48,8 @@
 MAX_SLOTS = (1 << 32) - 1
 # A longer time until an endpoint is warm is taken for this one.
 MAX_COLD_LEFT_MS = 600_000
+# Characters of a name that an endpoint reports; every instance keeps it.
+MAX_NAME_LENGTH = 1024
 MAX_LOGGED_VALUE = 40
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -60,6 +64,7 @@
     Raises:
         FieldError: a field is missing or invalid.
     """
+    _check_identifier(identifier)
     item = fields.Fields(_decode_json(body))
     state = STATES.get(item.string("state"))
     if state is None:
@@ -71,19 +76,31 @@
         # tells restarts apart.
         born=item.integer("born", 0),
         sequence=item.integer("seq"),
-        service=item.string("service"),
+        service=item.string("service", maximum=MAX_NAME_LENGTH),
         address=str(item.ip_address("address")),
-        domain=item.string("zone"),
+        domain=item.string("zone", maximum=MAX_NAME_LENGTH),
         slots=item.integer("slots", maximum=MAX_SLOTS),
         state=state,
         spot=item.boolean("spot"),
         leaves_ms=int(item.number("leaves_ms", 0)),
-        version=item.string("version", ""),
+        version=item.string("version", "", MAX_NAME_LENGTH),
         cold_left_ms=cold_left_ms or 0,
         reports_cold=cold_left_ms is not None,
     )
 
 
+def _check_identifier(identifier: str) -> None:
+    """Check the identifier in the path of an engine's call.
+
+    Raises:
+        FieldError: it is too long.
+    """
+    if len(identifier) > MAX_NAME_LENGTH:
+        raise fields.FieldError(
+            f"identifier longer than {MAX_NAME_LENGTH} characters", "path"
+        )
+
+
 def parse_zone(text: str) -> str:
     """Return the zone that the path of a call names.
 
@@ -135,16 +152,34 @@
 
     Args:
         control: the control instance that the requests read or change.
+        bounds: largest bodies of the calls.
 
     Attributes:
         stopping: whether all further requests are refused, because the
             instance stops; callers then try another one.
     """
 
-    def __init__(self, control: control_module.ControlInstance):
+    def __init__(
+        self,
+        control: control_module.ControlInstance,
+        bounds: instance_module.CallBounds = instance_module.CallBounds(),
+    ):
         self.control = control
+        self.bounds = bounds
         self.stopping = False
 
+    def max_body_bytes(self, method: str, target: bytes) -> int:
+        """Return the largest body of a call.
+
+        Args:
+            method: its method, in upper case.
+            target: its path and query.
+        """
+        path = target.partition(b"?")[0].decode("latin-1")
+        if method == "POST" and path == CONFIG_PUT_PATH:
+            return self.bounds.table_bytes
+        return self.bounds.report_bytes
+
     async def serve(
         self, request: httpserver.Request, responder: httpserver.Responder
     ) -> None:
@@ -198,6 +233,7 @@
         request: httpserver.Request,
         responder: httpserver.Responder,
     ) -> None:
+        _check_identifier(identifier)
         born = 0
         if request.body:
             born = fields.Fields(_decode_json(request.body)).integer("born", 0)
--- a/primrosehitch/platform/fields.py
+++ b/primrosehitch/platform/fields.py
@@ -49,13 +49,29 @@
         self.value = value
         self.path = path
 
-    def string(self, name: str, default: str | None = None) -> str:
-        """Return a non-empty string."""
+    def string(
+        self,
+        name: str,
+        default: str | None = None,
+        maximum: int | None = None,
+    ) -> str:
+        """Return a non-empty string.
+
+        Args:
+            name: the field's name.
+            default: returned if the field is missing.
+            maximum: the most characters that it may have, None for any
+                number.
+        """
         field_value = self.value.get(name, default)
         if field_value is default and default is not None:
             return default
         if not isinstance(field_value, str) or not field_value:
             raise FieldError("not a non-empty string", f"{self.path}.{name}")
+        if maximum is not None and len(field_value) > maximum:
+            raise FieldError(
+                f"longer than {maximum} characters", f"{self.path}.{name}"
+            )
         return field_value
 
     def number(self, name: str, default: float | None = None) -> float:
--- a/primrosehitch/platform/process.py
+++ b/primrosehitch/platform/process.py
@@ -35,10 +35,10 @@
 from primrosehitch.platform import tables
 
 SETTINGS_VARIABLE = "PRIMROSEHITCH_NODE_FILE"
-# Operators send whole tables; engines reuse connections for minutes.
-CONTROL_LIMITS = routes.ClientLimits(
-    body_bytes=16 << 20, idle_timeout_ms=60_000
-)
+# Engines reuse connections for minutes.
+CONTROL_LIMITS = routes.ClientLimits(idle_timeout_ms=60_000)
+# A query of metrics has no body.
+METRICS_LIMITS = routes.ClientLimits(body_bytes=4096, idle_timeout_ms=60_000)
 LOG_FLUSH_PERIOD_S = 1.0
 # A file that is being replaced as the process starts is whole soon.
 SETTINGS_TIMEOUT_S = 1.0
@@ -72,13 +72,15 @@
             tables.decode_accepted,
             tables.encode_without_customers,
         )
-        self.api = calls.ControlApi(self.control)
+        self.api = calls.ControlApi(self.control, settings.calls)
         memory = processmemory.make_connection_memory(
             settings.memory_mb, settings.clients
         )
-        self.server = httpserver.Server(self.api.serve, CONTROL_LIMITS, memory)
+        self.server = httpserver.Server(
+            self.api.serve, CONTROL_LIMITS, memory, self.api.max_body_bytes
+        )
         self.metrics = httpserver.Server(
-            _serve_metrics, CONTROL_LIMITS, memory
+            _serve_metrics, METRICS_LIMITS, memory
         )
 
     async def run(self, stop: anyio.Event) -> None:
--- a/primrosehitch/requestsplit.py
+++ b/primrosehitch/requestsplit.py
@@ -7,6 +7,7 @@
 """
 
 from typing import Iterable
+from typing import Sequence
 
 EMPTY_LINE = b"\r\n\r\n"
 MAX_TAIL_BYTES = len(EMPTY_LINE) - 1
@@ -33,7 +34,7 @@
         self.is_chunked = False
         self.tail = b""
 
-    def begin_body(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
+    def begin_body(self, headers: Sequence[tuple[bytes, bytes]]) -> None:
         """Record the framing of a body.
 
         Args:
@@ -41,11 +42,8 @@
                 accepted, names in lower case.
         """
         self.in_body = True
-        for name, value in headers:
-            if name == b"content-length":
-                self.body_left = _parse_length(value)
-            elif name == b"transfer-encoding":
-                self.is_chunked = True
+        self.body_left = announced_length(headers)
+        self.is_chunked = any(n == b"transfer-encoding" for n, _ in headers)
 
     def record_body(self, size: int) -> None:
         """Record that the parser has passed on bytes of a body."""
@@ -87,9 +85,18 @@
         return end
 
 
-def _parse_length(value: bytes) -> int:
-    digits = value.strip()
-    return int(digits) if digits.isdigit() else 0
+def announced_length(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the length in bytes that a head gives for its body, or 0.
+
+    Args:
+        headers: the (name, value) pairs of a head that the parser has
+            accepted, names in lower case.
+    """
+    for name, value in headers:
+        digits = value.strip()
+        if name == b"content-length" and digits.isdigit():
+            return int(digits)
+    return 0
 
 
-__all__ = ["RequestSplitter"]
+__all__ = ["RequestSplitter", "announced_length"]
--- a/tests/instances.py
+++ b/tests/instances.py
@@ -213,6 +213,27 @@
         return answer.status, answer.content
 
 
+async def exchange(number, data, port=CONTROL_PORT):
+    """Send bytes to a control instance; return its answer until it closes."""
+    async with await anyio.connect_tcp(host(number), port) as stream:
+        await stream.send(data)
+        answer = b""
+        with contextlib.suppress(anyio.EndOfStream), anyio.fail_after(5):
+            while True:
+                answer += await stream.receive()
+        return answer
+
+
+async def wait_until_listening(number, port=CONTROL_PORT):
+    """Wait until an instance accepts connections."""
+    with anyio.fail_after(5):
+        while True:
+            with contextlib.suppress(OSError):
+                await (await anyio.connect_tcp(host(number), port)).aclose()
+                return
+            await anyio.sleep(0.05)
+
+
 def encode(document):
     """Return a table document as the operators send it."""
     return json.dumps(document).encode()
