Large tables are decoded in parts, in another thread

Callers saw: a Config.Put of 15.5 MB whose routes are 5 million empty objects keeps the other callers of a control instance waiting for 13.9 s and takes 1.7 GB; one of 1.4 million fields, 2.9 s and 526 MB; 500,000 empty objects in 1.5 MB, 1.2 s and 202 MB.

Cause: a value of two or three bytes takes 60 to 350 as an object, and the whole document is decoded and checked in one step of the event loop.

Change: a document of more than 256 KiB has at most 2^20 values and 1000 fields, and is decoded in parts of 256 KiB, which also bound each field and each item of its lists. Tables of that size are checked in another thread, one at a time; each part is short enough for it to give way. Objects are checked as they are made. What an older release has accepted is read by `loads_accepted`, as before.

--- a/primrosehitch/jsontext.py
+++ b/primrosehitch/jsontext.py
@@ -4,17 +4,34 @@
 not Unicode and no number that is not finite. A document that other readers
 may take differently, such as one that names a field twice, is refused as a
 whole.
+
+A large document is decoded in parts, so that a thread which does so gives way
+to others, and the memory that it takes is bounded by its size.
 """
 
+import codecs
 import json
 import re
+import sys
 from typing import Any
+from typing import Callable
 from typing import NoReturn
 
 from primrosehitch import errors
 
 # An escape of one half of a surrogate pair begins like this.
 _SURROGATE_ESCAPE = re.compile(r"\\u[dD][89a-fA-F]")
+# Larger documents are decoded in parts, and are objects whose fields, and the
+# items of lists in these, are no larger than that.
+MAX_UNDIVIDED_BYTES = 1 << 18
+# The most values in such a document. Each takes up to 200 bytes.
+MAX_VALUES = 1 << 20
+# The most fields of the document itself.
+MAX_TOP_FIELDS = 1000
+_PART_BYTES = 1 << 18
+# A number that ends this close to the end of a part may go on in the next.
+_MAX_SPLIT_NUMBER = 3
+_WHITESPACE = re.compile(r"[ \t\r\n]*")
 # Every integer field of our messages with 64 bits can hold it.
 MAX_INTEGER = (1 << 63) - 1
 
@@ -36,20 +53,162 @@
         JsonError: the document is not valid; the error says where.
     """
     try:
+        if len(data) > MAX_UNDIVIDED_BYTES:
+            return _PartReader(data).read_document()
         text = data.decode("utf-8")
-        value = json.loads(
-            text,
-            parse_constant=_refuse_constant,
-            parse_float=_parse_float,
-            object_pairs_hook=_make_object,
-        )
-        if _SURROGATE_ESCAPE.search(text):
-            json.dumps(value, ensure_ascii=False).encode("utf-8")
+        value = _DECODER.decode(text)
+        _check_surrogates(text, value)
     except (ValueError, RecursionError) as exc:
         raise JsonError(f"not JSON: {_describe(exc)}") from exc
     return value
 
 
+class _PartReader:
+    """Decodes a large document in parts.
+
+    The document is an object. Its fields are decoded one after the other, and
+    lists in them item by item.
+
+    Args:
+        data: the document.
+
+    Attributes:
+        text: what was read of the document and is not decoded yet, from
+            ``position`` on.
+        decoded: the characters of the document before ``text``.
+        read: the bytes of the document that were read.
+
+    Raises:
+        ValueError: the document has too many values.
+    """
+
+    def __init__(self, data: bytes):
+        if data.count(b",") + data.count(b"[") + data.count(b"{") > MAX_VALUES:
+            raise ValueError(f"more than {MAX_VALUES} values")
+        self.data = data
+        self.utf8 = codecs.getincrementaldecoder("utf-8")()
+        self.text = ""
+        self.position = 0
+        self.decoded = 0
+        self.read = 0
+
+    def read_document(self) -> dict[str, Any]:
+        """Return the document's value.
+
+        Raises:
+            ValueError: it is not valid.
+        """
+        self._expect("{")
+        fields: list[tuple[str, Any]] = []
+        if not self._skip("}"):
+            while True:
+                fields.append(self._read_field())
+                if len(fields) > MAX_TOP_FIELDS:
+                    raise ValueError(f"more than {MAX_TOP_FIELDS} fields")
+                if not self._skip(","):
+                    break
+            self._expect("}")
+        if self._next_character():
+            raise ValueError(f"extra data: char {self._offset}")
+        return _make_object(fields)
+
+    def _read_field(self) -> tuple[str, Any]:
+        if self._next_character() != '"':
+            raise ValueError(f"no name of a field: char {self._offset}")
+        name = self._read_value()
+        self._expect(":")
+        if self._next_character() == "[":
+            return name, self._read_list()
+        return name, self._read_value()
+
+    def _read_list(self) -> list[Any]:
+        self._expect("[")
+        items: list[Any] = []
+        if self._skip("]"):
+            return items
+        while True:
+            items.append(self._read_value())
+            if not self._skip(","):
+                break
+        self._expect("]")
+        return items
+
+    def _read_value(self) -> Any:
+        """Return the next value, which has to be within a part."""
+        self._next_character()
+        while True:
+            try:
+                value, end = _PART_DECODER.raw_decode(self.text, self.position)
+            except ValueError as exc:
+                if self._is_last_part or self._holds_whole_part:
+                    raise self._locate(exc) from exc
+            else:
+                if (
+                    self._is_last_part
+                    or end < len(self.text) - _MAX_SPLIT_NUMBER
+                ):
+                    break
+            self._read_part()
+        _check_surrogates(self.text[self.position : end], value)
+        self.position = end
+        return value
+
+    def _locate(self, exc: ValueError) -> ValueError:
+        """Return the error of a value with its place in the document."""
+        if not self._is_last_part:
+            return ValueError(
+                f"the value at char {self._offset} is not valid, or longer"
+                f" than {_PART_BYTES} bytes"
+            )
+        text = exc.msg if isinstance(exc, json.JSONDecodeError) else str(exc)
+        return ValueError(f"{text}: the value at char {self._offset}")
+
+    def _expect(self, character: str) -> None:
+        if not self._skip(character):
+            raise ValueError(f"no {character!r}: char {self._offset}")
+
+    def _skip(self, character: str) -> bool:
+        """Skip a character if it is the next one; return whether it is."""
+        is_next = self._next_character() == character
+        self.position += is_next
+        return is_next
+
+    def _next_character(self) -> str:
+        """Skip white space; return what follows it, "" at the end."""
+        while True:
+            match = _WHITESPACE.match(self.text, self.position)
+            self.position = match.end() if match else self.position
+            if self.position < len(self.text) or self._is_last_part:
+                return self.text[self.position : self.position + 1]
+            self._read_part()
+
+    @property
+    def _is_last_part(self) -> bool:
+        return self.read >= len(self.data)
+
+    @property
+    def _holds_whole_part(self) -> bool:
+        """Whether as much is read ahead as a value may take."""
+        return len(self.text) - self.position >= _PART_BYTES
+
+    @property
+    def _offset(self) -> int:
+        return self.decoded + self.position
+
+    def _read_part(self) -> None:
+        part = self.data[self.read : self.read + _PART_BYTES]
+        try:
+            text = self.utf8.decode(
+                part, self.read + len(part) >= len(self.data)
+            )
+        except UnicodeDecodeError as exc:
+            raise ValueError(f"not UTF-8 after byte {self.read}") from exc
+        self.read += len(part)
+        self.decoded += self.position
+        self.text = self.text[self.position :] + text
+        self.position = 0
+
+
 def loads_accepted(data: bytes) -> Any:
     """Return the value of a document that an earlier release accepted.
 
@@ -113,4 +272,42 @@
     return value
 
 
-__all__ = ["JsonError", "MAX_INTEGER", "loads", "loads_accepted"]
+def _make_part_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Return an object that shares the names of its fields with others."""
+    return _make_object([(sys.intern(name), item) for name, item in pairs])
+
+
+def _check_surrogates(text: str, value: Any) -> None:
+    """Check that a value holds no half of a surrogate pair.
+
+    Args:
+        text: the document that was decoded.
+        value: what it holds.
+
+    Raises:
+        ValueError: it does.
+    """
+    if _SURROGATE_ESCAPE.search(text):
+        json.dumps(value, ensure_ascii=False).encode("utf-8")
+
+
+def _make_decoder(
+    make_object: Callable[[list[tuple[str, Any]]], dict[str, Any]],
+) -> json.JSONDecoder:
+    return json.JSONDecoder(
+        parse_constant=_refuse_constant,
+        parse_float=_parse_float,
+        object_pairs_hook=make_object,
+    )
+
+
+_DECODER = _make_decoder(_make_object)
+_PART_DECODER = _make_decoder(_make_part_object)
+
+__all__ = [
+    "JsonError",
+    "MAX_INTEGER",
+    "MAX_UNDIVIDED_BYTES",
+    "loads",
+    "loads_accepted",
+]
--- a/primrosehitch/platform/calls.py
+++ b/primrosehitch/platform/calls.py
@@ -22,6 +22,9 @@
 from typing import Any
 from urllib import parse
 
+import anyio
+import anyio.to_thread
+
 from primrosehitch import control as control_module
 from primrosehitch import errors
 from primrosehitch import evacuationorders
@@ -140,6 +143,11 @@
     return math.ceil(min(item.number("cold_left_ms"), MAX_COLD_LEFT_MS))
 
 
+def _decode_version(body: bytes) -> int:
+    """Return the version of a table whose other fields are valid."""
+    return tables.decode(body).version
+
+
 def _decode_json(body: bytes) -> Any:
     try:
         return jsontext.loads(body)
@@ -157,6 +165,7 @@
     Attributes:
         stopping: whether all further requests are refused, because the
             instance stops; callers then try another one.
+        table_checks: lets one large table be checked at a time.
     """
 
     def __init__(
@@ -167,6 +176,7 @@
         self.control = control
         self.bounds = bounds
         self.stopping = False
+        self.table_checks = anyio.CapacityLimiter(1)
 
     def max_body_bytes(self, method: str, target: bytes) -> int:
         """Return the largest body of a call.
@@ -243,12 +253,28 @@
     async def _handle_put(
         self, request: httpserver.Request, responder: httpserver.Responder
     ) -> None:
-        table = tables.decode(request.body)
-        if await self.control.put_table(table.version, request.body):
+        version = await self._read_version(request.body)
+        if await self.control.put_table(version, request.body):
             responder.respond(200, JSON_HEADERS, b"{}")
         else:
             _refuse(responder, 503, "no quorum confirmed the table in time")
 
+    async def _read_version(self, body: bytes) -> int:
+        """Return the version of a route table that an operator sends.
+
+        A large table is checked in another thread: the heartbeats, the lease
+        and the other callers of the instance do not wait for it.
+
+        Raises:
+            TableError: the routes do not match the services.
+            FieldError: a field is missing or invalid.
+        """
+        if len(body) <= jsontext.MAX_UNDIVIDED_BYTES:
+            return _decode_version(body)
+        return await anyio.to_thread.run_sync(
+            _decode_version, body, limiter=self.table_checks
+        )
+
     async def _handle_get(self, responder: httpserver.Responder) -> None:
         table = await self.control.read_confirmed_table()
         if table is None or not table.version:
--- a/primrosehitch/platform/fields.py
+++ b/primrosehitch/platform/fields.py
@@ -7,6 +7,7 @@
 import ipaddress
 import re
 from typing import Any
+from typing import Iterator
 
 from primrosehitch import errors
 from primrosehitch import jsontext
@@ -126,22 +127,24 @@
         """Return whether a field is present and not null."""
         return self.value.get(name) is not None
 
-    def items(self, name: str) -> list[tuple[Any, str]]:
-        """Return the items of a list with their paths.
+    def items(self, name: str) -> Iterator[tuple[Any, str]]:
+        """Yield the items of a list with their paths.
 
         A missing or null field counts as an empty list.
         """
         field_value = self.value.get(name)
         if field_value is None:
-            return []
+            return
         path = f"{self.path}.{name}"
         if not isinstance(field_value, list):
             raise FieldError("not a list", path)
-        return [(item, f"{path}[{i}]") for i, item in enumerate(field_value)]
+        for index, item in enumerate(field_value):
+            yield item, f"{path}[{index}]"
 
-    def objects(self, name: str) -> list["Fields"]:
-        """Return the objects of a list; empty if the field is missing."""
-        return [Fields(item, path) for item, path in self.items(name)]
+    def objects(self, name: str) -> Iterator["Fields"]:
+        """Yield the objects of a list; none if the field is missing."""
+        for item, path in self.items(name):
+            yield Fields(item, path)
 
     def child(self, name: str) -> "Fields":
         """Return a nested object."""
--- a/tests/test_call_limits.py
+++ b/tests/test_call_limits.py
@@ -1,17 +1,23 @@
 """Tests of the limits on calls to control instances."""
 
 import json
+import tracemalloc
 
+import anyio
 import instances
 import pytest
 import routed
 
 from primrosehitch import instance
+from primrosehitch import jsontext
 from primrosehitch.platform import calls
 from primrosehitch.platform import fields
 
 BOUNDS = instance.CallBounds()
 HEARTBEAT = "/-/Instances.Heartbeat/i-0other"
+LARGE_BYTES = 15 << 20
+# A document of 15 MB with this many objects takes 1.7 GB as such.
+MANY_VALUES = LARGE_BYTES // len(b"{},")
 
 
 def heartbeat(**changes):
@@ -36,6 +42,17 @@
     return json.dumps(document).encode()
 
 
+def peak_bytes(function, *args):
+    """Return the memory that a call takes at most; the call has to fail."""
+    tracemalloc.start()
+    try:
+        with pytest.raises((jsontext.JsonError, fields.FieldError)):
+            function(*args)
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
 # Guards against: a heartbeat of many MB keeps a control instance from all its
 # other callers, or ends it for lack of memory (review/8).
 @pytest.mark.parametrize(
@@ -108,3 +125,43 @@
     assert calls.parse_heartbeat(longest, heartbeat()).id == longest
     with pytest.raises(fields.FieldError, match="1024 characters"):
         calls.parse_heartbeat(longest + "x", heartbeat())
+
+
+# Guards against: while a table of some MB is checked, a control instance
+# sends no heartbeats and answers nobody.
+def test_event_loop_runs_on_while_a_large_table_is_checked():
+    async def body():
+        api = calls.ControlApi(control=None)
+        turns = 0
+        version = 0
+
+        async def check():
+            nonlocal version
+            version = await api._read_version(table)
+            group.cancel_scope.cancel()
+
+        table = large_table()
+        async with anyio.create_task_group() as group:
+            group.start_soon(check)
+            while True:
+                await anyio.sleep(0.001)
+                turns += 1
+        assert version == 7
+        assert turns > 3
+
+    anyio.run(body, backend_options={"use_uvloop": True})
+
+
+# Guards against: a document of 15 MB takes many times its size (review/8).
+@pytest.mark.parametrize(
+    "document",
+    [
+        b'{"routes":[' + b"{}," * MANY_VALUES + b'{}],"services":[{}]}',
+        b"{" + b'"%07d":1,' * 1_400_000 % tuple(range(1_400_000)) + b'"a":1}',
+        b'{"routes":[{' + b'"abcd":1,' * 900_000 + b'"a":1}]}',
+        b'{"routes":[{' + b'"abcd":"x",' * 900_000 + b'"a":1}]}',
+    ],
+    ids=["objects", "fields", "fields of an item", "texts"],
+)
+def test_memory_for_a_large_document_is_bounded(document):
+    assert peak_bytes(jsontext.loads, document) < 2 * len(document)
--- a/tests/test_jsontext.py
+++ b/tests/test_jsontext.py
@@ -66,3 +66,110 @@
     except jsontext.JsonError:
         return
     json.dumps(value, ensure_ascii=False, allow_nan=False).encode()
+
+
+@pytest.fixture(scope="module", params=[8, 33, 1 << 18])
+def part_bytes(request):
+    """Let all documents be decoded in parts of a size."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(jsontext, "MAX_UNDIVIDED_BYTES", 0)
+        patch.setattr(jsontext, "_PART_BYTES", request.param)
+        yield request.param
+
+
+def short_values(part_bytes):
+    return st.one_of(
+        st.none(),
+        st.integers(-9, 999),
+        st.text(max_size=1),
+        JSON_VALUES if part_bytes > 1000 else st.booleans(),
+    )
+
+
+# Guards against: a value at the end of a part is read as another one.
+@given(st.data(), st.booleans(), st.sampled_from([None, 1]))
+def test_documents_are_read_in_parts_as_at_once(
+    part_bytes, data, escape, indent
+):
+    values = short_values(part_bytes)
+    value = data.draw(
+        st.dictionaries(
+            st.text("abcö", max_size=2),
+            values | st.lists(values, max_size=9),
+            max_size=5,
+        )
+    )
+    escape = escape and part_bytes > 8
+    document = json.dumps(value, ensure_ascii=escape, indent=indent).encode()
+    assert jsontext.loads(document) == value
+
+
+@pytest.mark.parametrize("number", ["1.25", "-3", "1e2", "1.5e+3", "12345"])
+@pytest.mark.parametrize("padding", range(9))
+def test_numbers_at_the_end_of_a_part_are_read_whole(
+    part_bytes, number, padding
+):
+    document = f'{{"a":{" " * padding}[0,{number}, {number}]}}'
+    assert jsontext.loads(document.encode()) == json.loads(document)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"[]",
+        b"1",
+        b"{",
+        b"{}{}",
+        b"{}x",
+        b'{"a"}',
+        b'{"a":}',
+        b'{"a":1,}',
+        b'{"a":1 "b":2}',
+        b"{a:1}",
+        b'{"a":[1,]}',
+        b'{"a":[1',
+        b'{"a":[1 2]}',
+        b'{"a":1,"a":2}',
+        b'{"a":[{"b":1,"b":2}]}',
+        b'{"a":"\xff"}',
+        b'{"a":"\xc3',
+        b'{"a":["\\ud83d"]}',
+        b'{"\\ud83d":1}',
+        b'{"a":[NaN]}',
+        b'{"a":1e999}',
+        b'{"a":[' + b"[" * 100_000,
+        b"\xef\xbb\xbf{}",
+    ],
+)
+def test_unreadable_documents_are_refused_in_parts(part_bytes, data):
+    with pytest.raises(jsontext.JsonError):
+        jsontext.loads(data)
+
+
+@pytest.mark.parametrize(
+    "data,text",
+    [
+        (b'{"a":[' + b"1," * (1 << 20) + b"1]}", "1048576 values"),
+        (
+            b"{%s}" % b",".join(b'"%d":1' % n for n in range(30_000)),
+            "1000 fields",
+        ),
+        (
+            b'{"a":["%s"]}' % (b"x" * 600_000),
+            "char 6 is not valid, or longer than 262144",
+        ),
+        (
+            b'{"a":[%s 1 2]}' % (b"1, " * 100_000),
+            "char 300009",
+        ),
+    ],
+)
+def test_large_documents_are_refused_with_the_limit_or_place(data, text):
+    with pytest.raises(jsontext.JsonError, match=text):
+        jsontext.loads(data + b" " * jsontext.MAX_UNDIVIDED_BYTES)
+
+
+def test_large_documents_that_were_accepted_are_read():
+    data = b'{"a":"%s","b":[%s1]}' % (b"x" * 300_000, b"1," * (1 << 20))
+    assert len(jsontext.loads_accepted(data)["b"]) == (1 << 20) + 1
