A service's numbering is confirmed by another endpoint, and can be revoked

Cause: `sparse_services` was only ever added to. The second sight of a gap was not asked where it came from: behind another edge it may be the same endpoint.

Change: a gap confirms only if two endpoints are known to have it. Only the streams that follow count from then on, and 15 without a gap (an eighth at most of 16 or more with one) revoke it. A gap that comes again from elsewhere is passed on for its stream only, as before. Event 1541 says what an edge takes a service for. `numbering.numbering` is called `service_numbering`.

Tests: test_event_gaps; of the eight new ones, 6 failed before: the revocation, the report, and four of five pairs of endpoints.

--- a/primrosehitch/eventnumbering.py
+++ b/primrosehitch/eventnumbering.py
@@ -7,6 +7,8 @@
 
 from collections import deque
 import enum
+from typing import Callable
+from typing import Collection
 from typing import NamedTuple
 
 # What is known of a service is taken from so many of its last streams.
@@ -45,13 +47,20 @@
 class NumberingRecord:
     """What the streams of each service have shown so far.
 
+    Args:
+        on_change: called with a service and how it numbers events once that
+            is taken to be otherwise than before.
+
     Attributes:
         had_gaps: of each service's last streams, whether they had gaps.
         sparse_services: services of which two endpoints have left out the
-            same identifiers.
+            same identifiers, until later streams show that they were faulty.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_change: Callable[[str, Numbering], None] | None = None
+    ) -> None:
+        self.on_change = on_change
         self.had_gaps: dict[str, deque[bool]] = {}
         self.sparse_services: set[str] = set()
 
@@ -62,34 +71,53 @@
             service: the service's name.
             has_gaps: whether its identifiers had gaps.
         """
+        before = self.service_numbering(service)
         recent = self.had_gaps.pop(service, None)
         if recent is None:
             recent = deque(maxlen=WINDOW_STREAMS)
         recent.append(has_gaps)
         self.had_gaps[service] = recent
+        if _numbering_of(recent) is Numbering.DENSE:
+            self.sparse_services.discard(service)
+        self._report_change(service, before)
         if len(self.had_gaps) > MAX_SERVICES:
             oldest = next(iter(self.had_gaps))
             del self.had_gaps[oldest]
             self.sparse_services.discard(oldest)
 
     def confirm_gap(self, service: str) -> None:
-        """Record that two endpoints have left out the same identifiers."""
+        """Record that two endpoints have left out the same identifiers.
+
+        Only the streams that follow can show that both were faulty.
+        """
+        before = self.service_numbering(service)
+        self.had_gaps.pop(service, None)
         self.record_stream(service, True)
         self.sparse_services.add(service)
+        self._report_change(service, before)
 
-    def numbering(self, service: str) -> Numbering:
+    def service_numbering(self, service: str) -> Numbering:
         """Return how the endpoints of a service number events."""
         if service in self.sparse_services:
             return Numbering.SPARSE
-        recent = self.had_gaps.get(service, ())
-        if len(recent) < MIN_STREAMS:
-            return Numbering.UNKNOWN
-        share = sum(recent) / len(recent)
-        if share <= MAX_FAULTY_SHARE:
-            return Numbering.DENSE
-        if share >= MIN_SPARSE_SHARE:
-            return Numbering.SPARSE
+        return _numbering_of(self.had_gaps.get(service, ()))
+
+    def _report_change(self, service: str, before: Numbering) -> None:
+        after = self.service_numbering(service)
+        if self.on_change is not None and after is not before:
+            self.on_change(service, after)
+
+
+def _numbering_of(recent: Collection[bool]) -> Numbering:
+    """Return how events are numbered in streams that had gaps, or not."""
+    if len(recent) < MIN_STREAMS:
         return Numbering.UNKNOWN
+    share = sum(recent) / len(recent)
+    if share <= MAX_FAULTY_SHARE:
+        return Numbering.DENSE
+    if share >= MIN_SPARSE_SHARE:
+        return Numbering.SPARSE
+    return Numbering.UNKNOWN
 
 
 __all__ = ["Gap", "Numbering", "NumberingRecord"]
--- a/primrosehitch/events.py
+++ b/primrosehitch/events.py
@@ -437,6 +437,14 @@
     "Check `cold_per_s` of the service, and `cold_excess` and `cold_slack` in"
     " the settings.",
 )
+NUMBERING_CHANGED = Event(
+    1541,
+    "numbering-changed",
+    "An edge takes the endpoints of a service to number the events of streams"
+    " one by one (`dense`), to leave identifiers out (`sparse`), or neither.",
+    "If it changes to and fro, endpoints of the service lose events; look for"
+    " 1511 with identifiers.",
+)
 ORDER_SENT = Event(
     1601, "order-sent", "An order was sent to the platform.", NO_ACTION
 )
--- a/primrosehitch/forwarder.py
+++ b/primrosehitch/forwarder.py
@@ -115,7 +115,7 @@
             rng, self._measure_room
         )
         self.overload.on_scarcity = self._report_scarcity
-        self.numbering = eventnumbering.NumberingRecord()
+        self.numbering = eventnumbering.NumberingRecord(_report_numbering)
         self.malformed_loads = linelimit.LineLimit(MALFORMED_LOAD_PERIOD_MS)
         self.edge_token = helpers_module.make_token()
 
@@ -284,4 +284,13 @@
                 del self.pools[address]
 
 
+def _report_numbering(
+    service: str, numbering: eventnumbering.Numbering
+) -> None:
+    """Log how the endpoints of a service are taken to number events."""
+    events.emit(
+        events.NUMBERING_CHANGED, service=service, numbering=numbering.value
+    )
+
+
 __all__ = ["Forwarder", "Refused"]
--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -290,7 +290,8 @@
         deadline_at_ms: when the request times out, by ``clock.now_ms``.
         event_frames: splits a stream into whole events.
         refused_gaps: identifiers that endpoints left out, for which their
-            streams were left.
+            streams were left, with the endpoint. It is "" for one that
+            another edge chose, which may be any.
         ended_after: how many events the caller had when an endpoint ended
             the stream with its connection, -1 if none did.
         end_check_scope: cancelled if another endpoint takes too long to say
@@ -354,7 +355,7 @@
             time_limit_ms = min(time_limit_ms, call.deadline_ms)
         self.deadline_at_ms = request.started_ms + time_limit_ms
         self.event_frames = eventframes.EventSplitter(call.last_event_id)
-        self.refused_gaps: set[eventnumbering.Gap] = set()
+        self.refused_gaps: dict[eventnumbering.Gap, str] = {}
         self.ended_after = -1
         self.end_check_scope = anyio.CancelScope()
         self.tried_endpoints: list[str] = []
@@ -690,7 +691,7 @@
         item = await connection.receive()
         while isinstance(item, bytes):
             complete_events, event_error = self._split_events(
-                self.event_frames, item
+                self.event_frames, item, ""
             )
             if complete_events:
                 self.was_helped = True
@@ -710,12 +711,21 @@
         return Broken("stream incomplete")
 
     def _split_events(
-        self, event_frames: eventframes.EventSplitter, data: bytes
+        self,
+        event_frames: eventframes.EventSplitter,
+        data: bytes,
+        endpoint: str,
     ) -> tuple[bytes, eventframes.EventError | None]:
         """Return the events that bytes of a stream complete.
 
         The caller gets the sound ones also if no event follows them.
 
+        Args:
+            event_frames: splits the attempt's stream.
+            data: the bytes.
+            endpoint: the identifier of the endpoint that sent them, or "" if
+                they come from another edge.
+
         Returns:
             The events, and what is wrong with the bytes after them, if
             anything is.
@@ -723,35 +733,43 @@
         try:
             return event_frames.feed(data), None
         except eventframes.EventGapError as exc:
-            if not self._accepts_gap(exc.gap):
+            if not self._accepts_gap(exc.gap, endpoint):
                 return exc.sound_events, exc
             event_frames.allows_gaps = True
-            further_events, error = self._split_events(event_frames, b"")
+            further_events, error = self._split_events(
+                event_frames, b"", endpoint
+            )
             return exc.sound_events + further_events, error
         except eventframes.EventError as exc:
             return exc.sound_events, exc
 
-    def _accepts_gap(self, gap: eventnumbering.Gap) -> bool:
+    def _accepts_gap(self, gap: eventnumbering.Gap, endpoint: str) -> bool:
         """Return whether a stream may leave out identifiers.
 
         An endpoint may do so, unless endpoints of its service number events
         one by one. As long as that is not known, another endpoint goes on
         before the gap, if there is one that can. It has the same gap if
         nothing is missing.
+
+        Args:
+            gap: what is left out.
+            endpoint: the endpoint that does so, as for ``_split_events``.
         """
         service = self.ask.service
         numbering = self.shared.numbering
-        if gap in self.refused_gaps:
-            numbering.confirm_gap(service)
+        refused_of = self.refused_gaps.get(gap, endpoint)
+        if refused_of != endpoint:
+            if refused_of and endpoint:
+                numbering.confirm_gap(service)
             metrics.EVENT_GAPS.labels("confirmed").inc()
             return True
-        kind = numbering.numbering(service)
+        kind = numbering.service_numbering(service)
         is_refused = kind is eventnumbering.Numbering.DENSE or (
             kind is eventnumbering.Numbering.UNKNOWN and self._can_fail_over()
         )
         if is_refused:
             numbering.record_stream(service, True)
-            self.refused_gaps.add(gap)
+            self.refused_gaps[gap] = endpoint
         metrics.EVENT_GAPS.labels("refused" if is_refused else "passed").inc()
         return not is_refused
 
@@ -769,7 +787,7 @@
 
         Then it is not known which events the caller lacks.
         """
-        numbering = self.shared.numbering.numbering(self.ask.service)
+        numbering = self.shared.numbering.service_numbering(self.ask.service)
         return self.event_frames.is_doubtful or (
             self.event_frames.ends_with_gap
             and numbering is not eventnumbering.Numbering.SPARSE
@@ -1779,7 +1797,7 @@
                 # not count events that are not passed on.
                 return self._record_broken(attempt, "endpoint replaced")
             complete_events, event_error = self._split_events(
-                attempt.event_frames, item
+                attempt.event_frames, item, attempt.endpoint.record.id
             )
             if complete_events:
                 if not self._claim(attempt):
--- a/tests/test_event_gaps.py
+++ b/tests/test_event_gaps.py
@@ -7,6 +7,8 @@
 import routed
 
 from primrosehitch import eventnumbering
+from primrosehitch import forwarding
+from primrosehitch import httpserver
 from primrosehitch_lab import platform_engine
 
 Engine = platform_engine.StandInEngine
@@ -59,6 +61,25 @@
         edge.forwarder.numbering.record_stream("svc", has_gaps)
 
 
+def forwarded_request(edge):
+    """Return a request to resume, which is not sent."""
+    head, _, _ = routed.request("/resume/x").partition(b"\r\n\r\n")
+    line, *lines = head.split(b"\r\n")
+    headers = [tuple(item.split(b": ", 1)) for item in lines]
+    request = httpserver.Request(
+        "POST",
+        line.split()[1],
+        [(name.lower(), value) for name, value in headers],
+        b"",
+        routed.clock.now_ms(),
+    )
+    call = edge.forwarder.dialect.read_call(request)
+    decision = edge.forwarder._match_request(request, call)
+    return forwarding.ForwardedRequest(
+        edge.forwarder, request, None, call, decision
+    )
+
+
 async def stream_of(engines, target, streams_with_gaps=None):
     """Return (tokens, whole) of a stream that the first endpoint begins.
 
@@ -164,16 +185,89 @@
     record = eventnumbering.NumberingRecord()
     for has_gaps in streams:
         record.record_stream("svc", has_gaps)
-    assert record.numbering("svc").value == expected
-    assert record.numbering("other").value == "unknown"
+    assert record.service_numbering("svc").value == expected
+    assert record.service_numbering("other").value == "unknown"
 
 
 def test_record_of_services_is_bounded():
     record = eventnumbering.NumberingRecord()
     record.confirm_gap("first")
-    assert record.numbering("first") is eventnumbering.Numbering.SPARSE
+    assert record.service_numbering("first") is eventnumbering.Numbering.SPARSE
     for number in range(eventnumbering.MAX_SERVICES):
         record.record_stream(f"s-{number}", False)
-    assert record.numbering("first") is eventnumbering.Numbering.UNKNOWN
+    assert (
+        record.service_numbering("first") is eventnumbering.Numbering.UNKNOWN
+    )
     assert len(record.had_gaps) == eventnumbering.MAX_SERVICES
     assert not record.sparse_services
+
+
+def record_of_confirmed_gap():
+    record = eventnumbering.NumberingRecord()
+    for _ in range(eventnumbering.WINDOW_STREAMS):
+        record.record_stream("svc", False)
+    record.confirm_gap("svc")
+    assert record.service_numbering("svc") is eventnumbering.Numbering.SPARSE
+    return record
+
+
+# Guards against: two faulty endpoints, or one that is asked twice, leave out
+# the same identifier once, and events that are lost pass for good.
+def test_confirmed_gap_is_revoked_by_later_streams():
+    record = record_of_confirmed_gap()
+    numberings = []
+    for _ in range(eventnumbering.MIN_STREAMS):
+        record.record_stream("svc", False)
+        numberings.append(record.service_numbering("svc").value)
+    assert numberings == ["sparse"] * 14 + ["dense"] * 2
+
+
+def test_confirmed_gap_holds_as_long_as_streams_have_gaps():
+    record = record_of_confirmed_gap()
+    for number in range(200):
+        record.record_stream("svc", number % 4 == 0)
+        assert record.service_numbering("svc").value == "sparse"
+
+
+def test_changes_of_numbering_are_reported_once():
+    changes = []
+    record = eventnumbering.NumberingRecord(
+        lambda *change: changes.append(change)
+    )
+    for has_gaps in [False] * 20 + [True]:
+        record.record_stream("svc", has_gaps)
+    record.confirm_gap("svc")
+    for _ in range(20):
+        record.record_stream("svc", False)
+    assert [(service, kind.value) for service, kind in changes] == [
+        ("svc", "dense"),
+        ("svc", "sparse"),
+        ("svc", "dense"),
+    ]
+
+
+# Guards against: a gap that is seen again at the same endpoint, or at one that
+# another edge chose, makes a service one that leaves identifiers out.
+@pytest.mark.parametrize(
+    "first,second,expected",
+    [
+        ("i-0", "i-1", "sparse"),
+        ("i-0", "i-0", "unknown"),
+        ("i-0", "", "unknown"),
+        ("", "i-0", "unknown"),
+        ("", "", "unknown"),
+    ],
+)
+def test_only_another_endpoint_confirms_a_gap(first, second, expected):
+    async def body():
+        engines = misnumbering({}), misnumbering({})
+        async with routed.running_edge(*engines) as edge:
+            request = forwarded_request(edge)
+            request._can_fail_over = lambda: True
+            gap = eventnumbering.Gap(3, 8)
+            assert not request._accepts_gap(gap, first)
+            assert request._accepts_gap(gap, second) == (first != second)
+            numbering = edge.forwarder.numbering.service_numbering("svc")
+            assert numbering.value == expected
+
+    run(body)
