An edge tells a control instance that it leaves

Cause: an edge that looks for a control instance with a quorum gets all news of each that it has asked, for 2 to 3 s, with all cached prompt parts at first and all endpoint records again and again: 640 kB a second on a link that carries 625. Answers come too late, so that it asks the next one.

Change: Unsubscribe, which older instances skip; small messages only to an edge that has left; no cached parts without a quorum; all records only if a difference lasts for two subscriptions or a second.

Tests: test_subscriptions, which need Unsubscribe and fail without it.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -71,6 +71,9 @@
 MAX_RECENT_PARTS = 2000
 # An edge that did not subscribe for this long is not counted any more.
 ACTIVE_EDGE_TIMEOUT_MS = 700
+# All endpoint records are sent to an edge again after this time, if it never
+# has those that this instance has meanwhile.
+REGISTRY_AGAIN_MS = 1000
 # An edge that did not subscribe for this long gets no more messages.
 SUBSCRIPTION_TIMEOUT_MS = 2000
 # Control instances tell each other this often which edges they serve.
@@ -111,13 +114,47 @@
         last_seen_ms: when it subscribed last.
         helpers: how other edges can send requests to it, if they can.
         requests_tables: whether it asks for newer tables.
+        has_left: whether it uses another instance now. It still gets what is
+            small, until its subscription expires.
+        differing_digests: the digests of its registry and of this instance's
+            at its last subscription, if they differed.
+        registry_sent_ms: when all endpoint records were sent to it last, or
+            need not be sent.
     """
 
     def __init__(self, now: int, subscription: messages.Subscribe):
+        self.has_left = False
+        self.differing_digests = (0, 0)
+        self.registry_sent_ms = now
+        self.renew(now, subscription)
+
+    def renew(self, now: int, subscription: messages.Subscribe) -> None:
+        """Record a further subscription."""
         self.last_seen_ms = now
         self.helpers = subscription.helpers
         self.requests_tables = subscription.requests_tables
 
+    def needs_registry(self, digests: tuple[int, int], now: int) -> bool:
+        """Return whether all endpoint records are to be sent again.
+
+        A difference that lasts for one subscription only is a change that is
+        still on its way.
+
+        Args:
+            digests: the digests of its registry and of this instance's.
+            now: the current time in ms.
+        """
+        if digests[0] == digests[1]:
+            self.differing_digests = (0, 0)
+            self.registry_sent_ms = now
+            return False
+        lasts = digests == self.differing_digests
+        self.differing_digests = digests
+        if not lasts and now - self.registry_sent_ms < REGISTRY_AGAIN_MS:
+            return False
+        self.registry_sent_ms = now
+        return True
+
 
 class ControlInstance:
     """One control instance.
@@ -558,7 +595,7 @@
                     self.peers.link_names,
                 ),
                 (self.edge_parts, messages.PartsRead, self.peers.link_names),
-                (self.all_parts, messages.PartsRead, self.subscribers.keys),
+                (self.all_parts, messages.PartsRead, self._served_edges),
                 (
                     self.finding_relay.to_peers,
                     messages.PartFindings,
@@ -567,7 +604,7 @@
                 (
                     self.finding_relay.to_edges,
                     messages.PartFindings,
-                    self.subscribers.keys,
+                    self._served_edges,
                 ),
                 (
                     self.limits_to_peers,
@@ -783,12 +820,17 @@
     ) -> None:
         """Answer an edge with the status and with what it lacks."""
         now = clock.now_ms()
-        if sender not in self.subscribers:
-            self.lacking_updates.add(sender)
+        subscriber = self.subscribers.get(sender)
+        is_new = subscriber is None or subscriber.has_left
+        if subscriber is None:
             # It may come back on the connection that it had before.
             self._add_link(sender)
             self._send_known_edges((messages.KnownEdge(sender),))
-        self.subscribers[sender] = Subscriber(now, subscription)
+        if subscriber is None or is_new:
+            self.lacking_updates.add(sender)
+            subscriber = Subscriber(now, subscription)
+            self.subscribers[sender] = subscriber
+        subscriber.renew(now, subscription)
         self.edges.record_heard(sender, now)
         if sender in self.lacking_updates:
             records = self.registry.inactive_records()
@@ -799,13 +841,32 @@
         self.links.send(sender, status)
         if subscription.version < self.table.version:
             self._push_table((sender,))
-        if subscription.registry != status.registry:
+        digests = (subscription.registry, status.registry)
+        if subscriber.needs_registry(digests, now) or (
+            is_new and digests[0] != digests[1]
+        ):
             is_complete = now - self.started_ms > REGISTRY_WARM_UP_MS
             records = tuple(self.registry.records())
             self.links.send(
                 sender, messages.EndpointUpdate(records, is_complete)
             )
 
+    def _on_unsubscribe(
+        self, sender: str, message: messages.Unsubscribe
+    ) -> None:
+        """Send an edge that uses another instance only what is small."""
+        subscriber = self.subscribers.get(sender)
+        if subscriber is not None:
+            subscriber.has_left = True
+
+    def _served_edges(self) -> list[str]:
+        """Return the subscribed edges that use no other instance."""
+        return [
+            name
+            for name, subscriber in self.subscribers.items()
+            if not subscriber.has_left
+        ]
+
     def _make_status(self, now: int) -> messages.ControlStatus:
         controls = self.peers.domains_by_link(now)
         controls[self.name] = self.settings.domain
@@ -829,6 +890,7 @@
         """
         return sum(
             now - subscriber.last_seen_ms <= ACTIVE_EDGE_TIMEOUT_MS
+            and not subscriber.has_left
             for subscriber in self.subscribers.values()
         )
 
@@ -1168,15 +1230,19 @@
             receiver: the edge or instance.
             records: the inactive and cold endpoints that it should know of.
         """
+        now = clock.now_ms()
+        parts: tuple[messages.PartRead, ...] = ()
+        if receiver not in self.subscribers or self._has_quorum_contact(now):
+            # An edge does not stay with an instance without a quorum.
+            parts = self.recent_parts.values(now)
         missed = (
             messages.EndpointUpdate(tuple(records), False),
-            messages.PartsRead(self.recent_parts.values(clock.now_ms())),
+            messages.PartsRead(parts),
             self._quarantine_findings(),
             messages.EndpointLimits(tuple(self.limits.in_force())),
             messages.EndpointLimits(self._open_evidence()),
         )
         if receiver in self.peers.presences:
-            now = clock.now_ms()
             missed += (
                 messages.StreamOrigins(self.origins.items(now)),
                 messages.KnownEdges(self.edges.items(now)),
@@ -1234,7 +1300,8 @@
             if edge_total.demands:
                 self.links.multicast(self.peers.link_names(), edge_total)
             self.control_loads.add_report(self.name, edge_total, tick.now)
-            self.links.multicast(self.subscribers, self.control_loads.total())
+            total = self.control_loads.total()
+            self.links.multicast(self._served_edges(), total)
 
     def in_flight_by_service(self) -> dict[str, int]:
         """Return the in-flight requests of all edges, by service."""
@@ -1286,6 +1353,7 @@
     _HANDLERS: dict[type, Callable] = {
         messages.Presence: _on_presence,
         messages.Subscribe: _on_subscribe,
+        messages.Unsubscribe: _on_unsubscribe,
         messages.TableRequest: _on_table_request,
         messages.KnownEdges: _on_known_edges,
         messages.EndpointUpdate: _on_endpoints,
--- a/primrosehitch/edge.py
+++ b/primrosehitch/edge.py
@@ -410,6 +410,8 @@
                 now=choice.name,
                 why=choice.why,
             )
+        if choice.name != self.current_control:
+            self._send(messages.Unsubscribe(choice.name))
         self.selector.use(choice.name, clock.now_ms())
         self._subscribe()
         self._report_again()
--- a/primrosehitch/messages.py
+++ b/primrosehitch/messages.py
@@ -2217,6 +2217,22 @@
     )
 
 
+class Unsubscribe(NamedTuple):
+    """Message ``Unsubscribe`` of the schema."""
+
+    control: str = ""
+
+
+def _write_unsubscribe(b: Any, m: Unsubscribe) -> None:
+    b.control = m.control
+
+
+def _read_unsubscribe(r: Any) -> Unsubscribe:
+    return Unsubscribe(
+        r.control,
+    )
+
+
 _CODECS: dict[type, tuple[Any, Any, Any]] = {
     Hello: (_capnp.Hello, _write_hello, _read_hello),
     Challenge: (_capnp.Challenge, _write_challenge, _read_challenge),
@@ -2423,6 +2439,7 @@
         _read_table_request,
     ),
     TablePiece: (_capnp.TablePiece, _write_table_piece, _read_table_piece),
+    Unsubscribe: (_capnp.Unsubscribe, _write_unsubscribe, _read_unsubscribe),
 }
 
 KINDS: dict[int, type] = {
@@ -2511,6 +2528,7 @@
     83: TierDemand,
     84: TableRequest,
     85: TablePiece,
+    86: Unsubscribe,
 }
 
 NUMBERS = {kind: n for n, kind in KINDS.items()}
@@ -2638,6 +2656,7 @@
     "TableResult",
     "TallyBatch",
     "TierDemand",
+    "Unsubscribe",
     "UsageBatch",
     "UsageRow",
     "VoteReply",
--- a/primrosehitch/schema/messages.capnp
+++ b/primrosehitch/schema/messages.capnp
@@ -736,3 +736,9 @@
   size @4 :UInt64;
   data @5 :Data;
 }
+
+# An edge uses another control instance from now on. An older release keeps
+# sending it all news until its subscription has expired.
+struct Unsubscribe {
+  control @0 :Text;
+}
