Subscriptions: the first one of an edge needs no case of its own

Cause: read again, two conditions asked whether an edge is new. Change: all records are due to an edge that has just come, and wait as usual from then on.

--- a/primrosehitch/control.py
+++ b/primrosehitch/control.py
@@ -125,7 +125,7 @@
     def __init__(self, now: int, subscription: messages.Subscribe):
         self.has_left = False
         self.differing_digests = (0, 0)
-        self.registry_sent_ms = now
+        self.registry_sent_ms = now - REGISTRY_AGAIN_MS
         self.renew(now, subscription)
 
     def renew(self, now: int, subscription: messages.Subscribe) -> None:
@@ -138,7 +138,7 @@
         """Return whether all endpoint records are to be sent again.
 
         A difference that lasts for one subscription only is a change that is
-        still on its way.
+        still on its way, unless the edge has just come.
 
         Args:
             digests: the digests of its registry and of this instance's.
@@ -821,12 +821,11 @@
         """Answer an edge with the status and with what it lacks."""
         now = clock.now_ms()
         subscriber = self.subscribers.get(sender)
-        is_new = subscriber is None or subscriber.has_left
         if subscriber is None:
             # It may come back on the connection that it had before.
             self._add_link(sender)
             self._send_known_edges((messages.KnownEdge(sender),))
-        if subscriber is None or is_new:
+        if subscriber is None or subscriber.has_left:
             self.lacking_updates.add(sender)
             subscriber = Subscriber(now, subscription)
             self.subscribers[sender] = subscriber
@@ -842,9 +841,7 @@
         if subscription.version < self.table.version:
             self._push_table((sender,))
         digests = (subscription.registry, status.registry)
-        if subscriber.needs_registry(digests, now) or (
-            is_new and digests[0] != digests[1]
-        ):
+        if subscriber.needs_registry(digests, now):
             is_complete = now - self.started_ms > REGISTRY_WARM_UP_MS
             records = tuple(self.registry.records())
             self.links.send(
--- a/tests/test_subscriptions.py
+++ b/tests/test_subscriptions.py
@@ -159,8 +159,6 @@
         async with instances.serving_fleet(tmp_path) as fleet:
             edge = fleet.edges[9]
             await instances.wait_until(lambda: edge.true_time.has_control_time)
-            # A return to the own failure domain is not due for a while.
-            edge.selector.last_return_ms = routed.clock.now_ms()
             left, other = (
                 next(
                     control
@@ -170,7 +168,10 @@
                 for is_current in (True, False)
             )
             assert edge.links.name in left._served_edges()
-            instances.use_control(edge, other.name)
+            # As if the other one were in its own failure domain.
+            edge.selector.last_return_ms = routed.clock.now_ms()
+            edge.selector.returning_to = other.name
+            edge.selector.dialed.add(other.name)
             await instances.wait_until(
                 lambda: (
                     edge.links.name in other._served_edges()
