--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -457,8 +457,8 @@
     Mutant(
         "half of a surrogate pair is refused",
         "jsontext.py",
-        "        if _SURROGATE_ESCAPE.search(text):",
-        "        if False:",
+        "    if _SURROGATE_ESCAPE.search(text):",
+        "    if False:",
         "tests/test_jsontext.py",
     ),
     Mutant(
