--- a/primrosehitch/forwarding.py
+++ b/primrosehitch/forwarding.py
@@ -759,9 +759,11 @@
         numbering = self.shared.numbering
         refused_of = self.refused_gaps.get(gap, endpoint)
         if refused_of != endpoint:
-            if refused_of and endpoint:
+            is_confirmed = bool(refused_of and endpoint)
+            if is_confirmed:
                 numbering.confirm_gap(service)
-            metrics.EVENT_GAPS.labels("confirmed").inc()
+            outcome = "confirmed" if is_confirmed else "passed"
+            metrics.EVENT_GAPS.labels(outcome).inc()
             return True
         kind = numbering.service_numbering(service)
         is_refused = kind is eventnumbering.Numbering.DENSE or (
