--- a/review/rig3.py
+++ b/review/rig3.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KEY = "n2ctnfzs989anu6wsjnb"
@@ -367,21 +368,25 @@
             await self.beat()
             await asyncio.sleep(1.2)
 
+    def next_beat(self):
+        """Return the body of the next heartbeat."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": f"{self.host}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "born": self.born,
+            "seq": self.sequence,
+        }
+
     async def beat(self):
         """Send one heartbeat, to the first control that takes it."""
         for machine in random.sample(self.controls, len(self.controls)):
-            self.sequence += 1
-            document = {
-                "service": self.service,
-                "address": f"{self.host}:{self.port}",
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self.slots,
-                "state": self.state,
-                "born": self.born,
-                "seq": self.sequence,
-            }
             path = "/-/Instances.Heartbeat/" + self.id
+            document = self.next_beat()
             answer = await call(machine.control, "POST", path, document)
             if 200 <= answer.status < 300:
                 return
@@ -516,6 +521,10 @@
         record.write()
         print(f"could not run: {exc}")
         sys.exit(2)
+    except Exception:
+        traceback.print_exc()
+        record.write()
+        sys.exit(2)
     record.add("rule broken" if broken else "rule held")
     record.write()
     print(record.lines[-1])
