--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,105 +1,199 @@
-"""Many clients with large bodies at once on one edge."""
+"""A control instance loses its process right after it acknowledged a leave."""
 
 import asyncio
+import json
+import os
 import pathlib
+import signal
+import socket
+import statistics
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
 import rig3  # noqa: E402
 
-BODY = b"b" * 4_000_000
-# Time between two requests: usual traffic, and a burst of twice it.
-USUAL_GAP_MS = 300
-BURST_GAP_MS = 150
-CLIENTS = REQUESTS = 40
-WORK_MS = 1500
-DEADLINE_MS = 4000
-MOST_LOST = 3
+ROUNDS = 10
+# When the control is killed, from the time that an acknowledgement takes.
+OFFSETS_S = (0.0, 0.0002, 0.0004, 0.0001, 0.0003)
+ENGINES = 3
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+# How long the engine goes on serving after the acknowledgement.
+LINGER_S = 4.0
+# The killed control is back after this, and then has time to catch up.
+DOWN_S = 4.1
+CATCH_UP_S = 4.6
+REQUEST_GAP_S = 0.02
+DEADLINE_MS = 1000
 
 
-async def one(record, client, identifier, size):
-    """Send one booking on a kept connection and note its end."""
-    record.add(f"sent {identifier} {size} B")
+def send_call(sock, path, host, document):
+    """Send one call of an engine."""
+    body = json.dumps(document).encode()
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {host}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode()
+    sock.sendall(head + body)
+
+
+def usual_ack_s(sock, engine, machine):
+    """Return how long the control takes to acknowledge a heartbeat."""
+    took = []
+    for _ in range(25):
+        began = time.perf_counter()
+        path = "/-/Instances.Heartbeat/" + engine.id
+        send_call(sock, path, machine.host, engine.next_beat())
+        sock.recv(4096)
+        took.append(time.perf_counter() - began)
+        time.sleep(0.01)
+    return statistics.median(took)
+
+
+def leave(record, engine, machine, number):
+    """Say that the engine leaves; kill the control as it acknowledges.
+
+    The kill comes at about the time at which the acknowledgement leaves the
+    control, so the calls are made without the event loop.
+
+    Returns:
+        When the acknowledgement was read, by the record's time, or -1 if
+        the control ended before it gave one.
+    """
+    pid, kills = machine.process.pid, rig3.trouble()
+    with socket.create_connection(machine.control, 1.0) as sock:
+        delay_s = usual_ack_s(sock, engine, machine)
+        delay_s += OFFSETS_S[number % len(OFFSETS_S)]
+        began = time.perf_counter()
+        path = "/-/Instances.Leave/" + engine.id
+        send_call(sock, path, machine.host, {"born": engine.born})
+        while time.perf_counter() - began < delay_s:
+            pass
+        if kills:
+            os.kill(pid, signal.SIGKILL)
+        try:
+            data = sock.recv(4096)
+        except OSError:
+            data = b""
+        acked = record.now()
+    if kills:
+        machine.process.wait()
+    name = machine.name
+    if not data.startswith(b"HTTP/1.1 200"):
+        record.add(f"{name} ended without acknowledging {engine.id}")
+        return -1.0
+    record.add(f"leave of {engine.id} acknowledged by {name}")
+    return acked
+
+
+async def traffic(record, fleet):
+    """Send bookings to the edges in turn until cancelled."""
+    clients = [rig3.Client(edge.front) for edge in fleet.edges]
+    number = 0
+    pending = set()
+    while True:
+        number += 1
+        at = number % len(clients)
+        task = asyncio.create_task(one(record, clients, at))
+        pending.add(task)
+        task.add_done_callback(pending.discard)
+        await asyncio.sleep(REQUEST_GAP_S)
+
+
+async def one(record, clients, at):
+    """Send one booking on a connection of its own if the kept one is busy."""
+    client, clients[at] = clients[at], rig3.Client(clients[at].address)
+    identifier = rig3.new_id()
     answer = await client.ask(
         "POST",
         "/lohu930/book",
         rig3.request_headers(identifier, DEADLINE_MS),
-        BODY[:size],
-        timeout=DEADLINE_MS / 1000 + 2,
-    )
-    record.add(
-        f"answer {identifier} {answer.status or 'none'}"
-        f" {'whole' if answer.whole else answer.end}"
+        b"b" * 600,
+        timeout=3.0,
     )
-    return answer
+    record.add(f"answer {identifier} {answer.status or answer.end}")
+    if answer.whole and "close" not in answer.headers.get("connection", ""):
+        clients[at].close()
+        clients[at] = client
+    else:
+        client.close()
 
 
 async def case(record):
     """Return whether the rule was broken."""
-    fleet = rig3.Fleet(controls=3, edges=1)
+    fleet = rig3.Fleet(controls=4, edges=3)
     engines = []
+    tasks = []
     try:
         fleet.start()
-        for n in range(4):
-            host = f"{fleet.engine_base}.{n + 1}"
-            engine = rig3.Engine(
-                record, n, host, "mostrador", fleet.controls, WORK_MS
-            )
-            engines.append(engine)
-            await engine.start()
-        await rig3.put_table(
-            fleet, rig3.table(7, "mostrador", timeout_ms=DEADLINE_MS)
-        )
+        for n in range(ENGINES):
+            engines.append(await start_engine(record, fleet, n))
+        await rig3.put_table(fleet, rig3.table(7, "mostrador"))
         await rig3.wait_ready(fleet)
         await asyncio.sleep(4)
-        return await load(record, fleet, engines)
+        tasks.append(asyncio.create_task(traffic(record, fleet)))
+        late = 0
+        for number in range(ROUNDS):
+            engines.append(await start_engine(record, fleet, ENGINES + number))
+            await asyncio.sleep(2.5)
+            late += await one_round(record, fleet, engines.pop(0), number)
+            await asyncio.sleep(CATCH_UP_S - 2.5)
+            if late and rig3.trouble():
+                break
+        record.add(f"{late} requests reached engines too late")
+        return late > 0
     finally:
+        for task in tasks:
+            task.cancel()
         for engine in engines:
             await engine.close()
         fleet.close()
 
 
-def largest_memory(edge):
-    """Return the largest resident memory of a process, for the record."""
-    path = pathlib.Path(f"/proc/{edge.process.pid}/status")
-    for line in path.read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return line.partition(":")[2].strip()
-    return "unknown"
+async def start_engine(record, fleet, number):
+    """Return a new engine that sends heartbeats."""
+    host = f"{fleet.engine_base}.{number + 1}"
+    engine = rig3.Engine(record, number, host, "mostrador", fleet.controls)
+    await engine.start()
+    return engine
 
 
-async def load(record, fleet, engines):
-    """Send the traffic; return whether too many answers were lost."""
-    edge = fleet.edges[0]
-    gap_s = (BURST_GAP_MS if rig3.trouble() else USUAL_GAP_MS) / 1000
-    clients = [rig3.Client(edge.front) for _ in range(CLIENTS)]
-    # Each connection has served a request before, so that it is kept.
-    first = await asyncio.gather(
-        *(one(record, c, rig3.new_id(), 600) for c in clients)
-    )
-    if any(answer.status != 200 for answer in first):
-        raise rig3.NotRunnableError("a small request was not served")
-    sent = {}
-    for number in range(REQUESTS):
-        client, identifier = clients[number], rig3.new_id()
-        sent[identifier] = asyncio.create_task(
-            one(record, client, identifier, len(BODY))
+async def one_round(record, fleet, engine, number):
+    """Let an engine leave; return how many requests reached it too late.
+
+    Counted are those that reach it after ``DRAIN_S`` from the
+    acknowledgement and while all edges are in touch: the core has been
+    stable for ``CONTACT_S`` since the kill.
+    """
+    engine.beats.cancel()
+    await asyncio.sleep(0.1)
+    machine = fleet.controls[number % len(fleet.controls)]
+    acked = leave(record, engine, machine, number)
+    record.add(f"{machine.name} {'killed' if rig3.trouble() else 'lives'}")
+    if acked < 0:
+        # It was not acknowledged, so the engine tells another control.
+        other = next(m for m in fleet.controls if m is not machine)
+        path = "/-/Instances.Leave/" + engine.id
+        await rig3.call(other.control, "POST", path, {"born": engine.born})
+        acked = record.now()
+    await asyncio.sleep(LINGER_S)
+    await engine.close()
+    record.add(f"{engine.id} has ended")
+    counted_from = acked + max(DRAIN_S, CONTACT_S) + 0.1
+    late = [run for run in engine.runs if run[0] > counted_from]
+    for at, identifier, _ in late:
+        record.add(
+            f"{identifier} reached {engine.id}"
+            f" {at - acked:.3f} s after the acknowledgement"
         )
-        await asyncio.sleep(gap_s)
-    lost = 0
-    for identifier, task in sent.items():
-        answer = await task
-        ran = any(r[1] == identifier for e in engines for r in e.runs)
-        if ran and not answer.whole:
-            lost += 1
-            record.add(f"ran and never answered {identifier}")
-    record.add(f"{lost} requests ran and were never answered")
-    record.add(f"the edge's largest memory: {largest_memory(edge)}")
-    if edge.process.poll() is not None:
-        record.add("the edge has ended")
-    return lost > MOST_LOST
+    await asyncio.sleep(DOWN_S - LINGER_S)
+    if rig3.trouble():
+        machine.start()
+    return len(late)
 
 
 rig3.main(HERE, case)
