--- a/review/rig3.py
+++ b/review/rig3.py
@@ -27,7 +27,7 @@
 SETTLE_S = 15.0
 BOUNDS = {
     "retry_ratio": 0.2,
-    "retry_slack": 52,
+    "retry_slack": 54,
     "retry_window_s": 10,
     "usage_window_s": 5,
     "usage_late_s": 10,
@@ -190,7 +190,7 @@
 class Fleet:
     """The machines of a small deployment."""
 
-    def __init__(self, controls=4, edges=3, platform=None):
+    def __init__(self, controls=3, edges=3, platform=None):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review3-"))
         self.platform = platform
         base = f"127.{random.randrange(30, 200)}"
@@ -200,14 +200,13 @@
         ports = free_ports(control_hosts + edge_hosts, 5)
         self.link_port, self.control_port, self.front_port = ports[:3]
         self.ready_port, self.metrics_port = ports[3:]
-        zones = ["cr-central-a", "cr-central-b", "cr-central-c"]
-        zones.append("cr-central-d")
+        zones = ["ie-south-a", "ie-south-b", "ie-south-c"]
         self.controls = [
-            Machine(self, f"core-{n + 1}", host, zones[n % 4], True)
+            Machine(self, f"core-{n + 1}", host, zones[n % 3], True)
             for n, host in enumerate(control_hosts)
         ]
         self.edges = [
-            Machine(self, f"front-{n + 1}", host, zones[n % 4], False)
+            Machine(self, f"front-{n + 1}", host, zones[n % 3], False)
             for n, host in enumerate(edge_hosts)
         ]
 
@@ -352,7 +351,7 @@
         self.server = None
         self.port = 0
         self.beats = None
-        self.zone = "cr-central-a"
+        self.zone = "ie-south-a"
 
     async def start(self):
         """Listen, and begin to send heartbeats."""
